Add fibers over Asio, HTTP/1.1 by Boost.Beast and JSON-RPC

An idle connection waits in Asio for its first byte and holds no fiber stack; a request runs in a fiber of its own. HttpClient tells apart a request that cannot have arrived (PeerUnavailable) from one that may have (OutcomeUnknown).

Ruled out: the HTTP connectors that come with libjsonrpccpp, which use threads and blocking calls.

--- /dev/null
+++ b/foxtailtrail/net/HttpClient.cpp
@@ -0,0 +1,141 @@
+#include "foxtailtrail/net/HttpClient.h"
+
+#include "foxtailtrail/net/Await.h"
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/FiberThread.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <vector>
+
+namespace foxtail {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+    // Answers of other VMs and the store stay well below this size.
+    constexpr uint64_t maxAnswerBytes = uint64_t { 64 } << 20;
+
+    // A kept connection is usable when its server has neither closed it nor sent anything.
+    bool isUsable(beast::tcp_stream& stream)
+    {
+        char byte = 0;
+        beast::error_code code;
+        stream.socket().non_blocking(true, code);
+        stream.socket().receive(boost::asio::buffer(&byte, 1), Tcp::socket::message_peek, code);
+        return code == boost::asio::error::would_block;
+    }
+
+    HttpResponse toResponse(http::response<http::string_body>&& message)
+    {
+        HttpResponse response;
+        response.status = message.result_int();
+        for (const auto& field : message)
+            response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        response.contentType = std::string(message[http::field::content_type]);
+        response.body = std::move(message.body());
+        return response;
+    }
+
+}
+
+class HttpClient::Implementation {
+public:
+    Implementation(Endpoint endpoint, size_t maxIdle)
+        : endpoint(std::move(endpoint))
+        , maxIdle(maxIdle)
+    {
+    }
+
+    Result<HttpResponse> send(const HttpRequest& request, TimePoint deadline)
+    {
+        BOOST_OUTCOME_TRY(std::unique_ptr<beast::tcp_stream> stream, this->connection(deadline));
+
+        http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
+        message.set(http::field::host, this->endpoint.address);
+        for (const HttpHeader& header : request.headers)
+            message.set(header.name, header.value);
+        message.body() = request.body;
+        message.prepare_payload();
+
+        stream->expires_at(toSteady(deadline));
+        const IoOutcome written = awaitIo([&](auto callback) { http::async_write(*stream, message, std::move(callback)); });
+        this->counters.sentBytes += written.bytes;
+        if (written.code)
+            return this->unknown(written.code);
+
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(maxAnswerBytes);
+        const IoOutcome read = awaitIo([&](auto callback) { http::async_read(*stream, buffer, parser, std::move(callback)); });
+        this->counters.receivedBytes += read.bytes;
+        if (read.code)
+            return this->unknown(read.code);
+
+        stream->expires_never();
+        if (parser.get().keep_alive() && this->idle.size() < this->maxIdle)
+            this->idle.push_back(std::move(stream));
+        return toResponse(parser.release());
+    }
+
+    Endpoint endpoint;
+    TransferCounters counters;
+
+private:
+    boost::outcome_v2::failure_type<Error> unknown(beast::error_code code) const
+    {
+        return fail(ErrorKind::OutcomeUnknown, this->describe() + ": " + code.message());
+    }
+
+    std::string describe() const { return this->endpoint.address + ":" + std::to_string(this->endpoint.port); }
+
+    // Takes a kept connection or makes a new one.
+    Result<std::unique_ptr<beast::tcp_stream>> connection(TimePoint deadline)
+    {
+        while (!this->idle.empty()) {
+            std::unique_ptr<beast::tcp_stream> stream = std::move(this->idle.back());
+            this->idle.pop_back();
+            if (isUsable(*stream))
+                return stream;
+        }
+        beast::error_code code;
+        const auto address = boost::asio::ip::make_address(this->endpoint.address, code);
+        if (code)
+            return fail(ErrorKind::PeerUnavailable, "\"" + this->endpoint.address + "\" is not an IP address");
+        auto stream = std::make_unique<beast::tcp_stream>(FiberThread::current()->ioContext());
+        stream->expires_at(toSteady(deadline));
+        const IoOutcome connected = awaitIo([&](auto callback) {
+            stream->async_connect(
+                Tcp::endpoint(address, this->endpoint.port), [callback](beast::error_code outcome) mutable { callback(outcome); });
+        });
+        if (connected.code)
+            return fail(ErrorKind::PeerUnavailable, this->describe() + ": " + connected.code.message());
+        stream->socket().set_option(Tcp::no_delay(true), code);
+        return stream;
+    }
+
+    size_t maxIdle;
+    std::vector<std::unique_ptr<beast::tcp_stream>> idle;
+};
+
+HttpClient::HttpClient(Endpoint endpoint, size_t maxIdleConnections)
+    : implementation(std::make_unique<Implementation>(std::move(endpoint), maxIdleConnections))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Result<HttpResponse> HttpClient::send(const HttpRequest& request, TimePoint deadline)
+{
+    return this->implementation->send(request, deadline);
+}
+
+const Endpoint& HttpClient::endpoint() const { return this->implementation->endpoint; }
+
+const TransferCounters& HttpClient::counters() const { return this->implementation->counters; }
+
+}
--- /dev/null
+++ b/foxtailtrail/net/HttpServer.cpp
@@ -0,0 +1,273 @@
+#include "foxtailtrail/net/HttpServer.h"
+
+#include "foxtailtrail/net/Await.h"
+#include "foxtailtrail/net/Clock.h"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <list>
+#include <optional>
+#include <sys/socket.h>
+
+namespace foxtail {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+    // Header fields beyond this size are refused, so a connection's buffer stays small.
+    constexpr uint32_t maxHeaderBytes = 16 * 1024;
+
+    using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+    HttpRequest toRequest(http::request<http::string_body>&& message)
+    {
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto& field : message)
+            request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        request.body = std::move(message.body());
+        return request;
+    }
+
+    http::response<http::string_body> toMessage(HttpResponse&& response, unsigned version, bool keepAlive)
+    {
+        http::response<http::string_body> message(static_cast<http::status>(response.status), version);
+        message.set(http::field::content_type, response.contentType);
+        for (const HttpHeader& header : response.headers)
+            message.set(header.name, header.value);
+        message.body() = std::move(response.body);
+        message.keep_alive(keepAlive);
+        message.prepare_payload();
+        return message;
+    }
+
+    Error readFault(beast::error_code code)
+    {
+        if (code == http::error::body_limit)
+            return { ErrorKind::BodyTooLarge, "" };
+        if (code == http::error::header_limit)
+            return { ErrorKind::MalformedRequest, "the header is larger than " + std::to_string(maxHeaderBytes) + " bytes" };
+        return { ErrorKind::MalformedRequest, "not a valid HTTP/1.1 request: " + code.message() };
+    }
+
+}
+
+// Shared by the acceptor and every connection, so that late handlers find it alive.
+class HttpServer::Implementation : public std::enable_shared_from_this<HttpServer::Implementation> {
+public:
+    Implementation(FiberThread& thread, HttpServerSettings settings, Handler handler)
+        : thread(thread)
+        , settings(std::move(settings))
+        , handler(std::move(handler))
+        , acceptor(thread.ioContext())
+    {
+    }
+
+    beast::error_code open()
+    {
+        beast::error_code code;
+        const auto address = boost::asio::ip::make_address(this->settings.address, code);
+        if (code)
+            return code;
+        const Tcp::endpoint endpoint(address, this->settings.port);
+        this->acceptor.open(endpoint.protocol(), code);
+        if (!code)
+            this->acceptor.set_option(Tcp::acceptor::reuse_address(true), code);
+        if (!code && this->settings.sharePort)
+            this->acceptor.set_option(ReusePort(true), code);
+        if (!code)
+            this->acceptor.bind(endpoint, code);
+        if (!code)
+            this->acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
+        if (!code)
+            this->boundPort = this->acceptor.local_endpoint().port();
+        return code;
+    }
+
+    // Must run on the server's thread.
+    void accept()
+    {
+        this->acceptor.async_accept([self = this->shared_from_this()](beast::error_code code, Tcp::socket socket) {
+            if (self->stopping)
+                return;
+            if (!code)
+                self->addConnection(std::move(socket));
+            self->accept();
+        });
+    }
+
+    // Must run on the server's thread.
+    void stopAccepting()
+    {
+        if (this->stopping)
+            return;
+        this->stopping = true;
+        beast::error_code ignored;
+        this->acceptor.close(ignored);
+        for (Connection& connection : this->connections) {
+            if (!connection.busy)
+                connection.stream.close();
+        }
+    }
+
+    FiberThread& thread;
+    HttpServerSettings settings;
+    Handler handler;
+    uint16_t boundPort = 0;
+    std::atomic<size_t> active { 0 };
+    std::atomic<size_t> openCount { 0 };
+
+private:
+    struct Connection {
+        explicit Connection(Tcp::socket&& socket)
+            : stream(std::move(socket))
+        {
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        bool busy = false;
+        std::list<Connection>::iterator self;
+    };
+
+    void addConnection(Tcp::socket&& socket)
+    {
+        beast::error_code ignored;
+        socket.set_option(Tcp::no_delay(true), ignored);
+        this->connections.emplace_back(std::move(socket));
+        this->connections.back().self = std::prev(this->connections.end());
+        ++this->openCount;
+        this->awaitRequest(this->connections.back());
+    }
+
+    void removeConnection(Connection& connection)
+    {
+        connection.stream.close();
+        this->connections.erase(connection.self);
+        --this->openCount;
+    }
+
+    // Waits without a fiber until the first byte of the next request is there. An empty read is not limited by Beast's
+    // timeout, so idle connections are bounded by the platform's balancer and by drain().
+    void awaitRequest(Connection& connection)
+    {
+        connection.busy = false;
+        if (this->stopping)
+            return this->removeConnection(connection);
+        if (connection.buffer.size() > 0)
+            return this->startRequests(connection);
+        connection.stream.socket().async_wait(
+            Tcp::socket::wait_read, [self = this->shared_from_this(), &connection](beast::error_code code) {
+                if (code || self->stopping)
+                    self->removeConnection(connection);
+                else
+                    self->startRequests(connection);
+            });
+    }
+
+    void startRequests(Connection& connection)
+    {
+        connection.busy = true;
+        ++this->active;
+        startFiber([self = this->shared_from_this(), &connection] {
+            const bool keep = self->handleRequest(connection);
+            --self->active;
+            if (keep)
+                self->awaitRequest(connection);
+            else
+                self->removeConnection(connection);
+        });
+    }
+
+    // Reads, runs and answers one request. Returns whether the connection can take another.
+    bool handleRequest(Connection& connection)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(this->settings.maxBodyBytes);
+        parser.header_limit(maxHeaderBytes);
+        connection.stream.expires_after(this->settings.transferTimeout);
+        const IoOutcome read
+            = awaitIo([&](auto callback) { http::async_read(connection.stream, connection.buffer, parser, std::move(callback)); });
+        if (read.code == http::error::end_of_stream || read.code == beast::error::timeout
+            || read.code == boost::asio::error::connection_reset)
+            return false;
+        if (read.code) {
+            this->send(connection,
+                this->settings.errorResponse ? this->settings.errorResponse(readFault(read.code))
+                                             : HttpResponse { 400, "text/plain", {}, "" },
+                11, false);
+            return false;
+        }
+
+        const bool keepAlive = parser.get().keep_alive();
+        const unsigned version = parser.get().version();
+        // The handler keeps its own deadline.
+        connection.stream.expires_never();
+        HttpResponse response = this->handler(toRequest(parser.release()));
+        const bool keep = keepAlive && !this->stopping;
+        return this->send(connection, std::move(response), version, keep) && keep;
+    }
+
+    bool send(Connection& connection, HttpResponse&& response, unsigned version, bool keepAlive)
+    {
+        http::response<http::string_body> message = toMessage(std::move(response), version, keepAlive);
+        connection.stream.expires_after(this->settings.transferTimeout);
+        const IoOutcome written = awaitIo([&](auto callback) { http::async_write(connection.stream, message, std::move(callback)); });
+        connection.stream.expires_never();
+        if (!keepAlive && !written.code) {
+            beast::error_code ignored;
+            connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        }
+        return !written.code;
+    }
+
+    Tcp::acceptor acceptor;
+    std::list<Connection> connections;
+    bool stopping = false;
+};
+
+HttpServer::HttpServer(std::shared_ptr<Implementation> implementation)
+    : implementation(std::move(implementation))
+{
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::listen(FiberThread& thread, HttpServerSettings settings, Handler handler)
+{
+    auto implementation = std::make_shared<Implementation>(thread, std::move(settings), std::move(handler));
+    const beast::error_code code = implementation->open();
+    if (code) {
+        return fail(ErrorKind::Internal,
+            "cannot listen on " + implementation->settings.address + ":" + std::to_string(implementation->settings.port) + ": "
+                + code.message());
+    }
+    thread.post([implementation] { implementation->accept(); });
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
+}
+
+HttpServer::~HttpServer() { this->drain(now() + this->implementation->settings.transferTimeout); }
+
+uint16_t HttpServer::port() const { return this->implementation->boundPort; }
+
+bool HttpServer::drain(TimePoint deadline)
+{
+    this->implementation->thread.call([this] { this->implementation->stopAccepting(); });
+    constexpr Duration checkInterval = std::chrono::milliseconds(2);
+    while (this->implementation->openCount > 0) {
+        if (now() >= deadline)
+            return false;
+        sleepFor(checkInterval);
+    }
+    return true;
+}
+
+size_t HttpServer::activeRequests() const { return this->implementation->active; }
+
+size_t HttpServer::openConnections() const { return this->implementation->openCount; }
+
+}
--- /dev/null
+++ b/foxtailtrail/net/JsonRpc.cpp
@@ -0,0 +1,110 @@
+#include "foxtailtrail/net/JsonRpc.h"
+
+#include <json/json.h>
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/client/iclientconnector.h>
+#include <jsonrpccpp/common/procedure.h>
+#include <jsonrpccpp/server/iprocedureinvokationhandler.h>
+#include <jsonrpccpp/server/requesthandlerfactory.h>
+#include <map>
+
+namespace foxtail {
+
+namespace {
+
+    std::string toText(const Json::Value& value)
+    {
+        Json::StreamWriterBuilder builder;
+        builder["indentation"] = "";
+        return Json::writeString(builder, value);
+    }
+
+    bool fromText(const std::string& text, Json::Value& value)
+    {
+        const Json::CharReaderBuilder builder;
+        const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+        std::string errors;
+        return reader->parse(text.data(), text.data() + text.size(), &value, &errors);
+    }
+
+    class ExchangeConnector : public jsonrpc::IClientConnector {
+    public:
+        explicit ExchangeConnector(const JsonRpcExchange& exchange)
+            : exchange(exchange)
+        {
+        }
+
+        void SendRPCMessage(const std::string& message, std::string& result) throw(jsonrpc::JsonRpcException) override
+        {
+            std::string error;
+            if (!this->exchange(message, result, error))
+                throw jsonrpc::JsonRpcException(jsonRpcTransportError, error);
+        }
+
+    private:
+        const JsonRpcExchange& exchange;
+    };
+
+}
+
+class JsonRpcDispatcher::Implementation : public jsonrpc::IProcedureInvokationHandler {
+public:
+    Implementation()
+        : protocol(jsonrpc::RequestHandlerFactory::createProtocolHandler(jsonrpc::JSONRPC_SERVER_V2, *this))
+    {
+    }
+
+    void HandleMethodCall(jsonrpc::Procedure& procedure, const Json::Value& input, Json::Value& output) override
+    {
+        const JsonRpcOutcome outcome = this->methods.at(procedure.GetProcedureName())(toText(input));
+        if (outcome.failed)
+            throw jsonrpc::JsonRpcException(outcome.code, outcome.text);
+        if (!fromText(outcome.text, output))
+            throw jsonrpc::JsonRpcException(jsonRpcApplicationError, "Internal: the method's result is not JSON");
+    }
+
+    void HandleNotificationCall(jsonrpc::Procedure& procedure, const Json::Value& input) override
+    {
+        Json::Value ignored;
+        this->HandleMethodCall(procedure, input, ignored);
+    }
+
+    std::unique_ptr<jsonrpc::IProtocolHandler> protocol;
+    std::map<std::string, JsonRpcDispatcher::Method> methods;
+};
+
+JsonRpcDispatcher::JsonRpcDispatcher()
+    : implementation(new Implementation())
+{
+}
+
+JsonRpcDispatcher::~JsonRpcDispatcher() = default;
+
+void JsonRpcDispatcher::addMethod(const std::string& name, Method method)
+{
+    this->implementation->methods[name] = std::move(method);
+    this->implementation->protocol->AddProcedure(jsonrpc::Procedure(name, jsonrpc::PARAMS_BY_NAME, jsonrpc::JSON_OBJECT, nullptr));
+}
+
+std::string JsonRpcDispatcher::handle(const std::string& request)
+{
+    std::string answer;
+    this->implementation->protocol->HandleRequest(request, answer);
+    return answer;
+}
+
+JsonRpcOutcome callJsonRpc(const std::string& method, const std::string& parameters, const JsonRpcExchange& exchange)
+{
+    Json::Value input;
+    if (!fromText(parameters, input))
+        return { true, jsonRpcApplicationError, "MalformedRequest: the parameters are not JSON" };
+    ExchangeConnector connector(exchange);
+    jsonrpc::Client client(connector, jsonrpc::JSONRPC_CLIENT_V2);
+    try {
+        return { false, 0, toText(client.CallMethod(method, input)) };
+    } catch (const jsonrpc::JsonRpcException& exception) {
+        return { true, exception.GetCode(), exception.GetMessage() };
+    }
+}
+
+}
--- /dev/null
+++ b/tests/net/NetTest.cpp
@@ -0,0 +1,161 @@
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/net/HttpServer.h"
+#include "foxtailtrail/net/JsonRpc.h"
+
+#include <atomic>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace foxtail {
+
+namespace {
+
+    constexpr Duration longTime = std::chrono::seconds(30);
+
+    // An echo server on its own thread.
+    class NetTest : public testing::Test {
+    protected:
+        void start(HttpServer::Handler handler)
+        {
+            HttpServerSettings settings;
+            settings.maxBodyBytes = 1000;
+            settings.errorResponse = [](const Error& error) {
+                const ErrorKindRow& row = errorKindRow(error.kind);
+                return HttpResponse { row.httpStatus, "text/plain", {}, std::string(row.name) };
+            };
+            this->server = HttpServer::listen(*this->serverThread, settings, std::move(handler)).value();
+        }
+
+        // Sends raw bytes over a plain socket and returns all bytes of the answer.
+        std::string exchange(const std::string& bytes)
+        {
+            boost::asio::io_context context;
+            boost::asio::ip::tcp::socket socket(context);
+            socket.connect({ boost::asio::ip::make_address("127.0.0.1"), this->server->port() });
+            boost::asio::write(socket, boost::asio::buffer(bytes));
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+            std::string answer;
+            boost::system::error_code code;
+            boost::asio::read(socket, boost::asio::dynamic_buffer(answer), code);
+            return answer;
+        }
+
+        std::unique_ptr<FiberThread> serverThread = FiberThread::start("server");
+        std::unique_ptr<FiberThread> clientThread = FiberThread::start("client");
+        std::unique_ptr<HttpServer> server;
+    };
+
+}
+
+// Guards against answers that reach another fiber's request when many share a client.
+TEST_F(NetTest, EveryFiberGetsTheAnswerToItsOwnRequest)
+{
+    this->start([](const HttpRequest& request) {
+        sleepFor(std::chrono::milliseconds(request.body.size() % 3));
+        return HttpResponse { 200, "text/plain", {}, request.target + request.body };
+    });
+    constexpr int fibers = 50;
+    std::atomic<int> right { 0 };
+    std::atomic<int> ended { 0 };
+    const Endpoint endpoint { "127.0.0.1", this->server->port() };
+    auto client = std::make_unique<HttpClient>(endpoint, 4);
+    for (int index = 0; index < fibers; ++index) {
+        this->clientThread->post([&, index] {
+            for (int round = 0; round < 20; ++round) {
+                const std::string body(static_cast<size_t>(index), 'x');
+                const auto response = client->send({ "POST", "/" + std::to_string(round), {}, body }, now() + longTime);
+                if (response && response.value().body == "/" + std::to_string(round) + body)
+                    ++right;
+            }
+            ++ended;
+        });
+    }
+    while (ended < fibers)
+        sleepFor(std::chrono::milliseconds(1));
+    EXPECT_EQ(right, fibers * 20);
+    this->clientThread->call([&] { client.reset(); });
+}
+
+// Guards against input that ends the process or gets no clear error.
+TEST_F(NetTest, FaultyMessagesGetAnError)
+{
+    this->start([](const HttpRequest& request) { return HttpResponse { 200, "text/plain", {}, request.body }; });
+    EXPECT_NE(this->exchange("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + std::string(5000, 'x')).find("413"), std::string::npos);
+    EXPECT_NE(this->exchange(std::string("\0\1\2garbage\r\n\r\n", 14)).find("MalformedRequest"), std::string::npos);
+    EXPECT_NE(this->exchange("GET / HTTP/1.1\r\nX: " + std::string(20000, 'y') + "\r\n\r\n").find("400"), std::string::npos);
+    EXPECT_EQ(this->exchange("GET / HT"),
+        "HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nConnection: close\r\nContent-Length: 16\r\n\r\nMalformedRequest");
+    EXPECT_NE(this->exchange("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nok").find("200 OK"), std::string::npos);
+}
+
+// Guards against a planned stop that cuts off a running request.
+TEST_F(NetTest, DrainLetsRunningRequestsEnd)
+{
+    std::atomic<bool> started { false };
+    this->start([&](const HttpRequest&) {
+        started = true;
+        sleepFor(std::chrono::milliseconds(50));
+        return HttpResponse { 200, "text/plain", {}, "whole" };
+    });
+    const Endpoint endpoint { "127.0.0.1", this->server->port() };
+    std::atomic<bool> ended { false };
+    std::string body;
+    this->clientThread->post([&] {
+        HttpClient client(endpoint);
+        const auto response = client.send({ "GET", "/", {}, "" }, now() + longTime);
+        body = response ? response.value().body : response.error().detail;
+        ended = true;
+    });
+    while (!started)
+        sleepFor(std::chrono::milliseconds(1));
+    EXPECT_TRUE(this->server->drain(now() + longTime));
+    while (!ended)
+        sleepFor(std::chrono::milliseconds(1));
+    EXPECT_EQ(body, "whole");
+    const auto refused = this->clientThread->call([&] { return HttpClient(endpoint).send({ "GET", "/", {}, "" }, now() + longTime); });
+    EXPECT_EQ(refused.error().kind, ErrorKind::PeerUnavailable);
+}
+
+// Guards against calling a request "not run" after its bytes have left.
+TEST_F(NetTest, LostAnswerIsUnknown)
+{
+    this->start([](const HttpRequest&) {
+        sleepFor(std::chrono::milliseconds(200));
+        return HttpResponse {};
+    });
+    const Endpoint endpoint { "127.0.0.1", this->server->port() };
+    const auto late = this->clientThread->call([&] {
+        return HttpClient(endpoint).send({ "GET", "/", {}, "" }, now() + std::chrono::milliseconds(20));
+    });
+    EXPECT_EQ(late.error().kind, ErrorKind::OutcomeUnknown);
+}
+
+// Guards against a peer's error or a faulty call that is taken for a result.
+TEST(JsonRpcTest, CallsCarryResultsAndErrors)
+{
+    JsonRpcDispatcher dispatcher;
+    dispatcher.addMethod("echo", [](const std::string& parameters) { return JsonRpcOutcome { false, 0, parameters }; });
+    dispatcher.addMethod("refuse", [](const std::string&) { return JsonRpcOutcome { true, jsonRpcApplicationError, "NotHome: vm2" }; });
+    const JsonRpcExchange exchange = [&](const std::string& request, std::string& answer, std::string&) {
+        answer = dispatcher.handle(request);
+        return true;
+    };
+    EXPECT_EQ(callJsonRpc("echo", R"({"a":[1,null,"x"]})", exchange).text, R"({"a":[1,null,"x"]})");
+    EXPECT_EQ(callJsonRpc("refuse", "{}", exchange).text, "NotHome: vm2");
+    EXPECT_TRUE(callJsonRpc("absent", "{}", exchange).failed);
+    EXPECT_TRUE(callJsonRpc("echo", "{", exchange).failed);
+    for (const char* text : { "", "[]", "{}", "[[[[", "{\"jsonrpc\":\"2.0\",\"method\":\"echo\",\"params\":7,\"id\":1}" })
+        EXPECT_NE(dispatcher.handle(text).find("error"), std::string::npos) << text;
+    const JsonRpcExchange broken = [](const std::string&, std::string&, std::string& error) {
+        error = "connection refused";
+        return false;
+    };
+    EXPECT_EQ(callJsonRpc("echo", "{}", broken).code, jsonRpcTransportError);
+}
+
+}
