--- /dev/null
+++ b/foxtailtrail/server/Metrics.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Result.h"
+#include "foxtailtrail/base/Time.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace foxtail {
+
+// One finished request of a caller, as the metrics and the burn report count it.
+struct RequestRecord {
+    // Empty when the request named no service of the configuration.
+    ServiceName service;
+    OrganisationId organisation;
+    bool write = false;
+    // Empty when the request succeeded.
+    std::optional<ErrorKind> error;
+    Duration duration { 0 };
+    // Whether a replica answered. Only set for reads that succeeded.
+    bool replica = false;
+};
+
+// The VM's Prometheus metrics. Safe to use from any thread. Labels take values of the configuration and the closed lists only,
+// so the number of series is bounded.
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
+
+    void countRequest(const RequestRecord&);
+    void countPromotion(const DatabaseId&, Duration gap);
+    void countTraffic(std::string_view purpose, uint64_t totalBytes);
+    void setConfigurationVersion(uint64_t);
+    void setServing(bool);
+    void setBurnRate(const ServiceName&, std::string_view window, double rate);
+
+    // The text exposition format.
+    std::string exposition() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> implementation;
+};
+
+}
