--- a/foxtailtrail/failover/GroupView.h
+++ b/foxtailtrail/failover/GroupView.h
@@ -9,6 +9,11 @@
 
 namespace foxtail {
 
+// Whether a log that ends at one point holds every acknowledged write up to another point. An acknowledged write keeps
+// its position in all later terms. The order of LogPoint doesn't answer this: a lagging log of a later term may be
+// shorter than what the earlier term acknowledged.
+inline bool holdsLogPoint(LogPoint held, LogPoint required) { return held.term >= required.term && held.position >= required.position; }
+
 // What a backend server is in its group at the moment.
 enum class ServerRole : uint8_t {
     Primary,
@@ -29,6 +34,9 @@
     bool leaving = false;
 
     LogPoint logPoint() const { return { this->logTerm, this->position }; }
+
+    // Whether the server takes part in the term: it has promised no other and holds the term's log.
+    bool isInTerm(Term term) const { return this->promisedTerm == term && this->logTerm == term; }
 };
 
 // What a VM knows of one backend server of a group.
@@ -51,6 +59,8 @@
     Term term;
     // Empty while no primary is known for the term.
     std::optional<BackendServerId> primary;
+    // The latest time at or after which a majority of the group is known to have been in the term. Empty when not known.
+    std::optional<TimePoint> termConfirmedAt;
     std::vector<ServerView> servers;
 
     // The view of a server, or null when the group has no such server.
