Compare term and position of a token separately

An acknowledged write of term 1 at position 5 is at position 5 in every later term, so a server holds it when its term is at least 1 and its position at least 5. The order of LogPoint (term first) lets a lagging log of a later term pass. Before: the test routed a token of (1,5) to replicas at (2,3). The tests also cover the bounded wait, the confirmed primary, stated ages, the spread over replicas and the baseline.

--- a/foxtailtrail/session/ReadRouter.cpp
+++ b/foxtailtrail/session/ReadRouter.cpp
@@ -47,10 +47,12 @@
         return needsCurrentData(need) ? std::optional(need.arrivedAt) : std::nullopt;
     }
 
-    // Adds the primary, or the wait for one.
+    // Adds the primary, when it can be reached, and the wait for a new one.
     void addPrimary(ReadPlan& plan, const ReadNeed& need, const GroupView& view, std::optional<TimePoint> confirmedSince)
     {
         const ServerView* primary = view.primary ? view.find(*view.primary) : nullptr;
+        if (primary && !primary->reachable)
+            primary = nullptr;
         plan.exhausted = primary ? ErrorKind::ReadNotCurrent : ErrorKind::NoPrimary;
         if (primary) {
             const LogPoint required = need.token.value_or(LogPoint { view.term, {} });
@@ -95,7 +97,7 @@
     std::vector<ReadAttempt> far;
     for (const ServerView& server : view.servers) {
         const auto until = usableUntil(server, need, now);
-        const bool holdsToken = !need.token || server.status.logPoint() >= *need.token;
+        const bool holdsToken = !need.token || holdsLogPoint(server.status.logPoint(), *need.token);
         if (!isUsableReplica(server, view) || !holdsToken || !until)
             continue;
         auto& group = server.region == need.region ? near : far;
--- a/foxtailtrail/session/ReadRouter.h
+++ b/foxtailtrail/session/ReadRouter.h
@@ -31,7 +31,7 @@
     // Run the read at the primary, and answer only once a majority of the group reported the required term in a check
     // that started at confirmedSince or later.
     ConfirmedPrimary,
-    // Route again as soon as the group's view changes its primary or term; give up at notAfter.
+    // Route again as soon as the view has another reachable primary or a higher term; give up at notAfter.
     WaitForPrimary,
 };
 
--- a/tests/session/SessionTest.cpp
+++ b/tests/session/SessionTest.cpp
@@ -81,4 +81,89 @@
     EXPECT_EQ(summary(need(point(1, 5), {}), view), "waitReplica: primary:p waitPrimary:");
 }
 
+// Guards against a wait for replicas that eats the deadline, starts over when the read is routed again, or is made when
+// no replica can end it.
+TEST(ReadRouterTest, WaitForReplicaIsBounded)
+{
+    GroupView view = laggingGroup();
+    auto waiting = need(point(2, 5), {});
+    EXPECT_EQ(ReadRouter().route(waiting, view, at(1000), 0).value().attempts[0].notAfter, at(1050));
+    EXPECT_EQ(summary(waiting, view, at(1050)), "primary:p waitPrimary:");
+    waiting.deadline = at(1040);
+    EXPECT_EQ(ReadRouter().route(waiting, view, at(1000), 0).value().attempts[0].notAfter, at(1010));
+    EXPECT_EQ(summary(waiting, view, at(1040)), "DeadlineExceeded");
+    view.servers[1].reachable = view.servers[2].reachable = false;
+    view.servers[3].draining = true;
+    EXPECT_EQ(summary(waiting, view), "primary:p waitPrimary:");
+}
+
+// Guards against a lost token being served with old data: without token and age only a primary that a majority
+// confirmed after the read's arrival will do.
+TEST(ReadRouterTest, ReadWithoutTokenNeedsConfirmedPrimary)
+{
+    GroupView view = laggingGroup();
+    const auto plan = ReadRouter().route(need({}, {}), view, at(1001), 5).value();
+    EXPECT_EQ(plan.attempts[0], (ReadAttempt { ReadAttemptKind::ConfirmedPrimary, BackendServerId("p"), point(2, 0), at(1000), at(2000) }));
+    view.primary.reset();
+    EXPECT_EQ(summary(need({}, {}), view), "waitPrimary:");
+    EXPECT_EQ(ReadRouter().route(need({}, {}), view, at(1001), 0).value().exhausted, ErrorKind::NoPrimary);
+    view.servers.clear();
+    EXPECT_EQ(summary(need({}, {}), view), "NoPrimary");
+}
+
+// Guards against data older than the caller accepts, from a replica or from a primary that was replaced meanwhile.
+TEST(ReadRouterTest, StatedAgeBoundsReplicaAndPrimary)
+{
+    GroupView view = laggingGroup();
+    view.servers[1].freshAsOf = at(600);
+    view.servers[2].freshAsOf.reset();
+    EXPECT_EQ(summary(need({}, milliseconds(100)), view), "replica:far confirmed:p waitPrimary:");
+    EXPECT_EQ(summary(need({}, milliseconds(100)), view, at(1001)), "confirmed:p waitPrimary:");
+    EXPECT_EQ(summary(need({}, milliseconds(400)), view), "replica:near1 replica:far confirmed:p waitPrimary:");
+    EXPECT_EQ(summary(need(point(2, 4), milliseconds(400)), view), "confirmed:p waitPrimary:");
+    const auto plan = ReadRouter().route(need(point(1, 1), milliseconds(400)), view, at(1000), 0).value();
+    EXPECT_EQ(plan.attempts[0], (ReadAttempt { ReadAttemptKind::Replica, BackendServerId("near1"), point(2, 3), {}, at(1000) }));
+    EXPECT_EQ(plan.attempts[2].confirmedSince, at(600));
+}
+
+// Guards against all reads going to one of several equally good replicas, and against the other region coming first.
+TEST(ReadRouterTest, ReadsSpreadOverNearReplicas)
+{
+    std::set<std::string> first;
+    for (uint64_t salt = 0; salt < 4; ++salt)
+        first.insert(ReadRouter().route(need(point(2, 3), {}), laggingGroup(), at(1000), salt).value().attempts[0].server.value);
+    EXPECT_EQ(first, (std::set<std::string> { "near1", "near2" }));
+}
+
+// Guards against a baseline that is not one: every read at the confirmed primary.
+TEST(ReadRouterTest, BaselineUsesThePrimaryOnly)
+{
+    const auto plan = PrimaryOnlyReadRouter().route(need(point(2, 3), milliseconds(5)), laggingGroup(), at(1000), 1).value();
+    EXPECT_EQ(plan.attempts[0].kind, ReadAttemptKind::ConfirmedPrimary);
+    EXPECT_EQ(plan.attempts[0].required, point(2, 3));
+}
+
+// Guards against an age that is too young: samples of an unconfirmed or replaced primary, and later terms that lag.
+TEST(ReplicaAgeTest, OnlyConfirmedSamplesCount)
+{
+    ReplicaAge age({ 3, milliseconds(10) });
+    age.record(at(100), point(1, 5));
+    EXPECT_EQ(age.freshAsOf(point(1, 5)), std::nullopt);
+    age.confirm(Term { 1 }, at(100));
+    age.record(at(105), point(1, 6));
+    age.record(at(110), point(1, 7));
+    EXPECT_EQ(age.freshAsOf(point(1, 9)), at(100));
+    age.record(at(120), point(2, 6));
+    age.confirm(Term { 1 }, at(130));
+    EXPECT_EQ(age.freshAsOf(point(1, 9)), at(100));
+    age.confirm(Term { 2 }, at(119));
+    EXPECT_EQ(age.freshAsOf(point(2, 6)), at(100));
+    age.confirm(Term { 2 }, at(120));
+    EXPECT_EQ(age.freshAsOf(point(2, 6)), at(120));
+    EXPECT_EQ(age.freshAsOf(point(3, 4)), std::nullopt);
+    for (int64_t time = 130; time <= 150; time += 10)
+        age.record(at(time), point(2, 8));
+    EXPECT_EQ(age.freshAsOf(point(2, 6)), std::nullopt);
+}
+
 }
