Add group monitoring, promotion and acknowledgement by the primary alone

Promotion agrees a term with the group itself (fence a majority, promote the highest log of the fenced, make the others follow). A commit is acknowledged on the primary's word, the simplest version. The test kills the primary while its replicas lag 700 ms:

--- /dev/null
+++ b/foxtailtrail/failover/DurabilityTracker.cpp
@@ -0,0 +1,96 @@
+#include "foxtailtrail/failover/DurabilityTracker.h"
+
+#include <algorithm>
+#include <cassert>
+#include <functional>
+#include <utility>
+
+namespace foxtail {
+
+QuorumObservations::QuorumObservations(std::vector<BackendServerId> group)
+{
+    for (auto& server : group)
+        this->servers.push_back({ std::move(server), std::nullopt, {} });
+}
+
+void QuorumObservations::observe(const BackendServerId& server, TimePoint sentAt, const ServerStatus& status)
+{
+    for (Observation& observation : this->servers) {
+        if (observation.server == server && (!observation.sentAt || *observation.sentAt < sentAt)) {
+            observation.sentAt = sentAt;
+            observation.status = status;
+        }
+    }
+}
+
+size_t QuorumObservations::holders(LogPoint commit) const
+{
+    return static_cast<size_t>(std::count_if(this->servers.begin(), this->servers.end(), [&](const Observation& observation) {
+        return observation.sentAt && observation.status.isInTerm(commit.term) && observation.status.position >= commit.position;
+    }));
+}
+
+size_t QuorumObservations::promisedAbove(Term term) const
+{
+    return static_cast<size_t>(std::count_if(this->servers.begin(), this->servers.end(),
+        [&](const Observation& observation) { return observation.sentAt && observation.status.promisedTerm > term; }));
+}
+
+std::optional<TimePoint> QuorumObservations::confirmedSince(Term term) const
+{
+    std::vector<TimePoint> times;
+    for (const Observation& observation : this->servers) {
+        if (observation.sentAt && observation.status.promisedTerm == term)
+            times.push_back(*observation.sentAt);
+    }
+    if (times.size() < this->majority())
+        return std::nullopt;
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times[this->majority() - 1];
+}
+
+Durability PrimaryAloneAcknowledgement::judge(LogPoint, const QuorumObservations&) const { return Durability::Durable; }
+
+DurabilityTracker::DurabilityTracker(std::vector<BackendServerId> group, std::shared_ptr<const AcknowledgementStrategy> strategy)
+    : observations(std::move(group))
+    , strategy(std::move(strategy))
+{
+    assert(this->strategy);
+}
+
+DurabilityTicket DurabilityTracker::track(LogPoint commit, TimePoint deadline)
+{
+    const DurabilityTicket ticket { ++this->lastTicket };
+    this->pending.push_back({ ticket, commit, deadline });
+    return ticket;
+}
+
+void DurabilityTracker::observe(const BackendServerId& server, TimePoint sentAt, const ServerStatus& status)
+{
+    this->observations.observe(server, sentAt, status);
+}
+
+std::vector<DurabilityOutcome> DurabilityTracker::settle(TimePoint now)
+{
+    std::vector<DurabilityOutcome> outcomes;
+    std::vector<PendingCommit> undecided;
+    for (const PendingCommit& wait : this->pending) {
+        Durability durability = this->strategy->judge(wait.commit, this->observations);
+        if (durability == Durability::Pending && now >= wait.deadline)
+            durability = Durability::Expired;
+        if (durability == Durability::Pending)
+            undecided.push_back(wait);
+        else
+            outcomes.push_back({ wait.ticket, wait.commit, durability });
+    }
+    this->pending = std::move(undecided);
+    return outcomes;
+}
+
+bool DurabilityTracker::isTermConfirmed(Term term, TimePoint since) const
+{
+    const auto confirmed = this->observations.confirmedSince(term);
+    return confirmed && *confirmed >= since;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/failover/GroupMonitor.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "foxtailtrail/base/Result.h"
+#include "foxtailtrail/failover/DurabilityTracker.h"
+#include "foxtailtrail/failover/GroupView.h"
+#include "foxtailtrail/session/ReplicaAge.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace foxtail {
+
+// How long silence must last before it counts as evidence.
+struct GroupMonitorSettings {
+    // The primary leaves probes unanswered for this long, and the replicas agree that it is silent.
+    Duration probeSilence = std::chrono::milliseconds(600);
+    Duration replicaSilence = std::chrono::milliseconds(500);
+    // The primary leaves probes unanswered for this long, and other VMs confirm it. Also the silence of a primary that
+    // still answers probes but no longer reaches its replicas.
+    Duration brokenLinkSilence = std::chrono::seconds(2);
+    // What another VM says counts for this long after it was asked.
+    Duration peerEvidenceLifetime = std::chrono::seconds(1);
+    // A term without a primary for this long was left behind by a promoter that failed.
+    Duration unfinishedAfter = std::chrono::milliseconds(600);
+    // A replica that lags less than this can take over from a leaving primary.
+    Duration plannedLag = std::chrono::milliseconds(500);
+    ReplicaAgeSettings replicaAge;
+};
+
+// A backend server of the group, from the configuration.
+struct GroupMember {
+    BackendServerId server;
+    Region region;
+    bool draining = false;
+};
+
+// Another VM that is believed alive.
+struct MonitorPeer {
+    VmId vm;
+    DataCentre dataCentre;
+};
+
+// The group that a monitor watches, and who else can confirm what it sees.
+struct GroupScope {
+    DatabaseId database;
+    DataCentre ownDataCentre;
+    std::vector<GroupMember> members;
+    std::vector<MonitorPeer> peers;
+};
+
+// The end of one probe of a backend server. Without a status the probe failed.
+struct ProbeResult {
+    BackendServerId server;
+    TimePoint sentAt;
+    TimePoint receivedAt;
+    std::optional<ServerStatus> status;
+};
+
+// Another VM's answer to the question whether it can reach a backend server.
+struct PeerEvidence {
+    VmId vm;
+    BackendServerId server;
+    TimePoint askedAt;
+    bool reachable = false;
+};
+
+// Why a promotion is due.
+enum class PromotionCause : uint8_t {
+    // Evidence (A): neither this VM nor the replicas hear the primary.
+    PrimarySilent,
+    // Evidence (B): this VM and VMs of other data centres can't reach the primary, although replicas hear it.
+    PeersConfirm,
+    // The primary answers, but a majority of the group no longer hears it, so no write can become durable.
+    ReplicasCutOff,
+    // A promoter fenced servers and stopped before there was a new primary.
+    Unfinished,
+    // The primary is draining and a replica is ready to take over.
+    Planned,
+};
+
+// The name of a cause, for reports.
+std::string_view promotionCauseName(PromotionCause);
+
+// A promotion that should start now.
+struct PromotionDue {
+    PromotionCause cause = PromotionCause::PrimarySilent;
+    Term highestTerm;
+    // Set for a planned promotion only.
+    std::optional<BackendServerId> leavingPrimary;
+    std::optional<BackendServerId> successor;
+};
+
+// A server that should be told to follow the primary.
+struct FollowDue {
+    BackendServerId server;
+    Term term;
+    BackendServerId primary;
+};
+
+// Watches one database group from one VM: keeps the GroupView and decides when a promotion is due.
+class GroupMonitor {
+public:
+    // Fails with MalformedRequest when the scope names no server or names one twice.
+    static Result<GroupMonitor> create(GroupScope, GroupMonitorSettings = {});
+
+    // Replaces the scope after a change of configuration or of the VMs believed alive. What is known of the servers that
+    // stay is kept. Fails like create and then changes nothing.
+    Result<void> changeScope(GroupScope);
+
+    // Takes in the end of a probe. Results may arrive in any order.
+    void onProbe(const ProbeResult&);
+
+    // Takes in another VM's answer.
+    void onPeerEvidence(const PeerEvidence&);
+
+    // The server about which other VMs should be asked now, if any.
+    std::optional<BackendServerId> serverToAskPeersAbout(TimePoint now) const;
+
+    // The promotion that the evidence calls for, if any.
+    std::optional<PromotionDue> promotionDue(TimePoint now) const;
+
+    // Reachable servers that don't follow the primary of the highest term: they came back, or missed the command.
+    std::vector<FollowDue> followsDue(TimePoint now) const;
+
+    // The picture of the group that the other modules use.
+    GroupView view(TimePoint now) const;
+
+private:
+    struct Server {
+        GroupMember member;
+        std::optional<ServerStatus> status;
+        // The send time of the newest answered probe.
+        std::optional<TimePoint> answeredAt;
+        // The send time of the first probe that failed since then.
+        std::optional<TimePoint> failingSince;
+        TimePoint lastFailureAt;
+        unsigned failures = 0;
+    };
+
+    explicit GroupMonitor(GroupMonitorSettings);
+
+    const Server* find(const BackendServerId&) const;
+    const Server* primary() const;
+    const Server* suspect() const;
+    bool answersProbes(const Server&, TimePoint now) const;
+    bool isUnansweredFor(const Server&, Duration, TimePoint now) const;
+    bool isDraining(const Server&) const;
+    bool reportsSilence(const Server&, Duration) const;
+    bool othersReportSilence(const Server* primary, Duration, TimePoint now) const;
+    size_t reachableCount(const Server* except, TimePoint now) const;
+    std::optional<PromotionCause> causeOfUnplanned(TimePoint now) const;
+    const Server* successor(const Server& leaving) const;
+    void adoptTerm(const ServerStatus&, TimePoint now);
+
+    GroupMonitorSettings settings;
+    GroupScope scope;
+    std::vector<Server> servers;
+    std::vector<PeerEvidence> evidence;
+    QuorumObservations observations;
+    ReplicaAge replicaAge;
+    Term highestTerm;
+    // When the highest term was first seen. Empty before the first answer.
+    std::optional<TimePoint> termSeenAt;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/failover/Promotion.cpp
@@ -0,0 +1,296 @@
+#include "foxtailtrail/failover/Promotion.h"
+
+#include "foxtailtrail/base/Hash.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace foxtail {
+
+std::string_view promotionPhaseName(PromotionPhase phase)
+{
+    constexpr std::array<std::string_view, 7> names { "idle", "catching up", "fencing", "promoting", "following", "done", "lost" };
+    return names[static_cast<size_t>(phase)];
+}
+
+Promotion::Promotion(std::string promoter, PromotionSettings settings)
+    : name(std::move(promoter))
+    , settings(settings)
+{
+}
+
+bool Promotion::isRunning() const
+{
+    return this->currentPhase != PromotionPhase::Idle && this->currentPhase != PromotionPhase::Done
+        && this->currentPhase != PromotionPhase::Lost;
+}
+
+std::optional<BackendServerId> Promotion::primary() const { return this->promoted ? this->chosen : std::nullopt; }
+
+std::vector<PromotionEffect> Promotion::start(const PromotionRequest& newRequest, TimePoint now)
+{
+    if (this->isRunning() || now < this->startNotBefore || newRequest.members.empty())
+        return {};
+    this->request = newRequest;
+    this->highestSeen = std::max(this->highestSeen, newRequest.highestTerm);
+    this->restartsLeft = this->settings.restarts;
+    this->beginTerm(now);
+    return this->dueEffects(now);
+}
+
+std::vector<PromotionEffect> Promotion::handle(const PromotionEvent& event, TimePoint now)
+{
+    if (!this->isRunning())
+        return {};
+    std::visit([&](const auto& typed) { this->apply(typed, now); }, event);
+    this->advance(now);
+    return this->dueEffects(now);
+}
+
+void Promotion::apply(const CommandReply& reply, TimePoint now)
+{
+    Member* member = this->find(reply.server);
+    if (!member || reply.term != this->currentTerm)
+        return;
+    if (reply.outcome != CommandOutcome::Done)
+        member->nextCommandAt = now + this->settings.retryDelay;
+    switch (reply.command) {
+    case PromotionCommand::Fence:
+        this->applyFence(*member, reply);
+        break;
+    case PromotionCommand::Promote:
+        if (reply.outcome == CommandOutcome::Done && member->server == this->chosen)
+            this->promoted = true;
+        break;
+    case PromotionCommand::Follow:
+        member->followed = member->followed || reply.outcome == CommandOutcome::Done;
+        break;
+    }
+    // The status tells why a command was refused; without one it is read before the command is repeated.
+    member->refused = reply.outcome == CommandOutcome::Refused;
+    if (reply.status)
+        this->learn(*member, *reply.status, now);
+}
+
+void Promotion::applyFence(Member& member, const CommandReply& reply)
+{
+    if (reply.outcome != CommandOutcome::Done)
+        return;
+    member.fenced = true;
+    // A log that is read after the fence took effect can't grow before the server follows a new primary.
+    if (reply.status && reply.status->promisedTerm == this->currentTerm && !member.fencedPoint)
+        member.fencedPoint = reply.status->logPoint();
+    member.nextCommandAt = TimePoint();
+}
+
+void Promotion::apply(const StatusReply& reply, TimePoint now)
+{
+    Member* member = this->find(reply.server);
+    if (!member)
+        return;
+    member->nextCommandAt = now + this->settings.retryDelay;
+    if (!reply.status)
+        return;
+    if (member->fenced && !member->fencedPoint && reply.status->promisedTerm == this->currentTerm)
+        member->fencedPoint = reply.status->logPoint();
+    // Another promoter's promise of this term stays a refusal; any other cause is worth another try.
+    member->refused = this->currentPhase == PromotionPhase::Fencing && !member->fenced && reply.status->promisedTerm >= this->currentTerm;
+    this->learn(*member, *reply.status, now);
+}
+
+void Promotion::learn(Member& member, const ServerStatus& status, TimePoint now)
+{
+    this->highestSeen = std::max({ this->highestSeen, status.promisedTerm, status.logTerm });
+    if (status.promisedTerm > this->currentTerm) {
+        this->lose(now);
+        return;
+    }
+    // The reply to the promotion was lost, but it took effect.
+    if (member.server == this->chosen && status.role == ServerRole::Primary && status.isInTerm(this->currentTerm))
+        this->promoted = true;
+    if (this->currentPhase == PromotionPhase::CatchingUp && member.server == this->request.successor) {
+        const Member* leaving = this->find(*this->request.leavingPrimary);
+        this->successorCaughtUp = leaving && leaving->fencedPoint && status.logPoint() >= *leaving->fencedPoint;
+    }
+}
+
+void Promotion::beginTerm(TimePoint now)
+{
+    this->currentTerm = Term { std::max(this->highestSeen, this->currentTerm).value + 1 };
+    this->chosen.reset();
+    this->promoted = this->hintRecorded = this->successorCaughtUp = false;
+    this->members.clear();
+    for (const PromotionMember& member : this->request.members)
+        this->members.push_back({ member.server, member.draining, false, false, false, std::nullopt, now });
+    const bool planned = this->request.leavingPrimary && this->request.successor;
+    if (planned)
+        this->enter(PromotionPhase::CatchingUp, this->settings.catchUpLimit, now);
+    else
+        this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
+}
+
+void Promotion::enter(PromotionPhase phase, Duration limit, TimePoint now)
+{
+    this->currentPhase = phase;
+    this->phaseDeadline = now + limit;
+    for (Member& member : this->members) {
+        member.nextCommandAt = now;
+        member.refused = false;
+    }
+}
+
+void Promotion::advance(TimePoint now)
+{
+    if (this->currentPhase == PromotionPhase::CatchingUp)
+        this->advanceCatchingUp(now);
+    if (this->currentPhase == PromotionPhase::Fencing)
+        this->advanceFencing(now);
+    if (this->currentPhase == PromotionPhase::Promoting)
+        this->advancePromoting(now);
+    if (this->currentPhase == PromotionPhase::Following)
+        this->advanceFollowing(now);
+}
+
+void Promotion::advanceCatchingUp(TimePoint now)
+{
+    const Member* leaving = this->find(*this->request.leavingPrimary);
+    // Another promoter has fenced the leaving primary already.
+    if (leaving && leaving->refused)
+        this->lose(now);
+    else if (this->successorCaughtUp || !leaving || now >= this->phaseDeadline)
+        this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
+}
+
+void Promotion::advanceFencing(TimePoint now)
+{
+    const auto refused = static_cast<size_t>(
+        std::count_if(this->members.begin(), this->members.end(), [](const Member& member) { return member.refused && !member.fenced; }));
+    const auto known = static_cast<size_t>(
+        std::count_if(this->members.begin(), this->members.end(), [](const Member& member) { return member.fencedPoint.has_value(); }));
+    if (known >= this->majority()) {
+        // The choice is final for this term: a fence that succeeds later must not lead to a second primary.
+        const auto best = std::max_element(this->members.begin(), this->members.end(),
+            [this](const Member& left, const Member& right) { return this->isBetter(right, left); });
+        this->chosen = best->server;
+        this->enter(PromotionPhase::Promoting, this->settings.promotingLimit, now);
+    } else if (refused > this->members.size() - this->majority() || now >= this->phaseDeadline) {
+        this->lose(now);
+    }
+}
+
+bool Promotion::isBetter(const Member& candidate, const Member& other) const
+{
+    if (candidate.fencedPoint != other.fencedPoint)
+        return candidate.fencedPoint > other.fencedPoint;
+    if (candidate.draining != other.draining)
+        return other.draining;
+    return candidate.server == this->request.successor && other.server != this->request.successor;
+}
+
+void Promotion::advancePromoting(TimePoint now)
+{
+    if (this->promoted) {
+        this->enter(PromotionPhase::Following, this->settings.followingLimit, now);
+        return;
+    }
+    if (now < this->phaseDeadline)
+        return;
+    // The chosen server may be a primary already, so another one can be chosen only in a higher term.
+    if (this->restartsLeft == 0) {
+        this->lose(now);
+        return;
+    }
+    --this->restartsLeft;
+    this->request.leavingPrimary.reset();
+    this->beginTerm(now);
+}
+
+void Promotion::advanceFollowing(TimePoint now)
+{
+    const bool all = std::all_of(this->members.begin(), this->members.end(),
+        [this](const Member& member) { return member.followed || member.server == this->chosen; });
+    // GroupMonitor makes servers follow that come back later.
+    if (all || now >= this->phaseDeadline) {
+        this->currentPhase = PromotionPhase::Done;
+        this->lossesInARow = 0;
+    }
+}
+
+void Promotion::lose(TimePoint now)
+{
+    if (!this->isRunning())
+        return;
+    this->currentPhase = PromotionPhase::Lost;
+    this->startNotBefore = now + this->settings.backoffStep * this->request.place;
+    if (++this->lossesInARow > 1) {
+        const auto spread = static_cast<uint64_t>((this->settings.backoffSpread * this->lossesInARow).count());
+        const uint64_t salt = stableHash(this->name + "/" + std::to_string(this->currentTerm.value));
+        this->startNotBefore += Duration(static_cast<int64_t>(salt % spread));
+    }
+}
+
+std::vector<PromotionEffect> Promotion::dueEffects(TimePoint now)
+{
+    std::vector<PromotionEffect> effects;
+    if (this->promoted && !this->hintRecorded && this->currentPhase != PromotionPhase::Lost) {
+        this->hintRecorded = true;
+        effects.emplace_back(RecordHint { this->currentTerm, *this->chosen });
+    }
+    if (this->currentPhase == PromotionPhase::Lost)
+        effects.emplace_back(WaitUntil { this->startNotBefore });
+    if (!this->isRunning())
+        return effects;
+    TimePoint next = this->phaseDeadline;
+    for (Member& member : this->members) {
+        if (!this->needsCommand(member))
+            continue;
+        if (member.nextCommandAt <= now) {
+            this->addCommand(member, effects);
+            member.nextCommandAt = now + this->settings.replyTimeout;
+        }
+        next = std::min(next, member.nextCommandAt);
+    }
+    effects.emplace_back(WaitUntil { next });
+    return effects;
+}
+
+bool Promotion::needsCommand(const Member& member) const
+{
+    switch (this->currentPhase) {
+    case PromotionPhase::CatchingUp:
+        return member.server == this->request.successor || (member.server == this->request.leavingPrimary && !member.fencedPoint);
+    case PromotionPhase::Fencing:
+        return !member.fencedPoint;
+    case PromotionPhase::Promoting:
+        return member.server == this->chosen;
+    case PromotionPhase::Following:
+        return member.server != this->chosen && !member.followed;
+    default:
+        return false;
+    }
+}
+
+void Promotion::addCommand(const Member& member, std::vector<PromotionEffect>& effects) const
+{
+    const bool fencing = this->currentPhase == PromotionPhase::CatchingUp || this->currentPhase == PromotionPhase::Fencing;
+    const bool watched = this->currentPhase == PromotionPhase::CatchingUp && member.server == this->request.successor;
+    if (watched || member.refused || (fencing && member.fenced))
+        effects.emplace_back(ReadStatus { member.server });
+    else if (fencing)
+        effects.emplace_back(FenceServer { member.server, this->currentTerm });
+    else if (this->currentPhase == PromotionPhase::Promoting)
+        effects.emplace_back(PromoteServer { member.server, this->currentTerm });
+    else
+        effects.emplace_back(FollowPrimary { member.server, this->currentTerm, *this->chosen });
+}
+
+Promotion::Member* Promotion::find(const BackendServerId& server)
+{
+    const auto found
+        = std::find_if(this->members.begin(), this->members.end(), [&](const Member& member) { return member.server == server; });
+    return found == this->members.end() ? nullptr : &*found;
+}
+
+}
--- /dev/null
+++ b/tests/failover/FakeGroup.h
@@ -0,0 +1,313 @@
+#pragma once
+
+#include "foxtailtrail/failover/GroupView.h"
+#include "foxtailtrail/failover/Promotion.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace foxtail {
+
+using std::chrono::milliseconds;
+
+constexpr size_t groupSize = 3;
+// Nodes of the fake network: the servers, then the VMs.
+constexpr size_t nodeCount = 6;
+
+// The steps of a promotion and of an acknowledgement at which a fault can be injected.
+enum class Step : uint8_t {
+    PromotionStarted,
+    FenceSent,
+    FenceDone,
+    FenceReplied,
+    PromoteSent,
+    PromoteDone,
+    PromoteReplied,
+    FollowSent,
+    FollowDone,
+    PromotionEnded,
+    WriteSent,
+    WriteCommitted,
+    StatusRead,
+    Acknowledged,
+};
+constexpr size_t stepCount = 14;
+
+// Virtual time: events run in the order of their time, then of their insertion.
+class Simulation {
+public:
+    explicit Simulation(uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    TimePoint now() const { return this->time; }
+
+    void at(TimePoint when, std::function<void()> action)
+    {
+        this->events.push({ std::max(when, this->time), ++this->sequence, std::move(action) });
+    }
+
+    void after(Duration delay, std::function<void()> action) { this->at(this->time + delay, std::move(action)); }
+
+    void runUntil(TimePoint end)
+    {
+        while (!this->events.empty() && this->events.top().when <= end) {
+            const Event event = this->events.top();
+            this->events.pop();
+            this->time = event.when;
+            event.action();
+        }
+        this->time = end;
+    }
+
+    // A network delay of 1 to 4 ms.
+    Duration delay() { return Duration(1000 + this->random() % 3000); }
+
+private:
+    struct Event {
+        TimePoint when;
+        uint64_t order;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return std::tie(other.when, other.order) < std::tie(this->when, this->order); }
+    };
+
+    std::mt19937_64 random;
+    TimePoint time;
+    uint64_t sequence = 0;
+    std::priority_queue<Event> events;
+};
+
+// A transaction in a log. Equal entries have the same write and the same term of origin.
+struct LogEntry {
+    uint64_t write;
+    Term term;
+    bool operator==(const LogEntry&) const = default;
+};
+
+// What a call returns.
+struct FakeReply {
+    CommandOutcome outcome = CommandOutcome::Refused;
+    ServerStatus status;
+    LogPoint point;
+    // Whether the read saw the write that it looked for.
+    bool found = false;
+};
+
+// A backend server of the fake group. logTerm rises only when the log reaches the point where the term began.
+struct FakeServer {
+    size_t index = 0;
+    bool up = true;
+    Term promised { 1 };
+    Term logTerm { 1 };
+    std::string promoter;
+    ServerRole role = ServerRole::Replica;
+    std::vector<LogEntry> log;
+    size_t termStart = 0;
+    size_t upstream = 0;
+    TimePoint heardAt;
+    Duration lag { 0 };
+    bool leaving = false;
+
+    LogPoint point() const { return { this->logTerm, Position { this->log.size() } }; }
+
+    ServerStatus status(TimePoint now) const
+    {
+        return { this->promised, this->logTerm, Position { this->log.size() }, this->role, now - this->heardAt, this->leaving };
+    }
+};
+
+// What the checks are made on.
+struct History {
+    std::map<Term, std::set<size_t>> primaries;
+    // Per write: whether a majority had promised a higher term when it last committed or was found committed.
+    std::map<uint64_t, bool> committedWhenReplaced;
+    std::map<uint64_t, TimePoint> acknowledged;
+    std::vector<std::string> violations;
+};
+
+// Three servers with asynchronous replication behind a network that can fail in every direction.
+class FakeGroup {
+public:
+    explicit FakeGroup(uint64_t seed)
+        : simulation(seed)
+    {
+        for (size_t index = 0; index < groupSize; ++index) {
+            this->servers[index].index = index;
+            this->replicate(index);
+        }
+        this->servers[0].role = ServerRole::Primary;
+        this->history.primaries[Term { 1 }].insert(0);
+    }
+
+    static BackendServerId id(size_t server) { return BackendServerId("s" + std::to_string(server)); }
+    static size_t indexOf(const BackendServerId& server) { return static_cast<size_t>(server.value.back() - '0'); }
+
+    // Blocks or opens every link that leaves the server, and with both set also every link towards it.
+    void isolate(size_t server, bool blocked, bool both)
+    {
+        for (size_t node = 0; node < nodeCount; ++node) {
+            this->blockedLinks[server][node] = blocked;
+            if (both)
+                this->blockedLinks[node][server] = blocked;
+        }
+    }
+
+    // Runs an action of a VM, when the VM is not paused.
+    void onVm(size_t vm, std::function<void()> action)
+    {
+        if (this->simulation.now() >= this->pausedUntil[vm])
+            action();
+        else
+            this->simulation.at(this->pausedUntil[vm], [this, vm, action] { this->onVm(vm, action); });
+    }
+
+    // Calls a server from a VM. The result is empty when there was no reply in time.
+    void call(size_t vm, size_t server, std::function<FakeReply(FakeServer&)> operation, std::function<void(std::optional<FakeReply>)> done)
+    {
+        const auto answered = std::make_shared<bool>(false);
+        const auto finish = [this, vm, answered, done](std::optional<FakeReply> reply) {
+            this->onVm(vm, [answered, done, reply] {
+                if (!std::exchange(*answered, true))
+                    done(reply);
+            });
+        };
+        const Duration extra = std::exchange(this->nextRequestDelay[vm], Duration(0));
+        this->simulation.after(this->simulation.delay() + extra, [this, vm, server, operation, finish] {
+            if (!this->servers[server].up || this->blockedLinks[vm][server])
+                return;
+            const FakeReply reply = operation(this->servers[server]);
+            if (std::exchange(this->loseNextReply[vm], false))
+                return;
+            this->simulation.after(this->simulation.delay(), [this, vm, server, reply, finish] {
+                if (!this->blockedLinks[server][vm])
+                    finish(reply);
+            });
+        });
+        this->simulation.after(milliseconds(200), [finish] { finish(std::nullopt); });
+    }
+
+    FakeReply reply(const FakeServer& server, bool done) const
+    {
+        return { done ? CommandOutcome::Done : CommandOutcome::Refused, server.status(this->simulation.now()), {}, false };
+    }
+
+    FakeReply fence(FakeServer& server, Term term, const std::string& promoter)
+    {
+        if (term > server.promised) {
+            server.promised = term;
+            server.promoter = promoter;
+            server.role = ServerRole::Fenced;
+            return this->reply(server, true);
+        }
+        return this->reply(server, term == server.promised && promoter == server.promoter);
+    }
+
+    FakeReply promote(FakeServer& server, Term term, const std::string& promoter)
+    {
+        if (term != server.promised || promoter != server.promoter || server.role == ServerRole::Replica)
+            return this->reply(server, false);
+        if (server.role == ServerRole::Fenced) {
+            server.role = ServerRole::Primary;
+            server.logTerm = term;
+            server.termStart = server.log.size();
+            this->history.primaries[term].insert(server.index);
+        }
+        return this->reply(server, true);
+    }
+
+    FakeReply follow(FakeServer& server, Term term, size_t primary)
+    {
+        if (term < server.promised || (server.role == ServerRole::Primary && server.logTerm == term))
+            return this->reply(server, false);
+        server.promised = term;
+        server.role = ServerRole::Replica;
+        server.upstream = primary;
+        server.heardAt = this->simulation.now();
+        return this->reply(server, true);
+    }
+
+    // Commits a write once: a write that is in the log already keeps its position.
+    FakeReply write(FakeServer& server, Term term, uint64_t write)
+    {
+        FakeReply result = this->reply(server, server.role == ServerRole::Primary && server.logTerm == term);
+        if (result.outcome != CommandOutcome::Done)
+            return result;
+        auto found = std::find_if(server.log.begin(), server.log.end(), [&](const LogEntry& entry) { return entry.write == write; });
+        if (found == server.log.end())
+            found = server.log.insert(found, { write, term });
+        result.point = { term, Position { static_cast<uint64_t>(found - server.log.begin()) + 1 } };
+        this->history.committedWhenReplaced[write] = this->isReplaced(term);
+        return result;
+    }
+
+    FakeReply read(FakeServer& server, LogPoint required, bool asPrimary, uint64_t write)
+    {
+        const bool done = holdsLogPoint(server.point(), required) && (!asPrimary || server.role == ServerRole::Primary);
+        FakeReply result = this->reply(server, done);
+        result.found = std::any_of(server.log.rbegin(), server.log.rend(), [&](const LogEntry& entry) { return entry.write == write; });
+        return result;
+    }
+
+    // Whether a majority has promised a higher term.
+    bool isReplaced(Term term) const
+    {
+        return std::count_if(this->servers.begin(), this->servers.end(), [&](const FakeServer& server) { return server.promised > term; })
+            >= 2;
+    }
+
+    Simulation simulation;
+    std::array<FakeServer, groupSize> servers;
+    std::array<std::array<bool, nodeCount>, nodeCount> blockedLinks {};
+    std::array<TimePoint, nodeCount> pausedUntil {};
+    std::array<bool, nodeCount> loseNextReply {};
+    std::array<Duration, nodeCount> nextRequestDelay {};
+    History history;
+
+private:
+    // Pulls the upstream's log every 10 ms, at most four new entries at a time.
+    void replicate(size_t index)
+    {
+        this->simulation.after(milliseconds(10), [this, index] {
+            this->replicate(index);
+            const FakeServer& replica = this->servers[index];
+            const size_t from = replica.upstream;
+            if (!replica.up || replica.role != ServerRole::Replica || this->blockedLinks[index][from])
+                return;
+            this->simulation.after(this->simulation.delay(), [this, index, from] {
+                const FakeServer& source = this->servers[from];
+                if (!source.up || source.role == ServerRole::Replica || this->blockedLinks[from][index])
+                    return;
+                this->simulation.after(this->simulation.delay() + this->servers[index].lag,
+                    [this, index, source] { this->receive(this->servers[index], source); });
+            });
+        });
+    }
+
+    // A fenced server still hands out its log, but no longer counts as a primary that is heard.
+    void receive(FakeServer& replica, const FakeServer& source)
+    {
+        if (!replica.up || replica.role != ServerRole::Replica || replica.promised != source.logTerm || replica.upstream != source.index)
+            return;
+        if (source.role == ServerRole::Primary)
+            replica.heardAt = this->simulation.now();
+        const auto common = static_cast<size_t>(
+            std::mismatch(replica.log.begin(), replica.log.end(), source.log.begin(), source.log.end()).first - replica.log.begin());
+        if (replica.logTerm < source.logTerm)
+            replica.log.resize(common);
+        for (size_t next = replica.log.size(); next < std::min(source.log.size(), common + 4); ++next)
+            replica.log.push_back(source.log[next]);
+        if (replica.log.size() >= source.termStart)
+            replica.logTerm = source.logTerm;
+    }
+};
+
+}
--- /dev/null
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -0,0 +1,223 @@
+#include "FakeVm.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+
+namespace foxtail {
+
+namespace {
+
+    enum class Fault : uint8_t {
+        Kill,
+        Partition,
+        OneWayPartition,
+        PausePromoter,
+        LoseReply,
+        DelayRequest,
+        SecondPromoter,
+        ReplicaLag,
+    };
+    constexpr std::array<const char*, 8> faultNames { "Kill", "Partition", "OneWay", "Pause", "LoseReply", "DelayRequest", "SecondPromoter",
+        "Lag" };
+    constexpr std::array<const char*, stepCount> stepNames { "PromotionStarted", "FenceSent", "FenceDone", "FenceReplied", "PromoteSent",
+        "PromoteDone", "PromoteReplied", "FollowSent", "FollowDone", "PromotionEnded", "WriteSent", "WriteCommitted", "StatusRead",
+        "Acknowledged" };
+
+    struct Injection {
+        Fault fault;
+        Step step;
+    };
+
+    constexpr TimePoint firstFaultAt { std::chrono::seconds(1) };
+    constexpr Duration faultLength = std::chrono::milliseconds(2500);
+    constexpr TimePoint end { std::chrono::seconds(24) };
+
+    // One run: two clients write and read, the primary is killed or not at 1 s, then each injection happens at the first
+    // occurrence of its step.
+    class Scenario {
+    public:
+        explicit Scenario(std::vector<Injection> injections,
+            std::shared_ptr<const AcknowledgementStrategy> strategy = std::make_shared<PrimaryAloneAcknowledgement>())
+            : injections(std::move(injections))
+        {
+            const auto onStep = [this](Step step, size_t server) { this->reached(step, server); };
+            for (size_t node = firstVm; node < nodeCount; ++node)
+                this->vms.push_back(std::make_unique<FakeVm>(this->group, node, strategy, onStep));
+            for (auto& vm : this->vms) {
+                for (size_t node = firstVm; node < nodeCount; ++node)
+                    vm->peers[node] = this->vms[node - firstVm].get();
+            }
+            this->simulation().at(TimePoint(milliseconds(300)), [this] {
+                this->writeNext(0);
+                this->writeNext(1);
+            });
+        }
+
+        // Kills the first primary at 1 s and starts it again at 9 s.
+        void killPrimary()
+        {
+            this->simulation().at(firstFaultAt, [this] { this->inject(Fault::Kill, 0, std::chrono::seconds(8)); });
+        }
+
+        void run()
+        {
+            this->simulation().at(end - std::chrono::seconds(2), [this] { this->clientsStop = true; });
+            this->simulation().runUntil(end);
+            this->checkLogs();
+        }
+
+        Simulation& simulation() { return this->group.simulation; }
+
+        // The longest time between two acknowledgements after the first fault.
+        Duration longestGap() const
+        {
+            std::set<TimePoint> times { firstFaultAt, end - std::chrono::seconds(2) };
+            for (const auto& [write, time] : this->group.history.acknowledged)
+                times.insert(time);
+            Duration longest { 0 };
+            for (auto next = std::next(times.begin()); next != times.end(); ++next) {
+                if (*next > firstFaultAt)
+                    longest = std::max(longest, *next - *std::prev(next));
+            }
+            return longest;
+        }
+
+        void inject(Fault fault, size_t server, Duration length)
+        {
+            const auto heal = [&](std::function<void()> action) { this->simulation().after(length, std::move(action)); };
+            switch (fault) {
+            case Fault::Kill:
+                this->group.servers[server].up = false;
+                heal([this, server] { this->group.servers[server].up = true; });
+                break;
+            case Fault::Partition:
+            case Fault::OneWayPartition:
+                this->group.isolate(server, true, fault == Fault::Partition);
+                heal([this, server] { this->group.isolate(server, false, true); });
+                break;
+            case Fault::PausePromoter:
+                this->group.pausedUntil[firstVm] = this->simulation().now() + length;
+                break;
+            case Fault::LoseReply:
+                this->group.loseNextReply.fill(true);
+                break;
+            case Fault::DelayRequest:
+                this->group.nextRequestDelay.fill(std::chrono::milliseconds(900));
+                break;
+            case Fault::SecondPromoter:
+                this->simulation().after(Duration(0), [this] {
+                    this->vms[1]->promote(
+                        { PromotionCause::PrimarySilent, this->vms[1]->monitor.view(this->simulation().now()).term, {}, {} });
+                });
+                break;
+            case Fault::ReplicaLag:
+                for (FakeServer& replica : this->group.servers)
+                    replica.lag = replica.index == server ? Duration(0) : Duration(std::chrono::milliseconds(700));
+                heal([this] {
+                    for (FakeServer& replica : this->group.servers)
+                        replica.lag = Duration(0);
+                });
+                break;
+            }
+        }
+
+        FakeGroup group { 42 };
+        std::vector<std::unique_ptr<FakeVm>> vms;
+
+    private:
+        void reached(Step step, size_t server)
+        {
+            if (this->simulation().now() < firstFaultAt)
+                return;
+            for (size_t index = 0; index < this->injections.size(); ++index) {
+                if (this->injections[index].step == step && this->done.insert(index).second) {
+                    this->inject(this->injections[index].fault, server, faultLength);
+                    return;
+                }
+            }
+        }
+
+        // A session: a write, then a read with its token at the other VM and one without a token.
+        void writeNext(size_t client)
+        {
+            if (this->clientsStop)
+                return;
+            const uint64_t id = ++this->lastWrite;
+            this->vms[client]->write(id, [this, client, id](LogPoint point) {
+                this->group.history.acknowledged[id] = this->simulation().now();
+                this->expect(!this->group.history.committedWhenReplaced[id], "acknowledged by a replaced primary", id);
+                this->vms[client]->onStep(Step::Acknowledged, 0);
+                this->readBack(1 - client, id, point);
+                this->readBack(1 - client, id, std::nullopt);
+                this->simulation().after(milliseconds(30), [this, client] { this->writeNext(client); });
+            });
+        }
+
+        void readBack(size_t client, uint64_t id, std::optional<LogPoint> token)
+        {
+            this->group.onVm(firstVm + client, [this, client, id, token] {
+                const TimePoint now = this->simulation().now();
+                this->vms[client]->read(
+                    { token, std::nullopt, now, now + std::chrono::seconds(60), Region("r") }, id, [this, id, token](bool found) {
+                        this->expect(found, token ? "not read with its token" : "not read without a token", id);
+                        ++this->reads;
+                    });
+            });
+        }
+
+        void expect(bool condition, const std::string& violation, uint64_t write)
+        {
+            if (!condition)
+                this->group.history.violations.push_back("write " + std::to_string(write) + " " + violation);
+        }
+
+        void checkLogs()
+        {
+            for (const auto& [term, primaries] : this->group.history.primaries)
+                this->expect(primaries.size() == 1, "several primaries in a term", term.value);
+            for (const FakeServer& server : this->group.servers) {
+                std::multiset<uint64_t> rows;
+                for (const LogEntry& entry : server.log)
+                    rows.insert(entry.write);
+                for (uint64_t write = 1; write <= this->lastWrite; ++write) {
+                    const bool acknowledged = this->group.history.acknowledged.contains(write);
+                    this->expect(
+                        !acknowledged || rows.count(write) > 0, "acknowledged but lost at server " + std::to_string(server.index), write);
+                    this->expect(rows.count(write) < 2, "duplicated at server " + std::to_string(server.index), write);
+                }
+            }
+        }
+
+        std::vector<Injection> injections;
+        std::set<size_t> done;
+        uint64_t lastWrite = 0;
+        bool clientsStop = false;
+
+    public:
+        uint64_t reads = 0;
+    };
+
+    // The checks that hold in every scenario.
+    void expectCorrect(Scenario& scenario, Duration gapLimit)
+    {
+        scenario.run();
+        EXPECT_EQ(scenario.group.history.violations, std::vector<std::string>());
+        EXPECT_LT(toMilliseconds(scenario.longestGap()), toMilliseconds(gapLimit));
+        EXPECT_GT(scenario.reads, 100U);
+    }
+
+    constexpr Duration silentGap = std::chrono::seconds(3);
+    constexpr Duration anyGap = std::chrono::seconds(16);
+
+}
+
+// Guards against losing acknowledged writes: the primary dies while its replicas lag behind.
+TEST(FaultMatrixTest, LaggingReplicasLoseNoAcknowledgedWrite)
+{
+    Scenario scenario({});
+    scenario.simulation().at(TimePoint(milliseconds(800)), [&] { scenario.inject(Fault::ReplicaLag, 0, faultLength); });
+    scenario.killPrimary();
+    expectCorrect(scenario, silentGap);
+}
+
+}
