--- a/foxtailtrail/failover/DurabilityTracker.cpp
+++ b/foxtailtrail/failover/DurabilityTracker.cpp
@@ -49,6 +49,14 @@
     return times[this->majority() - 1];
 }
 
+Durability MajorityAcknowledgement::judge(LogPoint commit, const QuorumObservations& observations) const
+{
+    // A server can't hold a commit of term t in term t before the commit happened, so these reports are all later.
+    if (observations.holders(commit) >= observations.majority())
+        return Durability::Durable;
+    return observations.promisedAbove(commit.term) >= observations.majority() ? Durability::Superseded : Durability::Pending;
+}
+
 Durability PrimaryAloneAcknowledgement::judge(LogPoint, const QuorumObservations&) const { return Durability::Durable; }
 
 DurabilityTracker::DurabilityTracker(std::vector<BackendServerId> group, std::shared_ptr<const AcknowledgementStrategy> strategy)
--- a/foxtailtrail/failover/DurabilityTracker.h
+++ b/foxtailtrail/failover/DurabilityTracker.h
@@ -60,7 +60,14 @@
     virtual Durability judge(LogPoint commit, const QuorumObservations&) const = 0;
 };
 
-// The primary's word is enough.
+// A majority of the group, the primary included, holds the commit in its term. A promotion fences a majority too, so one
+// of the fenced servers holds it.
+class MajorityAcknowledgement final : public AcknowledgementStrategy {
+public:
+    Durability judge(LogPoint commit, const QuorumObservations&) const override;
+};
+
+// The primary's word is enough. The baseline: it loses acknowledged writes when a primary fails.
 class PrimaryAloneAcknowledgement final : public AcknowledgementStrategy {
 public:
     Durability judge(LogPoint commit, const QuorumObservations&) const override;
--- a/tests/failover/FaultMatrixTest.cpp
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -37,7 +37,7 @@
     class Scenario {
     public:
         explicit Scenario(std::vector<Injection> injections,
-            std::shared_ptr<const AcknowledgementStrategy> strategy = std::make_shared<PrimaryAloneAcknowledgement>())
+            std::shared_ptr<const AcknowledgementStrategy> strategy = std::make_shared<MajorityAcknowledgement>())
             : injections(std::move(injections))
         {
             const auto onStep = [this](Step step, size_t server) { this->reached(step, server); };
@@ -82,6 +82,14 @@
             return longest;
         }
 
+        // How many violations contain the text.
+        ptrdiff_t violationsOf(std::string_view text) const
+        {
+            const auto& all = this->group.history.violations;
+            return std::count_if(
+                all.begin(), all.end(), [&](const std::string& violation) { return violation.find(text) != std::string::npos; });
+        }
+
         void inject(Fault fault, size_t server, Duration length)
         {
             const auto heal = [&](std::function<void()> action) { this->simulation().after(length, std::move(action)); };
@@ -220,4 +228,14 @@
     expectCorrect(scenario, silentGap);
 }
 
+// Guards against checks that can't fail: the baseline must lose a write in the same scenario.
+TEST(FaultMatrixTest, BaselineLosesAcknowledgedWrite)
+{
+    Scenario scenario({}, std::make_shared<PrimaryAloneAcknowledgement>());
+    scenario.simulation().at(TimePoint(milliseconds(800)), [&] { scenario.inject(Fault::ReplicaLag, 0, faultLength); });
+    scenario.killPrimary();
+    scenario.run();
+    EXPECT_NE(scenario.violationsOf("acknowledged but lost"), 0);
+}
+
 }
