--- a/foxtailtrail/base/Ids.h
+++ b/foxtailtrail/base/Ids.h
@@ -20,6 +20,7 @@
     }
 
     bool empty() const { return this->value.empty(); }
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 takes the comparison with zero in the generated code for a null pointer.
     auto operator<=>(const StringId&) const = default;
 };
 
--- a/foxtailtrail/config/Configuration.h
+++ b/foxtailtrail/config/Configuration.h
@@ -93,6 +93,9 @@
     std::map<uint32_t, LimitShardOwner> limitShards;
     // At most five VMs whose majority confirms the version when the store cannot be reached.
     std::vector<VmAddress> witnesses;
+    // The witnesses before the last replacement, until a majority of them is known to hold a newer version. While
+    // this list is not empty, a version is accepted only when majorities of both lists acknowledge it.
+    std::vector<VmAddress> previousWitnesses;
 };
 
 // The limit shard of an organisation.
@@ -101,6 +104,9 @@
 // The document's JSON text, with members in a fixed order.
 std::string serializeConfiguration(const Configuration&);
 
+// The digest of the document, which the store's row names.
+std::string configurationDigest(const Configuration&);
+
 // Reads and validates a document. Fails with MalformedRequest, naming the member at fault.
 Result<Configuration> parseConfiguration(std::string_view text);
 
