--- a/foxtailtrail/base/Time.h
+++ b/foxtailtrail/base/Time.h
@@ -10,11 +10,13 @@
 
 // A monotonic clock that has no now(): the caller of a decision always passes the time in.
 struct MonotonicClock {
+    // NOLINTBEGIN(readability-identifier-naming): the standard library prescribes these names.
     using duration = Duration;
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<MonotonicClock>;
     static constexpr bool is_steady = true;
+    // NOLINTEND(readability-identifier-naming)
 };
 
 // A point in time of one process's monotonic clock. Values of two processes are never compared.
--- a/foxtailtrail/config/FreshnessMonitor.cpp
+++ b/foxtailtrail/config/FreshnessMonitor.cpp
@@ -1,27 +1,56 @@
 #include "foxtailtrail/config/FreshnessMonitor.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace foxtail {
 
 void FreshnessMonitor::install(const Configuration& configuration, const std::string& digest)
 {
     this->installed = { configuration.version, digest };
-    this->confirm(TimePoint());
+    this->highestNamed = std::max(this->highestNamed, configuration.version);
+    this->witnesses.clear();
+    for (const VmAddress& witness : configuration.witnesses)
+        this->witnesses.push_back(witness.id);
+    std::erase_if(this->witnessReports, [this](const auto& entry) { return !this->isWitness(entry.first); });
+    // The deadline of a lower version stays: at the send time of its check no later version had been accepted, so
+    // none above the one installed now had been either. Answers that already named this version confirm it.
+    this->evaluateStore();
+    this->evaluateWitnesses();
 }
 
-void FreshnessMonitor::storeReported(const VersionReport& report, TimePoint)
+void FreshnessMonitor::storeReported(const VersionReport& report, TimePoint sentAt)
 {
     this->highestNamed = std::max(this->highestNamed, report.version);
+    if (this->store && this->store->sentAt > sentAt)
+        return;
+    this->store = TimedReport { report, sentAt };
+    this->evaluateStore();
 }
 
-void FreshnessMonitor::witnessReported(const VmId&, const std::optional<VersionReport>& report, TimePoint)
+void FreshnessMonitor::witnessReported(const VmId& witness, const std::optional<VersionReport>& report, TimePoint sentAt)
 {
-    if (report)
-        this->highestNamed = std::max(this->highestNamed, report->version);
+    if (!report)
+        return;
+    this->highestNamed = std::max(this->highestNamed, report->version);
+    if (!this->isWitness(witness))
+        return;
+    const auto held = this->witnessReports.find(witness);
+    // A witness never goes back, so an answer with a lower version is a late one.
+    if (held != this->witnessReports.end() && held->second.report.version > report->version)
+        return;
+    if (held != this->witnessReports.end() && held->second.report == *report && held->second.sentAt > sentAt)
+        return;
+    this->witnessReports.insert_or_assign(witness, TimedReport { *report, sentAt });
+    this->evaluateWitnesses();
 }
 
-std::optional<VersionReport> FreshnessMonitor::ownReport() const { return this->installed; }
+std::optional<VersionReport> FreshnessMonitor::ownReport() const
+{
+    if (!this->deadline)
+        return std::nullopt;
+    return this->installed;
+}
 
 Result<void> FreshnessMonitor::check(TimePoint now) const
 {
@@ -30,10 +59,37 @@
     return succeed();
 }
 
-void FreshnessMonitor::confirm(TimePoint) { this->deadline = TimePoint::max(); }
+bool FreshnessMonitor::isWitness(const VmId& vm) const
+{
+    return std::find(this->witnesses.begin(), this->witnesses.end(), vm) != this->witnesses.end();
+}
 
-void FreshnessMonitor::evaluateStore() { }
+void FreshnessMonitor::confirm(TimePoint sentAt)
+{
+    const Duration allowed(static_cast<Duration::rep>(static_cast<double>(this->settings.freshness.count()) * (1 - this->settings.drift)));
+    this->deadline = std::max(this->deadline.value_or(TimePoint::min()), sentAt + allowed);
+}
 
-void FreshnessMonitor::evaluateWitnesses() { }
+void FreshnessMonitor::evaluateStore()
+{
+    if (this->installed.version > 0 && this->store && this->store->report == this->installed)
+        this->confirm(this->store->sentAt);
+}
+
+void FreshnessMonitor::evaluateWitnesses()
+{
+    std::vector<TimePoint> sendTimes;
+    for (const VmId& witness : this->witnesses) {
+        const auto held = this->witnessReports.find(witness);
+        if (held != this->witnessReports.end() && held->second.report == this->installed)
+            sendTimes.push_back(held->second.sentAt);
+    }
+    const size_t majority = this->witnesses.size() / 2 + 1;
+    if (sendTimes.size() < majority)
+        return;
+    // The majority as a whole is as fresh as its oldest answer, so take the newest majority.
+    std::sort(sendTimes.begin(), sendTimes.end(), std::greater<>());
+    this->confirm(sendTimes[majority - 1]);
+}
 
 }
--- a/foxtailtrail/config/FreshnessMonitor.h
+++ b/foxtailtrail/config/FreshnessMonitor.h
@@ -63,6 +63,7 @@
         TimePoint sentAt;
     };
 
+    bool isWitness(const VmId&) const;
     void confirm(TimePoint sentAt);
     void evaluateStore();
     void evaluateWitnesses();
