Add a stand-in for a backend server of a database group

backend-standin speaks the part of the PostgreSQL protocol, version 3, that libpq needs for PQexec and PQexecParams, over an in-memory SQLite database.

Writers hold one lock from their first statement to their end; readers see committed data only. A fence ends the open writer, since its transaction can no longer commit and its lock would keep a divergent suffix from being dropped. A replica reports a new term only once it holds the log up to the promotion: otherwise a replica that is behind could win the next promotion by its term and lose acknowledged transactions.

One statement log instead of SQLite change sets: the stand-in replays the statements, so statements with random or current time values differ between servers. Tests must not use them.

--- /dev/null
+++ b/standins/BackendStandinMain.cpp
@@ -0,0 +1,87 @@
+#include "standins/BackendStandin.h"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <stdexcept>
+
+namespace options = boost::program_options;
+
+namespace {
+
+struct CommandLine {
+    foxtail::standins::BackendStandinSettings settings;
+    std::string role;
+    std::string schemaFile;
+    uint64_t lagMs = 0;
+    uint64_t statementDelayMs = 0;
+};
+
+options::options_description describe(CommandLine& line)
+{
+    options::options_description description("backend-standin: a small stand-in for a backend server of a database group");
+    auto add = description.add_options();
+    add("help", "show this text");
+    add("port", options::value(&line.settings.port)->default_value(0), "port to listen on, 0 for any");
+    add("role", options::value(&line.role)->default_value("primary"), "primary or replica");
+    add("primary", options::value(&line.settings.primaryAddress), "host:port of the primary, for a replica");
+    add("server-id", options::value(&line.settings.serverId)->default_value("server"), "name of this server");
+    add("lag-ms", options::value(&line.lagMs)->default_value(0), "time before a replica applies an entry");
+    add("statement-delay-ms", options::value(&line.statementDelayMs)->default_value(0), "time added to each statement");
+    add("connections", options::value(&line.settings.connections)->default_value(100), "cap over the connections of all clients");
+    add("schema", options::value(&line.schemaFile), "file with the SQL that creates the tables");
+    add("schema-sql", options::value(&line.settings.schema), "the SQL itself");
+    return description;
+}
+
+void complete(CommandLine& line)
+{
+    if (line.role != "primary" && line.role != "replica")
+        throw std::invalid_argument("--role must be primary or replica");
+    line.settings.role = line.role == "primary" ? foxtail::ServerRole::Primary : foxtail::ServerRole::Replica;
+    line.settings.lag = std::chrono::milliseconds(line.lagMs);
+    line.settings.statementDelay = std::chrono::milliseconds(line.statementDelayMs);
+    if (line.schemaFile.empty())
+        return;
+    std::ifstream file(line.schemaFile);
+    if (!file)
+        throw std::invalid_argument("cannot read " + line.schemaFile);
+    line.settings.schema.assign(std::istreambuf_iterator<char>(file), {});
+}
+
+}
+
+int main(int argumentCount, char** arguments)
+{
+    try {
+        CommandLine line;
+        const options::options_description description = describe(line);
+        options::variables_map values;
+        options::store(options::parse_command_line(argumentCount, arguments, description), values);
+        options::notify(values);
+        if (values.count("help")) {
+            std::cout << description;
+            return 0;
+        }
+        complete(line);
+        // Blocked before the first thread starts, so that only sigwait() receives them.
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        std::signal(SIGPIPE, SIG_IGN);
+        foxtail::standins::BackendStandin standin(line.settings);
+        std::cout << "listening on " << standin.port() << std::endl;
+        int received = 0;
+        sigwait(&signals, &received);
+        standin.stop();
+        return 0;
+    } catch (const std::exception& fault) {
+        std::cerr << "backend-standin: " << fault.what() << std::endl;
+        return 2;
+    }
+}
--- /dev/null
+++ b/standins/SqliteDatabase.cpp
@@ -0,0 +1,177 @@
+#include "standins/SqliteDatabase.h"
+
+#include <array>
+#include <cstdlib>
+#include <memory>
+#include <sqlite3.h>
+#include <string_view>
+
+namespace foxtail::standins {
+
+namespace {
+
+    // A statement holds the server's lock, so one that never ends would also block fencing.
+    constexpr std::chrono::seconds statementTimeLimit { 1 };
+    constexpr int progressInstructions = 10000;
+
+    constexpr const char* requestTable = "CREATE TABLE IF NOT EXISTS foxtail_requests(organisation text, id text, digest text, state text, "
+                                         "answer text, created integer, primary key(organisation,id))";
+
+    struct SqliteErrorRow {
+        int code;
+        const char* state;
+    };
+
+    constexpr std::array<SqliteErrorRow, 9> errorTable { {
+        { SQLITE_CONSTRAINT_UNIQUE, "23505" },
+        { SQLITE_CONSTRAINT_PRIMARYKEY, "23505" },
+        { SQLITE_CONSTRAINT_NOTNULL, "23502" },
+        { SQLITE_CONSTRAINT_FOREIGNKEY, "23503" },
+        { SQLITE_CONSTRAINT_CHECK, "23514" },
+        { SQLITE_MISMATCH, "42804" },
+        { SQLITE_INTERRUPT, "57014" },
+        { SQLITE_AUTH, "42501" },
+        { SQLITE_ERROR, "42601" },
+    } };
+
+    struct Finalize {
+        void operator()(sqlite3_stmt* statement) const { sqlite3_finalize(statement); }
+    };
+    using Statement = std::unique_ptr<sqlite3_stmt, Finalize>;
+
+    void bindParameters(sqlite3_stmt* statement, const std::vector<SqlValue>& parameters)
+    {
+        for (int index = 1; index <= sqlite3_bind_parameter_count(statement); ++index) {
+            const char* name = sqlite3_bind_parameter_name(statement, index);
+            // SQLite reads a cast as a part of the name ("$1::int"), so only the digits count.
+            const size_t number = name && *name == '$' ? std::strtoul(name + 1, nullptr, 10) : 0;
+            if (!number || number > parameters.size())
+                throw SqlError("08P01", "parameter " + std::string(name ? name : "?") + " has no value");
+            const SqlValue& value = parameters[number - 1];
+            if (value)
+                sqlite3_bind_text64(statement, index, value->data(), value->size(), SQLITE_TRANSIENT, SQLITE_UTF8);
+        }
+    }
+
+    std::vector<SqlValue> readRow(sqlite3_stmt* statement, int columns)
+    {
+        std::vector<SqlValue> row;
+        for (int column = 0; column < columns; ++column) {
+            const auto* text = reinterpret_cast<const char*>(sqlite3_column_text(statement, column));
+            const int size = sqlite3_column_bytes(statement, column);
+            row.push_back(text ? SqlValue(std::string(text, static_cast<size_t>(size))) : std::nullopt);
+        }
+        return row;
+    }
+
+    void organisationFunction(sqlite3_context* context, int, sqlite3_value**)
+    {
+        const auto* organisation = static_cast<const std::string*>(sqlite3_user_data(context));
+        sqlite3_result_text(context, organisation->c_str(), -1, SQLITE_TRANSIENT);
+    }
+
+}
+
+SqliteDatabase::SqliteDatabase(const std::string& schema)
+{
+    if (sqlite3_open(":memory:", &this->handle) != SQLITE_OK)
+        throw std::runtime_error("cannot open an in-memory database");
+    sqlite3_extended_result_codes(this->handle, 1);
+    sqlite3_create_function(
+        this->handle, "platform_organisation", 0, SQLITE_UTF8, &this->currentOrganisation, organisationFunction, nullptr, nullptr);
+    sqlite3_progress_handler(this->handle, progressInstructions, checkTime, this);
+    this->control(requestTable);
+    this->control(schema.c_str());
+    sqlite3_set_authorizer(this->handle, authorize, this);
+}
+
+SqliteDatabase::~SqliteDatabase() { sqlite3_close_v2(this->handle); }
+
+bool SqliteDatabase::isReadOnly(const std::string& sql)
+{
+    const Statement statement(this->prepare(sql));
+    return sqlite3_stmt_readonly(statement.get());
+}
+
+StatementOutcome SqliteDatabase::execute(const std::string& sql, const std::vector<SqlValue>& parameters, const std::string& organisation)
+{
+    const Statement statement(this->prepare(sql));
+    this->currentOrganisation = organisation;
+    this->statementDeadline = std::chrono::steady_clock::now() + statementTimeLimit;
+    bindParameters(statement.get(), parameters);
+    StatementOutcome outcome;
+    const int columns = sqlite3_column_count(statement.get());
+    for (int column = 0; column < columns; ++column)
+        outcome.columns.emplace_back(sqlite3_column_name(statement.get(), column));
+    const int totalBefore = sqlite3_total_changes(this->handle);
+    int code = SQLITE_ROW;
+    while ((code = sqlite3_step(statement.get())) == SQLITE_ROW)
+        outcome.rows.push_back(readRow(statement.get(), columns));
+    if (code != SQLITE_DONE)
+        this->throwError();
+    if (sqlite3_total_changes(this->handle) != totalBefore)
+        outcome.changedRows = static_cast<uint64_t>(sqlite3_changes(this->handle));
+    return outcome;
+}
+
+void SqliteDatabase::rollback()
+{
+    // SQLite has already rolled back after some errors.
+    if (!sqlite3_get_autocommit(this->handle))
+        this->control("ROLLBACK");
+}
+
+sqlite3_stmt* SqliteDatabase::prepare(const std::string& sql)
+{
+    sqlite3_stmt* statement = nullptr;
+    const char* tail = nullptr;
+    if (sqlite3_prepare_v2(this->handle, sql.c_str(), static_cast<int>(sql.size()), &statement, &tail) != SQLITE_OK)
+        this->throwError();
+    Statement owned(statement);
+    if (!statement)
+        throw SqlError("42601", "the statement is empty");
+    if (std::string_view(tail).find_first_not_of(" \t\r\n;") != std::string_view::npos)
+        throw SqlError("42601", "cannot run more than one statement");
+    return owned.release();
+}
+
+void SqliteDatabase::control(const char* sql)
+{
+    this->controlling = true;
+    this->statementDeadline = std::chrono::steady_clock::now() + statementTimeLimit;
+    const int code = sqlite3_exec(this->handle, sql, nullptr, nullptr, nullptr);
+    this->controlling = false;
+    if (code != SQLITE_OK)
+        this->throwError();
+}
+
+void SqliteDatabase::throwError()
+{
+    const int code = sqlite3_extended_errcode(this->handle);
+    const std::string message = sqlite3_errmsg(this->handle);
+    for (const SqliteErrorRow& row : errorTable) {
+        if (row.code == code)
+            throw SqlError(row.state, message);
+    }
+    throw SqlError((code & 0xff) == SQLITE_CONSTRAINT ? "23000" : "XX000", message);
+}
+
+int SqliteDatabase::authorize(void* self, int action, const char*, const char*, const char*, const char*)
+{
+    // Transactions are controlled by the server; the other actions reach outside of the database.
+    constexpr std::array<int, 5> denied { SQLITE_TRANSACTION, SQLITE_SAVEPOINT, SQLITE_ATTACH, SQLITE_DETACH, SQLITE_PRAGMA };
+    if (static_cast<SqliteDatabase*>(self)->controlling)
+        return SQLITE_OK;
+    for (const int each : denied) {
+        if (each == action)
+            return SQLITE_DENY;
+    }
+    return SQLITE_OK;
+}
+
+int SqliteDatabase::checkTime(void* self)
+{
+    return std::chrono::steady_clock::now() > static_cast<SqliteDatabase*>(self)->statementDeadline;
+}
+
+}
