Read and check the settings of a VM

The YAML settings are checked in full against one table (name, unit, range, default, member pointer, text), so an operator sees all faults of a file in one run, each with file, line and what is allowed. docs/settings.md comes from the same table and a test compares the two. A secret never appears in a fault.

The ranges of freshness and loan lifetime end at their defaults: a new limit owner waits for 3 s + 200 ms before it lends, which is only right when no VM serves or lends for longer.

Parameterised gtest cases were tried first and dropped: gtest prints a struct of pointers as bytes, so the names that ctest shows changed with each build.

--- /dev/null
+++ b/tests/server/SettingsTest.cpp
@@ -0,0 +1,106 @@
+#include "foxtailtrail/server/Settings.h"
+
+#include <cstdio>
+#include <fstream>
+#include <gtest/gtest.h>
+
+namespace foxtail {
+
+namespace {
+
+    constexpr const char* smallest = "vm: {id: a, region: r, dataCentre: d}\n" // line 1
+                                     "listen: {address: 127.0.0.1}\n" // line 2
+                                     "store: {address: 127.0.0.1, port: 7070}\n" // line 3
+                                     "operator: {secret: 0123456789abcdef}\n"; // line 4
+
+    std::string faultsOf(std::string_view yaml)
+    {
+        const auto result = parseSettings(yaml, "f");
+        std::string text;
+        if (!result) {
+            for (const SettingsFault& fault : result.error())
+                text += fault.text() + "\n";
+        }
+        return text;
+    }
+
+}
+
+// Guards against a default that its own range would refuse, and against a required list that is too long.
+TEST(SettingsTest, TheSmallestFileGetsAllDefaults)
+{
+    ASSERT_EQ(faultsOf(smallest), "");
+    const Settings settings = parseSettings(smallest, "f").value();
+    EXPECT_EQ(settings.freshness, std::chrono::seconds(3));
+    EXPECT_EQ(settings.primaryUnanswered, std::chrono::milliseconds(600));
+    EXPECT_EQ(settings.storeTimeout, std::chrono::milliseconds(500));
+    EXPECT_EQ(settings.trafficThreads, 1U);
+    EXPECT_EQ(settings.logLevel, "info");
+}
+
+// Guards against settings that are silently ignored: each text adds one fault after the smallest file, from line 5 on.
+TEST(SettingsTest, EachFaultNamesTheLineAndWhatIsAllowed)
+{
+    struct FaultCase {
+        const char* text;
+        const char* expected;
+    };
+    const FaultCase cases[]
+        = { { "request: {maxBody: 1}", "f:5: unknown key \"maxBody\" in section request" }, { "extra: 1", "f:5: unknown key \"extra\"" },
+              { "trafficThreads: 17", "f:5: trafficThreads: the value \"17\"" }, { "trafficThreads: \"2\"", "f:5: trafficThreads" },
+              { "trafficThreads: [2]", "f:5: trafficThreads" }, { "trafficThreads: -1", "f:5: trafficThreads" },
+              { "trafficThreads: 1\ntrafficThreads: 2", "f:6: repeated key" }, { "log: {level: loud}", "f:5: log.level" },
+              { "log: 3", "f:5: section log must be a map" }, { "peers: [\"127.0.0.1\"]", "f:5: peers" },
+              { "peers: [\"localhost:1\"]", "f:5: peers" }, { "configuration: {freshnessMs: 4000}", "f:5: configuration.freshnessMs" },
+              { "configuration: {freshnessMs: 900}", "f:5: configuration.checkIntervalMs exceeds" },
+              { "request: {maxDeadlineMs: 4000}", "f:5: request.defaultDeadlineMs exceeds" },
+              { "objectives: [{service: s, availabilityPercent: 100, latencyMs: 5}]", "f:5: objectives: availabilityPercent" },
+              { "objectives: [{service: s, availabilityPercent: 99}]", "f:5: an objective lacks latencyMs" },
+              { "request: {", "f:5: not valid YAML" }, { "---\nvm: 1", "f:1: the file must hold one" } };
+    for (const FaultCase& faultCase : cases) {
+        const std::string faults = faultsOf(std::string(smallest) + faultCase.text);
+        EXPECT_EQ(faults.rfind(faultCase.expected, 0), 0U) << faultCase.text << "\n" << faults;
+        EXPECT_NE(faults.find(" (allowed: "), std::string::npos) << faults;
+        EXPECT_EQ(faults.find('\n'), faults.size() - 1) << "one fault, one line: " << faults;
+    }
+}
+
+// Guards against an operator who must fix faults one run at a time, and against a secret printed in a message.
+TEST(SettingsTest, AllFaultsAreReportedAtOnce)
+{
+    const std::string faults = faultsOf("vm: {id: 'a b', region: r}\nlisten: {address: here, peerPort: 70000}\n"
+                                        "operator: {secret: tooshort, secretFile: none}\n");
+    for (const char* expected : { "f:1: vm.id: ", "f:1: vm.dataCentre is missing",
+             "f:2: listen.address: ", "f:2: listen.peerPort: ", "f:3: operator.secret: ", "f:3: operator.secret and operator.secretFile",
+             "f:1: store.address is missing", "f:1: store.port is missing" })
+        EXPECT_NE(faults.find(expected), std::string::npos) << expected << "\n" << faults;
+    EXPECT_EQ(faults.find("tooshort"), std::string::npos);
+}
+
+// Guards against a secret file that is read with its line end or whose absence goes unnoticed.
+TEST(SettingsTest, TheSecretCanComeFromAFile)
+{
+    const std::string folder = testing::TempDir();
+    const std::string secretFile = folder + "settings-test-secret";
+    std::ofstream(secretFile) << "0123456789abcdefgh\n";
+    const std::string text = std::string(smallest).substr(0, std::string(smallest).find("operator"));
+    const auto result = parseSettings(text + "operator: {secretFile: settings-test-secret}\n", folder + "vm.yaml");
+    ASSERT_TRUE(result.has_value());
+    EXPECT_EQ(result.value().operatorSecret, "0123456789abcdefgh");
+    std::remove(secretFile.c_str());
+    EXPECT_FALSE(parseSettings(text + "operator: {secretFile: settings-test-secret}\n", folder + "vm.yaml").has_value());
+}
+
+// Guards against a sample that does not start a VM and a reference page that lags behind the table.
+TEST(SettingsTest, TheSampleAndTheReferencePageAreCurrent)
+{
+    const std::string root = FOXTAIL_SOURCE_FOLDER;
+    const auto sample = readSettings(root + "/samples/vm.yaml");
+    ASSERT_TRUE(sample.has_value()) << sample.error().front().text();
+    EXPECT_EQ(sample.value().peers.size(), 2U);
+    std::ifstream stream(root + "/docs/settings.md");
+    const std::string page { std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>() };
+    EXPECT_EQ(page, settingsReference());
+}
+
+}
