--- /dev/null
+++ b/foxtailtrail/limits/LimitStrategy.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "foxtailtrail/base/ErrorKind.h"
+#include "foxtailtrail/limits/ShareMessages.h"
+
+#include <compare>
+#include <vector>
+
+namespace foxtail {
+
+// Names a request that waits for a token.
+struct AdmissionTicket {
+    uint64_t value = 0;
+    auto operator<=>(const AdmissionTicket&) const = default;
+};
+
+// Whether a request may go on.
+enum class AdmissionState : uint8_t {
+    Admitted,
+    Refused,
+    // The request waits: settle its ticket with the results of receive() and expire().
+    Waiting,
+};
+
+// The decision on one request.
+struct Admission {
+    AdmissionState state = AdmissionState::Refused;
+    // Set when the state is Refused: RateLimited, LimitUnavailable, Overloaded or DeadlineExceeded, all "not run".
+    ErrorKind refusal = ErrorKind::RateLimited;
+    // Set when the state is Waiting.
+    AdmissionTicket ticket;
+};
+
+// The final decision, Admitted or Refused, on a request that waited.
+struct SettledAdmission {
+    AdmissionTicket ticket;
+    Admission admission;
+};
+
+// A request for tokens with the VM it goes to.
+struct AddressedBorrow {
+    VmId owner;
+    BorrowRequest request;
+};
+
+// A return of loans with the VM it goes to.
+struct AddressedGiveBack {
+    VmId owner;
+    GiveBack message;
+};
+
+// How one VM decides whether a request is within its organisation's rate and burst across the fleet.
+class LimitStrategy {
+public:
+    LimitStrategy() = default;
+    LimitStrategy(const LimitStrategy&) = delete;
+    LimitStrategy& operator=(const LimitStrategy&) = delete;
+    virtual ~LimitStrategy() = default;
+
+    // Decides on one request with the given deadline.
+    virtual Admission admit(const OrganisationId&, TimePoint requestDeadline, TimePoint now) = 0;
+
+    // The messages to send now, at most one per owner and 64 organisations. Call it after an admit() that waits and every 5 ms.
+    virtual std::vector<AddressedBorrow> takeRequests(TimePoint now) = 0;
+
+    // Takes an owner's answer. Answers that are late, repeated or unknown are harmless.
+    virtual std::vector<SettledAdmission> receive(const VmId& owner, const BorrowReply&, TimePoint now) = 0;
+
+    // Refuses the requests that have waited long enough. Call it every 5 ms.
+    virtual std::vector<SettledAdmission> expire(TimePoint now) = 0;
+
+    // Forgets a waiting request whose caller has gone.
+    virtual void cancel(AdmissionTicket) = 0;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/limits/ShareLender.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "foxtailtrail/config/Configuration.h"
+#include "foxtailtrail/limits/ShareMessages.h"
+#include "foxtailtrail/limits/TokenBucket.h"
+
+namespace foxtail {
+
+// Settings of ShareLender. All VMs of a fleet use the same values.
+struct ShareLenderSettings {
+    // The longest life of a loan.
+    Duration loanLife = std::chrono::milliseconds(200);
+    // The shortest life of a loan: twice the round trip to the other region is 32 ms.
+    Duration minimumLoanLife = std::chrono::milliseconds(50);
+    // How long an owner may lend after the last check that confirmed its configuration.
+    Duration freshnessTime = std::chrono::seconds(3);
+    // How long a reported demand counts without a new report.
+    Duration demandLife = std::chrono::seconds(1);
+    // Limits of askAgainAfter in answers.
+    Duration shortestPause = std::chrono::milliseconds(10);
+    Duration longestPause = std::chrono::milliseconds(50);
+    // The largest relative error of a clock's speed.
+    double clockDrift = 0.01;
+    // How long the last sequence of a VM is kept to recognise repeated requests.
+    Duration sequenceLife = std::chrono::seconds(10);
+};
+
+// The share of each demand when the rate is divided max-min fairly: no share can grow without making a smaller one shrink.
+std::vector<double> maxMinShares(double rate, const std::vector<double>& demands);
+
+// Lends the rate and burst of the organisations whose limit shards this VM owns.
+//
+// A lent token stays outstanding until its loan is closed or has certainly lapsed, and the bucket fills only to the burst
+// less the outstanding tokens. Tokens used in a window were therefore outstanding or in the bucket at its start, together at
+// most the burst, or came in during the window at the rate. This holds for loans that are returned as well.
+class ShareLender {
+public:
+    // The incarnation differs between processes of the same VM.
+    ShareLender(ShareLenderSettings, uint64_t incarnation);
+
+    // Takes over the limits of a configuration version. Buckets of unchanged shards keep their state.
+    void setLimits(const std::map<OrganisationId, Organisation>&, TimePoint now);
+
+    // Takes over the shards that a configuration version assigns to this VM, as epoch by shard. Every shard that is new, or new
+    // at its epoch, lends from an empty bucket after the freshness time and the life of a loan, counted from acceptedBy.
+    // acceptedBy is a moment, not before the start of this process, at which the version was known to be accepted: in the store
+    // and at a majority of the witnesses.
+    void setShards(const std::map<uint32_t, uint64_t>& epochByShard, TimePoint acceptedBy, TimePoint now);
+
+    // Answers a request. Nothing is lent from servingDeadline on, the moment up to which the configuration is confirmed. The
+    // grant counts from now, so now must be read after the request arrived.
+    BorrowReply lend(const BorrowRequest&, TimePoint servingDeadline, TimePoint now);
+
+    // Takes loans back. Unknown and lapsed loans are ignored.
+    void giveBack(const GiveBack&, TimePoint now);
+
+    // The moment from which this VM lends the tokens of a shard, or nothing when it does not own it.
+    std::optional<TimePoint> lendsFrom(uint32_t shard) const;
+
+private:
+    struct OwnedShard {
+        uint64_t epoch = 0;
+        TimePoint lendFrom;
+    };
+
+    struct Loan {
+        uint32_t tokens = 0;
+        TimePoint lapsesAt;
+    };
+
+    // What one VM reported for an organisation, and the tokens that its share has earned.
+    struct Borrower {
+        double demand = 0;
+        TimePoint demandUntil;
+        TokenBucket earned;
+    };
+
+    struct Account {
+        Organisation limit;
+        Duration life { 0 };
+        TokenBucket bucket;
+        // By loan number, which is also the order of lapsing.
+        std::map<uint64_t, Loan> loans;
+        double outstanding = 0;
+        std::map<VmId, Borrower> borrowers;
+    };
+
+    // What one VM can expect of an organisation's rate.
+    struct Prospect {
+        bool overloaded = false;
+        double share = 0;
+        double expectedRate = 0;
+    };
+
+    Duration stretched(Duration) const;
+    double fillRate(const Organisation&) const;
+    Duration lifeFor(const Organisation&) const;
+    Account makeAccount(const Organisation&, TimePoint lendFrom) const;
+    void advance(Account&, TimePoint now) const;
+    void close(Account&, const ClosedLoan&, TimePoint now) const;
+    void resize(Account&, TimePoint now) const;
+    Borrower& recordDemand(Account&, const VmId&, double demand, TimePoint now) const;
+    Prospect prospectOf(const Account&, const VmId&) const;
+    GrantItem lendItem(const VmId&, const BorrowItem&, TimePoint servingDeadline, TimePoint now);
+    void grant(Account&, const VmId&, const BorrowItem&, GrantItem&, TimePoint now);
+    bool isRepeated(const BorrowRequest&, TimePoint now);
+
+    ShareLenderSettings settings;
+    uint64_t incarnation;
+    uint64_t lastLoan = 0;
+    std::map<OrganisationId, Organisation> limits;
+    std::map<uint32_t, OwnedShard> shards;
+    std::map<OrganisationId, Account> accounts;
+
+    struct LastRequest {
+        uint64_t incarnation = 0;
+        uint64_t sequence = 0;
+        TimePoint keptUntil;
+    };
+    std::map<VmId, LastRequest> lastRequests;
+    TimePoint nextCleaning;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/limits/ShareMessages.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace foxtail {
+
+// The most organisations that one message names. A borrower with more sends several messages.
+constexpr size_t maximumItemsPerBorrowMessage = 64;
+
+// The most closed loans that one item reports. Older ones lapse at the lender without a report.
+constexpr size_t maximumClosedLoansPerItem = 16;
+
+// The most tokens that one loan may hold.
+constexpr uint32_t maximumTokensPerLoan = 100000;
+
+// Names a loan. The incarnation keeps loans of an earlier process of the same VM apart.
+struct LoanId {
+    uint64_t lenderIncarnation = 0;
+    uint64_t number = 0;
+    auto operator<=>(const LoanId&) const = default;
+};
+
+// A loan that its borrower no longer uses, with the tokens that it did not spend.
+struct ClosedLoan {
+    LoanId loan;
+    uint32_t unused = 0;
+};
+
+// One organisation's part of a request for tokens.
+struct BorrowItem {
+    OrganisationId organisation;
+    // The epoch of the shard's owner as the borrower knows it.
+    uint64_t ownerEpoch = 0;
+    uint32_t wanted = 0;
+    // Requests per second that arrive at the borrower, refused ones included.
+    double demand = 0;
+    std::vector<ClosedLoan> closed;
+};
+
+// A request for tokens of all organisations that need some from the same owner.
+struct BorrowRequest {
+    VmId borrower;
+    uint64_t borrowerIncarnation = 0;
+    // Rises with every request of one borrower to one owner.
+    uint64_t sequence = 0;
+    std::vector<BorrowItem> items;
+};
+
+// What the owner says to one item.
+enum class GrantStatus : uint8_t {
+    Answered,
+    // The receiver does not own the shard at this epoch.
+    NotOwner,
+    // The owner may not lend now: its waiting time has not passed or its configuration is not confirmed.
+    NotReady,
+};
+
+// One organisation's part of an answer.
+struct GrantItem {
+    OrganisationId organisation;
+    GrantStatus status = GrantStatus::Answered;
+    LoanId loan;
+    uint32_t tokens = 0;
+    // How long the tokens may be used, counted from before the request was sent.
+    Duration life { 0 };
+    // True when the owner had fewer tokens than wanted.
+    bool exhausted = false;
+    // Tokens per second that the borrower can expect while the bucket is empty.
+    double expectedRate = 0;
+    // How long to wait before the next request when the owner had fewer tokens than wanted.
+    Duration askAgainAfter { 0 };
+};
+
+// The answer to a BorrowRequest, with one item per item of the request in the same order.
+struct BorrowReply {
+    uint64_t sequence = 0;
+    std::vector<GrantItem> items;
+};
+
+// One loan that is returned before its time.
+struct GiveBackItem {
+    OrganisationId organisation;
+    ClosedLoan closed;
+};
+
+// Returns loans, for example when a VM stops. Losing it only delays the tokens until the loans lapse.
+struct GiveBack {
+    VmId borrower;
+    std::vector<GiveBackItem> items;
+};
+
+}
