--- a/tests/limits/LendingFleet.h
+++ b/tests/limits/LendingFleet.h
@@ -43,7 +43,7 @@
     LoadShape shape = LoadShape::Even;
     double ownerClockSpeed = 1;
     double borrowerClockSpeed = 1;
-    bool staticSplit = true;
+    bool staticSplit = false;
     ShareBorrowerSettings borrower;
     LendingFault fault = LendingFault::None;
     LendingStep step = LendingStep::BeforeRequest;
--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -19,7 +19,128 @@
     EXPECT_LT(static_cast<double>(fleet.wronglyRefused) / static_cast<double>(fleet.arrived), 0.001) << fleet.wronglyRefused;
 }
 
+// Guards against the baseline passing the same check, which would mean that the check measures nothing.
+TEST(StaticSplitTest, RefusesWronglyUnderSkew)
+{
+    FleetOptions options;
+    options.staticSplit = true;
+    LendingFleet fleet(options);
+    fleet.run(std::chrono::seconds(120));
+    EXPECT_LE(fleet.largestExcess(), 1e-6);
+    EXPECT_GT(static_cast<double>(fleet.wronglyRefused) / static_cast<double>(fleet.arrived), 0.1);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Skews, SkewTest, testing::Values(std::vector<double> { 5, 1, 1, 1, 1, 1, 1, 1, 1 }, std::vector<double> { 1, 1, 1, 1, 5, 5, 5, 5, 5 }));
 
+// A fault and the step of lending at which it strikes.
+using FaultCase = std::tuple<LendingFault, LendingStep>;
+
+class LendingFaultTest : public testing::TestWithParam<FaultCase> { };
+
+// Guards against more than rate * window + burst in any window, and against a fault that stops service for good. Clocks are 1%
+// off in opposite directions; requests come in waves, or without a pause after the bucket has become full.
+TEST_P(LendingFaultTest, NoWindowExceedsRateAndBurst)
+{
+    for (const bool isOwnerFast : { false, true }) {
+        for (const LoadShape shape : { LoadShape::Waves, LoadShape::AfterSilence }) {
+            SCOPED_TRACE(testing::Message() << "owner fast " << isOwnerFast << " shape " << static_cast<int>(shape));
+            FleetOptions options;
+            options.offered = 700;
+            options.shape = shape;
+            options.ownerClockSpeed = isOwnerFast ? 1.01 : 0.99;
+            options.borrowerClockSpeed = isOwnerFast ? 0.99 : 1.01;
+            std::tie(options.fault, options.step) = GetParam();
+            LendingFleet fleet(options);
+            fleet.run(std::chrono::seconds(16));
+            EXPECT_EQ(fleet.faultsApplied, 1U);
+            EXPECT_LE(fleet.largestExcess(), 1e-6);
+            // At least half of what the rate allows goes through once the fault and the waiting time of a new owner are over.
+            EXPECT_GT(fleet.admittedBetween(std::chrono::seconds(12), std::chrono::seconds(16)), 200U);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(EveryFaultAtEveryStep, LendingFaultTest,
+    testing::Combine(testing::Values(LendingFault::None, LendingFault::BorrowerDies, LendingFault::BorrowerPauses,
+                         LendingFault::OwnerPauses, LendingFault::OwnerPausesAndIsReplaced, LendingFault::OwnerDiesAndIsReplaced,
+                         LendingFault::OwnerChanges, LendingFault::MessagesLost, LendingFault::MessagesDuplicated,
+                         LendingFault::MessagesLate, LendingFault::StoreOutage, LendingFault::OwnerCutOffFromStoreAndReplaced),
+        testing::Values(LendingStep::BeforeRequest, LendingStep::RequestOnTheWay, LendingStep::ReplyOnTheWay, LendingStep::AfterReply,
+            LendingStep::DuringUse)));
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+constexpr TimePoint farAway { std::chrono::seconds(1000) };
+
+TimePoint after(int milliseconds) { return start + std::chrono::milliseconds(milliseconds); }
+
+// One lender with a full bucket and one borrower, without a network.
+struct LendingPair {
+    Organisation limit { OrganisationId("north"), 100, 50 };
+    ShareLender lender { ShareLenderSettings {}, 1 };
+    ShareBorrower borrower { ShareBorrowerSettings {}, VmId("b"), 1 };
+
+    LendingPair()
+    {
+        const uint32_t shard = limitShardOf(this->limit.id);
+        this->lender.setLimits({ { this->limit.id, this->limit } }, start - std::chrono::seconds(20));
+        this->lender.setShards({ { shard, 1 } }, start - std::chrono::seconds(20), start - std::chrono::seconds(20));
+        this->borrower.setOwners({ { shard, { VmId("a"), 1 } } });
+    }
+
+    Admission admit(TimePoint now) { return this->borrower.admit(this->limit.id, now + std::chrono::seconds(5), now); }
+
+    BorrowRequest request(uint64_t sequence, uint32_t wanted, std::vector<ClosedLoan> closed = {}) const
+    {
+        return { VmId("b"), 1, sequence, { { this->limit.id, 1, wanted, 10, std::move(closed) } } };
+    }
+};
+
+// Guards against a loan whose life starts with the arrival of a late reply, and against a repeated reply that counts twice.
+TEST(ShareBorrowerTest, LateAndRepeatedRepliesBringNoTokens)
+{
+    LendingPair pair;
+    const Admission waiting = pair.admit(start);
+    ASSERT_EQ(waiting.state, AdmissionState::Waiting);
+    const auto sent = pair.borrower.takeRequests(start);
+    ASSERT_EQ(sent.size(), 1U);
+    BorrowReply reply = pair.lender.lend(sent[0].request, farAway, after(1));
+    ASSERT_EQ(reply.items[0].tokens, 1U);
+    reply.items[0].tokens = 3;
+    LendingPair late;
+    late.admit(start);
+    late.borrower.takeRequests(start);
+
+    EXPECT_EQ(pair.borrower.receive(VmId("a"), reply, after(150)).size(), 1U);
+    EXPECT_EQ(pair.borrower.receive(VmId("a"), reply, after(151)).size(), 0U);
+    EXPECT_EQ(pair.borrower.tokensHeld(pair.limit.id, after(199)), 2U);
+    EXPECT_EQ(pair.borrower.tokensHeld(pair.limit.id, after(200)), 0U);
+    late.borrower.receive(VmId("a"), reply, after(200));
+    EXPECT_EQ(late.borrower.tokensHeld(late.limit.id, after(200)), 0U);
+}
+
+// Guards against returned tokens that count twice, or that come back although their loan has lapsed.
+TEST(ShareLenderTest, ALoanIsReturnedOnceAndInItsTime)
+{
+    LendingPair pair;
+    const LoanId loan = pair.lender.lend(pair.request(1, 20), farAway, start).items[0].loan;
+    const LoanId rest = pair.lender.lend(pair.request(2, 30), farAway, start).items[0].loan;
+    const GiveBack message { VmId("b"), { { pair.limit.id, { loan, 5 } }, { pair.limit.id, { loan, 5 } } } };
+    pair.lender.giveBack(message, start);
+    EXPECT_EQ(pair.lender.lend(pair.request(3, 100, { { loan, 5 } }), farAway, start).items[0].tokens, 5U);
+    // The loans have lapsed and the bucket is full again before the return comes.
+    pair.lender.giveBack({ VmId("b"), { { pair.limit.id, { rest, 30 } } } }, after(1000));
+    EXPECT_EQ(pair.lender.lend(pair.request(4, 100), farAway, after(1000)).items[0].tokens, 50U);
+    EXPECT_EQ(pair.lender.lend(pair.request(5, 100), farAway, after(1000)).items[0].tokens, 0U);
+}
+
+// Guards against room in the bucket before a slow clock has let the loan lapse: 200 ms * 1.01 / 0.99 = 204.04 ms.
+TEST(ShareLenderTest, ALoanLapsesAfterItHasLapsedByAnyClock)
+{
+    LendingPair pair;
+    EXPECT_EQ(pair.lender.lend(pair.request(1, 50), farAway, start).items[0].tokens, 50U);
+    EXPECT_EQ(pair.lender.lend(pair.request(2, 50), farAway, after(204)).items[0].tokens, 0U);
+    EXPECT_EQ(pair.lender.lend(pair.request(3, 50), farAway, after(231)).items[0].tokens, 2U);
+}
+
 }
