Fill the lender's bucket only to the burst less the outstanding tokens

Cause: while loans were out the bucket filled to the whole burst, so lent and refilled tokens together exceeded it. Now outstanding tokens count against the depth until their loan is closed or has lapsed by any clock (200 ms * 1.01 / 0.99). Every token admitted in a window was then in the bucket or outstanding at its start, at most the burst together, or came in during it at the rate.

--- a/foxtailtrail/limits/ShareLender.cpp
+++ b/foxtailtrail/limits/ShareLender.cpp
@@ -112,7 +112,7 @@
 // The bucket's room is the burst less what is outstanding.
 void ShareLender::resize(Account& account, TimePoint now) const
 {
-    account.bucket.configure(this->fillRate(account.limit), account.limit.burst, now);
+    account.bucket.configure(this->fillRate(account.limit), account.limit.burst - account.outstanding, now);
 }
 
 // Passes time step by step, as every loan that lapses makes room in the bucket from that moment on and not earlier.
