--- a/standins/BackendSession.cpp
+++ b/standins/BackendSession.cpp
@@ -246,9 +246,8 @@
     // The columns of a statement are known once it has run.
     const StatementOutcome& outcome = this->run(portal->second);
     if (outcome.columns.empty())
-        this->output.empty('n');
-    else
-        this->writeRowDescription(outcome);
+        return this->output.empty('n');
+    this->writeRowDescription(outcome);
 }
 
 void BackendSession::execute(WireReader& reader)
@@ -264,10 +263,7 @@
 {
     const bool isPortal = reader.bytes(1) == "P";
     const std::string name = reader.text();
-    if (isPortal)
-        this->portals.erase(name);
-    else
-        this->statements.erase(name);
+    isPortal ? this->portals.erase(name) : this->statements.erase(name);
     this->output.empty('3');
 }
 
@@ -329,10 +325,11 @@
 {
     // The delay stands for work that does not lock the whole database, so a writer waits after its end instead.
     const std::chrono::milliseconds delay = this->server.statementDelay();
-    if (this->server.groupMember().holdsWriteLock(this->sqlTransaction))
+    if (this->server.groupMember().holdsWriteLock(this->sqlTransaction)) {
         this->owedDelay += delay;
-    else
+    } else {
         this->sleep(delay);
+    }
     return this->server.groupMember().execute(this->sqlTransaction, sql, parameters);
 }
 
@@ -355,10 +352,7 @@
     for (const auto& row : outcome.rows) {
         this->output.begin('D').int16(static_cast<uint16_t>(row.size()));
         for (const SqlValue& value : row) {
-            if (value)
-                this->output.int32(static_cast<uint32_t>(value->size())).bytes(*value);
-            else
-                this->output.int32(nullLength);
+            this->output.int32(value ? static_cast<uint32_t>(value->size()) : nullLength).bytes(value.value_or(""));
         }
         this->output.end();
     }
--- a/tests/standins/PostgresClient.h
+++ b/tests/standins/PostgresClient.h
@@ -2,9 +2,9 @@
 
 #include "standins/BackendStandin.h"
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
-#include <initializer_list>
 #include <libpq-fe.h>
 #include <memory>
 #include <string>
@@ -32,9 +32,8 @@
     // Runs a statement and returns "ok" or the SQLSTATE; "lost" when the connection broke. The rows stay readable by value().
     std::string run(const std::string& sql, const std::vector<std::string>& parameters = {})
     {
-        std::vector<const char*> values;
-        for (const std::string& parameter : parameters)
-            values.push_back(parameter.c_str());
+        std::vector<const char*> values(parameters.size());
+        std::transform(parameters.begin(), parameters.end(), values.begin(), [](const std::string& text) { return text.c_str(); });
         this->result.reset(PQexecParams(
             this->connection.get(), sql.c_str(), static_cast<int>(values.size()), nullptr, values.data(), nullptr, nullptr, 0));
         const ExecStatusType status = PQresultStatus(this->result.get());
