--- /dev/null
+++ b/foxtailtrail/filters/AcceptFilter.cpp
@@ -0,0 +1,91 @@
+#include "foxtailtrail/filters/AcceptFilter.h"
+
+#include <array>
+#include <string_view>
+#include <vector>
+
+namespace foxtail {
+
+namespace {
+
+    constexpr std::string_view servicePrefix = "/v1/services/";
+
+    struct OperationRow {
+        std::string_view name;
+        std::string_view method;
+        RequestKind kind;
+    };
+
+    constexpr std::array<OperationRow, 3> operationTable { {
+        { "read", "POST", RequestKind::Read },
+        { "write", "POST", RequestKind::Write },
+        { "requests", "GET", RequestKind::Status },
+    } };
+
+    // Splits off the part before the next '/'.
+    std::string_view takeSegment(std::string_view& rest)
+    {
+        const size_t slash = rest.find('/');
+        const std::string_view segment = rest.substr(0, slash);
+        rest = slash == std::string_view::npos ? std::string_view() : rest.substr(slash + 1);
+        return segment;
+    }
+
+}
+
+AcceptFilter::AcceptFilter(RequestParserSettings parserSettings, TransactionLimits limits)
+    : parserSettings(parserSettings)
+    , limits(limits)
+{
+}
+
+Result<void> AcceptFilter::apply(RequestContext& context)
+{
+    BOOST_OUTCOME_TRY(this->readTarget(context));
+    BOOST_OUTCOME_TRY(this->readHeaders(context));
+    if (context.kind == RequestKind::Status)
+        return succeed();
+    BOOST_OUTCOME_TRY(context.request.statements, parseTransactionBody(context.http.body, this->limits));
+    return succeed();
+}
+
+Result<void> AcceptFilter::readTarget(RequestContext& context) const
+{
+    std::string_view rest = context.http.target;
+    if (!rest.starts_with(servicePrefix))
+        return fail(ErrorKind::UnknownRoute, "callers use /v1/services/SERVICE/read, /write and /requests/ID");
+    rest.remove_prefix(servicePrefix.size());
+    context.serviceName = ServiceName(std::string(takeSegment(rest)));
+    const std::string_view operation = takeSegment(rest);
+    for (const OperationRow& row : operationTable) {
+        if (row.name != operation || (row.kind == RequestKind::Status) == rest.empty())
+            continue;
+        if (row.method != context.http.method)
+            return fail(ErrorKind::MethodNotAllowed, std::string(operation) + " takes " + std::string(row.method));
+        context.kind = row.kind;
+        if (row.kind == RequestKind::Status) {
+            BOOST_OUTCOME_TRY(context.request.requestId, parseRequestId(rest));
+        }
+        return succeed();
+    }
+    return fail(ErrorKind::UnknownRoute, "a service has the operations read, write and requests/ID");
+}
+
+Result<void> AcceptFilter::readHeaders(RequestContext& context) const
+{
+    std::vector<HeaderField> fields;
+    fields.reserve(context.http.headers.size());
+    for (const HttpHeader& header : context.http.headers)
+        fields.push_back({ header.name, header.value });
+    BOOST_OUTCOME_TRY(context.headers, parseRequestHeaders(fields, this->parserSettings, context.arrivedAt));
+
+    context.request.service = context.serviceName;
+    context.request.kind = context.kind == RequestKind::Write ? TransactionKind::Write : TransactionKind::Read;
+    context.request.maxStaleness = context.headers.maxStaleness;
+    context.request.deadline = context.headers.deadline;
+    if (context.kind != RequestKind::Status)
+        context.request.requestId = context.headers.requestId;
+    return succeed();
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/server/ConfigurationService.cpp
@@ -0,0 +1,248 @@
+#include "foxtailtrail/server/ConfigurationService.h"
+
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/FiberThread.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <boost/fiber/fiber.hpp>
+
+namespace foxtail {
+
+namespace {
+
+    json::object encodeReport(const std::optional<VersionReport>& report)
+    {
+        if (!report)
+            return {};
+        return { { "version", report->version }, { "digest", report->digest } };
+    }
+
+    std::optional<VersionReport> decodeReport(const json::object& object)
+    {
+        const Result<uint64_t> version = unsignedMember(object, "version");
+        const Result<std::string> digest = stringMember(object, "digest");
+        if (!version || !digest)
+            return std::nullopt;
+        return VersionReport { version.value(), digest.value() };
+    }
+
+    Endpoint endpointOf(const VmAddress& vm) { return { vm.address, vm.peerPort }; }
+
+    // Runs the function for each item in a fiber of its own and waits for all of them.
+    template <typename Items, typename Function> void forEachConcurrently(const Items& items, Function function)
+    {
+        std::vector<boost::fibers::fiber> fibers;
+        for (const auto& item : items)
+            fibers.emplace_back([&function, item] { function(item); });
+        for (auto& fiber : fibers)
+            fiber.join();
+    }
+
+}
+
+ConfigurationService::ConfigurationService(
+    ConfigurationServiceSettings settings, StoreClient& store, PeerClient& peers, std::function<void()> onChange)
+    : settings(std::move(settings))
+    , store(store)
+    , peers(peers)
+    , onChange(std::move(onChange))
+    , freshness(this->settings.freshness)
+{
+}
+
+void ConfigurationService::check()
+{
+    this->checkStore();
+    if (!this->storeReachable) {
+        if (!this->follower.document())
+            this->bootstrap();
+        this->askWitnesses();
+    }
+    this->onChange();
+}
+
+void ConfigurationService::checkStore()
+{
+    const TimePoint sentAt = now();
+    const Result<std::optional<StoredRow>> stored = this->store.readRow(std::string(configurationRowKey));
+    const bool wasReachable = this->storeReachable;
+    this->storeReachable = stored.has_value();
+    if (wasReachable != this->storeReachable)
+        logEvent(LogLevel::Warning, this->storeReachable ? "store reachable" : "store unreachable");
+    if (!stored || !stored.value())
+        return;
+
+    const Result<ConfigurationRow> row = parseConfigurationRow(json::serialize(stored.value()->value));
+    if (!row) {
+        logEvent(LogLevel::Error, "configuration row invalid", { { "detail", row.error().detail } });
+        return;
+    }
+    if (row.value().version() > this->follower.version())
+        this->fetchFromStore(row.value());
+    this->freshness.storeReported({ row.value().version(), row.value().digest }, sentAt);
+}
+
+void ConfigurationService::fetchFromStore(const ConfigurationRow& row)
+{
+    const Result<std::string> text = this->store.readObject(configurationObjectName(row.version(), row.digest));
+    if (text)
+        this->installText(text.value(), row.digest);
+    else
+        logEvent(
+            LogLevel::Warning, "configuration object unavailable", { { "version", row.version() }, { "detail", text.error().detail } });
+}
+
+void ConfigurationService::installText(std::string_view text, std::string_view digest)
+{
+    const Result<OfferOutcome> offered = this->follower.offerText(text, digest);
+    if (!offered) {
+        logEvent(LogLevel::Error, "configuration refused", { { "detail", offered.error().detail } });
+        return;
+    }
+    if (offered.value() != OfferOutcome::Installed)
+        return;
+    this->versionAcceptedBy = now();
+    this->freshness.install(*this->follower.document(), this->follower.digest());
+    logEvent(LogLevel::Info, "configuration installed",
+        { { "version", this->follower.version() }, { "author", this->follower.document()->author } });
+}
+
+void ConfigurationService::askWitnesses()
+{
+    const ConfigurationDocument document = this->follower.document();
+    if (!document)
+        return;
+    forEachConcurrently(document->witnesses, [this](const VmAddress& witness) {
+        if (witness.id == this->settings.self)
+            this->freshness.witnessReported(witness.id, this->freshness.ownReport(), now());
+        else
+            this->askWitness(endpointOf(witness), witness.id);
+    });
+}
+
+void ConfigurationService::askWitness(const Endpoint& endpoint, const VmId& witness)
+{
+    const TimePoint sentAt = now();
+    const Result<json::object> answer = this->peers.call(endpoint, TrafficPurpose::Configuration, "configurationVersion",
+        { { "version", this->follower.version() }, { "address", "" } }, sentAt + this->settings.peerTimeout);
+    if (!answer)
+        return;
+    const std::optional<VersionReport> report = decodeReport(answer.value());
+    if (report && report->version > this->follower.version())
+        this->fetchFromPeer(endpoint);
+    this->freshness.witnessReported(witness, report, sentAt);
+}
+
+void ConfigurationService::bootstrap()
+{
+    forEachConcurrently(this->settings.bootstrapPeers, [this](const Endpoint& peer) { this->fetchFromPeer(peer); });
+}
+
+void ConfigurationService::fetchFromPeer(const Endpoint& peer)
+{
+    const Result<json::object> answer
+        = this->peers.call(peer, TrafficPurpose::Configuration, "configurationDocument", {}, now() + this->settings.peerTimeout);
+    if (!answer)
+        return;
+    const Result<std::string> text = stringMember(answer.value(), "text");
+    if (text)
+        this->installText(text.value(), "");
+}
+
+json::object ConfigurationService::reportVersion(const json::object& parameters)
+{
+    const Result<uint64_t> offered = unsignedMember(parameters, "version");
+    const Result<std::string> address = stringMember(parameters, "address");
+    const Result<uint64_t> port = unsignedMember(parameters, "port");
+    if (offered && address && port && offered.value() > this->follower.version()) {
+        this->fetchFromPeer({ address.value(), static_cast<uint16_t>(port.value()) });
+        this->onChange();
+    }
+    return encodeReport(this->freshness.ownReport());
+}
+
+Result<json::object> ConfigurationService::reportDocument() const
+{
+    if (!this->follower.document())
+        return fail(ErrorKind::ConfigurationStale, "this VM has no configuration yet");
+    return json::object { { "text", serializeConfiguration(*this->follower.document()) } };
+}
+
+ProposalOutcome ConfigurationService::propose(ConfigurationChange change, TimePoint deadline)
+{
+    ChangeProposal proposal({}, std::move(change), deadline);
+    this->perform(proposal.start(now()), proposal);
+    while (!proposal.outcome()) {
+        sleepUntil(proposal.nextTick());
+        this->perform(proposal.tick(now()), proposal);
+    }
+    this->onChange();
+    return *proposal.outcome();
+}
+
+void ConfigurationService::perform(const std::vector<ProposalEffect>& effects, ChangeProposal& proposal)
+{
+    for (const ProposalEffect& effect : effects) {
+        if (const auto* call = std::get_if<StoreCall>(&effect))
+            this->perform(proposal.storeAnswered(this->callStore(*call), now()), proposal);
+        else
+            this->announce(std::get<AnnounceVersion>(effect), proposal);
+    }
+}
+
+StoreAnswer ConfigurationService::callStore(const StoreCall& call)
+{
+    StoreAnswer answer { call.call, StoreFailed {} };
+    if (std::holds_alternative<ReadRow>(call.request)) {
+        const Result<std::optional<StoredRow>> stored = this->store.readRow(std::string(configurationRowKey));
+        if (stored && !stored.value()) {
+            answer.answer = RowAnswer {};
+        } else if (stored) {
+            const Result<ConfigurationRow> row = parseConfigurationRow(json::serialize(stored.value()->value));
+            if (row)
+                answer.answer = RowAnswer { row.value(), stored.value()->version };
+        }
+    } else if (const auto* read = std::get_if<ReadObject>(&call.request)) {
+        const Result<std::string> text = this->store.readObject(read->name);
+        if (text)
+            answer.answer = ObjectAnswer { text.value() };
+    } else if (const auto* write = std::get_if<WriteObject>(&call.request)) {
+        if (this->store.writeObject(write->name, write->text))
+            answer.answer = ObjectWritten {};
+    } else {
+        const auto& swap = std::get<SwapRow>(call.request);
+        const Result<json::value> value = parseJson(serializeConfigurationRow(swap.row));
+        const Result<CompareAndSetOutcome> outcome
+            = this->store.compareAndSet(std::string(configurationRowKey), swap.expectedStoreVersion, value.value());
+        if (!outcome)
+            answer.answer = StoreFailed { outcome.error().kind == ErrorKind::StoreOutcomeUnknown };
+        else if (outcome.value().stored)
+            answer.answer = RowSwapped {};
+        else
+            answer.answer = SwapRefused {};
+    }
+    return answer;
+}
+
+void ConfigurationService::announce(const AnnounceVersion& announcement, ChangeProposal& proposal)
+{
+    // The stored version is installed here first, so that the witnesses can fetch it from this VM.
+    this->installText(serializeConfiguration(*announcement.document), "");
+    this->checkStore();
+    forEachConcurrently(announcement.witnesses, [&](const VmAddress& witness) {
+        std::optional<VersionReport> report;
+        if (witness.id == this->settings.self) {
+            report = this->freshness.ownReport();
+        } else {
+            const Result<json::object> answer = this->peers.call(endpointOf(witness), TrafficPurpose::Configuration, "configurationVersion",
+                { { "version", announcement.document->version }, { "address", this->settings.ownEndpoint.address },
+                    { "port", this->settings.ownEndpoint.port } },
+                now() + this->settings.peerTimeout);
+            if (answer)
+                report = decodeReport(answer.value());
+        }
+        this->perform(proposal.witnessReported(witness.id, report, now()), proposal);
+    });
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/server/Snapshot.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "foxtailtrail/config/ConfigurationFollower.h"
+#include "foxtailtrail/config/KeyTable.h"
+#include "foxtailtrail/failover/GroupView.h"
+#include "foxtailtrail/net/HttpClient.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace foxtail {
+
+// A VM that is believed alive, with where it takes calls.
+struct LiveVm {
+    VmId id;
+    Endpoint peerEndpoint;
+    Region region;
+    DataCentre dataCentre;
+    bool leaving = false;
+    // The configuration version that it last reported.
+    uint64_t configurationVersion = 0;
+
+    bool operator==(const LiveVm&) const = default;
+};
+
+// What the control thread publishes for the traffic threads. It never changes after it was published.
+struct Snapshot {
+    // Null until the first document is installed.
+    ConfigurationDocument configuration;
+    std::shared_ptr<const KeyTable> keys;
+    // The VM serves nothing that depends on the configuration from this moment on.
+    TimePoint servingDeadline;
+    // This VM included, ordered by id.
+    std::vector<LiveVm> vms;
+    // The groups that this VM watches.
+    std::map<DatabaseId, std::shared_ptr<const GroupView>> groups;
+    // Whether this VM holds the home of a database in its own or a stand-in region, by server.
+    std::map<BackendServerId, uint64_t> homeEpochs;
+
+    // The live VM with the id, or null.
+    const LiveVm* find(const VmId& id) const
+    {
+        for (const LiveVm& vm : this->vms) {
+            if (vm.id == id)
+                return &vm;
+        }
+        return nullptr;
+    }
+};
+
+// Holds the newest snapshot. One thread publishes, any thread reads.
+class SnapshotBoard {
+public:
+    SnapshotBoard()
+        : newest(std::make_shared<const Snapshot>())
+    {
+    }
+
+    std::shared_ptr<const Snapshot> current() const { return this->newest.load(); }
+    void publish(std::shared_ptr<const Snapshot> snapshot) { this->newest.store(std::move(snapshot)); }
+
+private:
+    std::atomic<std::shared_ptr<const Snapshot>> newest;
+};
+
+}
