--- /dev/null
+++ b/foxtailtrail/filters/RouteFilter.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "foxtailtrail/execution/RetryPolicy.h"
+#include "foxtailtrail/filters/RequestContext.h"
+#include "foxtailtrail/server/HomeCaller.h"
+
+namespace foxtail {
+
+// Brings a request to the home that can run it, again where that is safe, until RetryPolicy has a final answer. Fails with the
+// error that the caller receives.
+class RouteFilter final : public RequestFilter {
+public:
+    RouteFilter(HomeCaller&, RetryPolicySettings);
+
+    Result<void> apply(RequestContext&) override;
+
+private:
+    Result<void> runTransaction(RequestContext&);
+    Result<void> askForStatus(RequestContext&);
+    std::optional<RetryEffect> attempt(RetryPolicy&, const StartAttempt&, const TransactionRequest&);
+    std::optional<RetryEffect> resolve(RetryPolicy&, const ResolveById&, const TransactionRequest&);
+
+    HomeCaller& caller;
+    RetryPolicySettings settings;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/server/ExecutionDriver.cpp
@@ -0,0 +1,98 @@
+#include "foxtailtrail/server/ExecutionDriver.h"
+
+#include "foxtailtrail/net/Clock.h"
+
+namespace foxtail {
+
+ExecutionDriver::ExecutionDriver(
+    Execution& execution, BackendLane& lane, BackendServerId server, Term term, OrganisationId organisation, DurabilityWait durabilityWait)
+    : execution(execution)
+    , lane(lane)
+    , server(std::move(server))
+    , term(term)
+    , organisation(std::move(organisation))
+    , durabilityWait(std::move(durabilityWait))
+{
+}
+
+ExecutionEffect ExecutionDriver::run()
+{
+    ExecutionEffects effects = this->execution.start();
+    std::deque<ExecutionEffect> due(effects.begin(), effects.end());
+    while (!due.empty()) {
+        const ExecutionEffect effect = std::move(due.front());
+        due.pop_front();
+        if (std::holds_alternative<Answer>(effect) || std::holds_alternative<Resolved>(effect)) {
+            if (this->slot)
+                this->giveBack(false);
+            return effect;
+        }
+        const std::optional<ExecutionEvent> event = this->perform(effect);
+        if (!event)
+            continue;
+        for (ExecutionEffect& next : this->execution.handle(*event))
+            due.push_back(std::move(next));
+    }
+    if (this->slot)
+        this->giveBack(false);
+    return Answer { fail(ErrorKind::Internal, "the execution ended without an answer") };
+}
+
+std::optional<ExecutionEvent> ExecutionDriver::perform(const ExecutionEffect& effect)
+{
+    if (std::holds_alternative<AcquireConnection>(effect))
+        return this->acquire();
+    if (const auto* step = std::get_if<RunStep>(&effect))
+        return this->runStep(*step);
+    if (const auto* wait = std::get_if<AwaitDurability>(&effect))
+        return this->awaitDurability(*wait);
+    this->giveBack(std::holds_alternative<ReturnConnection>(effect));
+    return std::nullopt;
+}
+
+ExecutionEvent ExecutionDriver::acquire()
+{
+    Result<LaneSlot> acquired = this->lane.acquire(this->organisation, this->execution.deadline());
+    if (!acquired)
+        return QueueRefused { acquired.error() };
+    this->slot.emplace(std::move(acquired.value()));
+    return ConnectionReady { this->server, this->term };
+}
+
+ExecutionEvent ExecutionDriver::runStep(const RunStep& step)
+{
+    BackendConnection& connection = *this->slot->connection;
+    Result<QueryResult> result = connection.query(step.statement.sql, step.statement.params, this->execution.deadline());
+    if (result) {
+        QueryResult& value = result.value();
+        return StepSucceeded { step.step, { std::move(value.columns), std::move(value.rows), value.rowCount }, value.commandTag };
+    }
+    if (connection.isOpen())
+        return StepFailed { step.step, connection.lastSqlState(), result.error().detail };
+    if (now() >= this->execution.deadline())
+        return DeadlinePassed {};
+    return ConnectionLost { result.error().kind != ErrorKind::PeerUnavailable };
+}
+
+ExecutionEvent ExecutionDriver::awaitDurability(const AwaitDurability& wait)
+{
+    const Durability durability = this->durabilityWait(wait.point, this->execution.deadline());
+    if (durability == Durability::Durable)
+        return DurabilityReached { wait.point };
+    if (durability == Durability::Superseded)
+        return TermMoved { Term { wait.point.term.value + 1 } };
+    return DeadlinePassed {};
+}
+
+void ExecutionDriver::giveBack(bool reusable)
+{
+    if (!this->slot)
+        return;
+    if (reusable)
+        this->lane.release(std::move(*this->slot));
+    else
+        this->lane.discard(std::move(*this->slot));
+    this->slot.reset();
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/server/GroupWatch.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "foxtailtrail/config/Configuration.h"
+#include "foxtailtrail/failover/DurabilityTracker.h"
+#include "foxtailtrail/failover/GroupMonitor.h"
+#include "foxtailtrail/failover/Promotion.h"
+#include "foxtailtrail/scheduling/HomeClaim.h"
+#include "foxtailtrail/server/ControlConnection.h"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/future.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace foxtail {
+
+// What a GroupWatch is built from.
+struct GroupWatchSettings {
+    VmId self;
+    DataCentre dataCentre;
+    // Names this process as promoter and as holder of homes. It differs between two starts of the same VM.
+    std::string processName;
+    // The time between two probes of a server while no commit waits for durability.
+    Duration probeInterval = std::chrono::milliseconds(100);
+    GroupMonitorSettings monitor;
+    PromotionSettings promotion;
+};
+
+// What a GroupWatch tells its owner and asks of it. All run in fibers of the control thread.
+struct GroupWatchCallbacks {
+    std::function<void()> onViewChange;
+    // Asks other VMs whether they reach a server, and blocks until they have answered.
+    std::function<std::vector<PeerEvidence>(const Database&, const BackendServer&)> askPeers;
+    // Notes the new primary for operators. Nothing waits for it.
+    std::function<void(const DatabaseId&, const RecordHint&)> recordHint;
+    std::function<void(const DatabaseId&, PromotionCause, Duration)> onPromoted;
+};
+
+// Watches one database group from this VM: probes its servers, holds back commits until they are durable, promotes a new
+// primary when one is due, and claims the homes that are placed here. Runs in fibers of the control thread.
+class GroupWatch : public std::enable_shared_from_this<GroupWatch> {
+public:
+    // Fails when the database names no server.
+    static Result<std::shared_ptr<GroupWatch>> create(GroupWatchSettings, GroupWatchCallbacks, const Database&, std::vector<MonitorPeer>);
+
+    // Starts the fibers.
+    void start();
+
+    // Ends the fibers and the waits. Returns when all have ended.
+    void stop();
+
+    // Takes over a new configuration of the database or another set of live VMs. The place is this VM's position in the
+    // rendezvous order of the database.
+    void update(const Database&, std::vector<MonitorPeer>, unsigned place);
+
+    // Names the servers whose home is to be held by this VM. Others are given up.
+    void placeHomes(const std::vector<BackendServerId>&);
+
+    // Blocks the calling fiber until the commit is durable, superseded or the deadline has passed.
+    Durability awaitDurability(LogPoint, TimePoint deadline);
+
+    // Reads the server's status on a fresh connection, for another VM that lost its own link.
+    bool probe(const BackendServerId&, TimePoint deadline);
+
+    std::shared_ptr<const GroupView> view() const { return this->currentView; }
+
+    // The epochs of the homes that this process holds, by server.
+    std::map<BackendServerId, uint64_t> heldHomes() const;
+
+private:
+    // A backend server with its control connection. Probes and commands share it, as connections are scarce; on a server that
+    // does not answer, a command waits behind a probe, but it would get no answer either.
+    struct WatchedServer {
+        WatchedServer(const BackendServer&, const std::string& processName);
+
+        BackendServer server;
+        ControlConnection control;
+        HomeClaim claim;
+        bool homeWanted = false;
+    };
+    using ServerPointer = std::shared_ptr<WatchedServer>;
+
+    GroupWatch(GroupWatchSettings, GroupWatchCallbacks, const Database&, GroupMonitor);
+
+    void setServers(const Database&);
+    ServerPointer find(const BackendServerId&) const;
+    void startProbing(const ServerPointer&);
+    void takeReport(WatchedServer&, TimePoint sentAt, const ControlReply&);
+    void advanceClaims();
+    void performClaim(const ServerPointer&, HomeClaimAction);
+    void settleWaits();
+    void publish(bool force);
+    void decide();
+    void askPeersIfDue();
+    void followIfDue();
+    void perform(const std::vector<PromotionEffect>&);
+    void performCommand(PromotionCommand, const BackendServerId&, Term, const BackendServerId& primary);
+    void readStatus(const BackendServerId&);
+    void endOfPromotion();
+    void startWorker(std::function<void()>);
+
+    GroupWatchSettings settings;
+    GroupWatchCallbacks callbacks;
+    Database database;
+    std::vector<ServerPointer> servers;
+    std::vector<MonitorPeer> peers;
+    unsigned place = 0;
+    GroupMonitor monitor;
+    DurabilityTracker durability;
+    Promotion promotion;
+    std::optional<TimePoint> promotionWake;
+    std::optional<PromotionDue> runningPromotion;
+    // When the promotion that is due was first seen to be due.
+    std::optional<TimePoint> dueSince;
+    TimePoint promotionStartedAt;
+    bool askingPeers = false;
+    std::map<DurabilityTicket, boost::fibers::promise<Durability>> waits;
+    std::shared_ptr<const GroupView> currentView;
+    TimePoint publishedAt;
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable wake;
+    bool stopping = false;
+    size_t workers = 0;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/server/HomeCaller.cpp
@@ -0,0 +1,230 @@
+#include "foxtailtrail/server/HomeCaller.h"
+
+#include "foxtailtrail/net/Clock.h"
+
+#include <algorithm>
+#include <array>
+
+namespace foxtail {
+
+namespace {
+
+    constexpr std::array<std::string_view, 2> sourceNames { "primary", "replica" };
+
+    json::object encodePoint(const LogPoint& point)
+    {
+        return { { "term", point.term.value }, { "position", point.position.value } };
+    }
+
+    Result<LogPoint> decodePoint(const json::object& object)
+    {
+        BOOST_OUTCOME_TRY(const uint64_t term, unsignedMember(object, "term"));
+        BOOST_OUTCOME_TRY(const uint64_t position, unsignedMember(object, "position"));
+        return LogPoint { Term { term }, Position { position } };
+    }
+
+    uint64_t millisecondsUntil(TimePoint deadline, TimePoint now)
+    {
+        return deadline > now ? static_cast<uint64_t>(toMilliseconds(deadline - now)) : 0;
+    }
+
+    Ran ranByName(std::string_view name)
+    {
+        for (const Ran ran : { Ran::No, Ran::Yes }) {
+            if (ranName(ran) == name)
+                return ran;
+        }
+        return Ran::Unknown;
+    }
+
+}
+
+json::object encodeResolveRequest(const ResolveRequest& request, TimePoint now)
+{
+    json::object object { { "database", request.database.value }, { "organisation", request.organisation.value },
+        { "requestId", request.requestId.value }, { "deadlineMs", millisecondsUntil(request.deadline, now) } };
+    if (request.digest)
+        object["digest"] = *request.digest;
+    return object;
+}
+
+Result<ResolveRequest> decodeResolveRequest(const json::object& object, TimePoint now)
+{
+    ResolveRequest request;
+    BOOST_OUTCOME_TRY(request.database.value, stringMember(object, "database"));
+    BOOST_OUTCOME_TRY(request.organisation.value, stringMember(object, "organisation"));
+    BOOST_OUTCOME_TRY(request.requestId.value, stringMember(object, "requestId"));
+    BOOST_OUTCOME_TRY(const uint64_t deadline, unsignedMember(object, "deadlineMs"));
+    request.deadline = now + std::chrono::milliseconds(deadline);
+    if (object.contains("digest")) {
+        BOOST_OUTCOME_TRY(request.digest, stringMember(object, "digest"));
+    }
+    return request;
+}
+
+json::object encodeResolved(const Resolved& resolved)
+{
+    json::object object { { "ran", ranName(resolved.ran) }, { "detail", resolved.detail } };
+    if (resolved.answer)
+        object["outcome"] = encodeOutcome(*resolved.answer);
+    return object;
+}
+
+Resolved decodeResolved(const json::object& object)
+{
+    const Result<std::string> ran = stringMember(object, "ran");
+    const Result<std::string> detail = stringMember(object, "detail");
+    Resolved resolved { ran ? ranByName(ran.value()) : Ran::Unknown, std::nullopt, detail ? detail.value() : "" };
+    const Result<json::object> outcome = objectMember(object, "outcome");
+    if (outcome) {
+        TransactionOutcome decoded = decodeOutcome(outcome.value());
+        if (decoded)
+            resolved.answer = std::move(decoded.value());
+    }
+    return resolved;
+}
+
+void encodeTargetedRead(const TargetedRead& targeted, json::object& parameters)
+{
+    json::object target { { "server", targeted.server.value }, { "source", sourceNames[static_cast<size_t>(targeted.target.source)] },
+        { "confirmTerm", targeted.target.confirmTerm } };
+    if (targeted.target.requirement)
+        target["requirement"] = encodePoint(*targeted.target.requirement);
+    parameters["target"] = std::move(target);
+}
+
+Result<std::optional<TargetedRead>> decodeTargetedRead(const json::object& parameters)
+{
+    if (!parameters.contains("target"))
+        return std::optional<TargetedRead>();
+    BOOST_OUTCOME_TRY(const json::object object, objectMember(parameters, "target"));
+    TargetedRead targeted;
+    BOOST_OUTCOME_TRY(targeted.server.value, stringMember(object, "server"));
+    BOOST_OUTCOME_TRY(const std::string source, stringMember(object, "source"));
+    BOOST_OUTCOME_TRY(targeted.target.confirmTerm, booleanMember(object, "confirmTerm"));
+    targeted.target.source = source == sourceNames[1] ? AnswerSource::Replica : AnswerSource::Primary;
+    if (object.contains("requirement")) {
+        BOOST_OUTCOME_TRY(const json::object point, objectMember(object, "requirement"));
+        BOOST_OUTCOME_TRY(targeted.target.requirement, decodePoint(point));
+    }
+    return std::optional<TargetedRead>(std::move(targeted));
+}
+
+json::object encodeHomeAnswer(const HomeAnswer& answer)
+{
+    return { { "outcome", encodeOutcome(*answer.outcome) }, { "primaryRegion", answer.primaryRegion.value } };
+}
+
+HomeAnswer decodeHomeAnswer(const json::object& object)
+{
+    HomeAnswer answer;
+    answer.sent = true;
+    const Result<json::object> outcome = objectMember(object, "outcome");
+    if (outcome)
+        answer.outcome = decodeOutcome(outcome.value());
+    const Result<std::string> region = stringMember(object, "primaryRegion");
+    if (region)
+        answer.primaryRegion.value = region.value();
+    return answer;
+}
+
+HomeCaller::HomeCaller(VmId self, Region ownRegion, PeerClient& peers, const SnapshotBoard& board, LocalHomes local)
+    : self(std::move(self))
+    , ownRegion(std::move(ownRegion))
+    , peers(peers)
+    , board(board)
+    , local(std::move(local))
+{
+}
+
+Region HomeCaller::regionFor(const DatabaseId& database, TransactionKind kind) const
+{
+    const auto snapshot = this->board.current();
+    std::map<Region, size_t> serverCounts;
+    if (snapshot->configuration) {
+        const auto found = snapshot->configuration->databases.find(database);
+        if (found != snapshot->configuration->databases.end()) {
+            for (const BackendServer& server : found->second.servers)
+                ++serverCounts[server.region];
+        }
+    }
+    if (kind == TransactionKind::Read && serverCounts.contains(this->ownRegion))
+        return this->ownRegion;
+    // A watched group tells where its primary is; else the last answer of a home did.
+    const auto group = snapshot->groups.find(database);
+    if (group != snapshot->groups.end() && group->second->primary)
+        return group->second->find(*group->second->primary)->region;
+    const auto learned = this->primaryRegions.find(database);
+    if (learned != this->primaryRegions.end())
+        return learned->second;
+    const auto largest = std::max_element(
+        serverCounts.begin(), serverCounts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    return largest == serverCounts.end() ? Region() : largest->first;
+}
+
+std::optional<LiveVm> HomeCaller::homeOf(const DatabaseId& database, const Region& region) const
+{
+    const auto snapshot = this->board.current();
+    const auto home = snapshot->homes.find({ database, region });
+    const LiveVm* vm = home == snapshot->homes.end() ? nullptr : snapshot->find(home->second);
+    return vm ? std::optional(*vm) : std::nullopt;
+}
+
+HomeAnswer HomeCaller::execute(const TransactionRequest& request)
+{
+    return this->callHome(request, std::nullopt, this->regionFor(request.database, request.kind));
+}
+
+HomeAnswer HomeCaller::executeAt(const TransactionRequest& request, const TargetedRead& targeted, const Region& serverRegion)
+{
+    return this->callHome(request, targeted, serverRegion);
+}
+
+HomeAnswer HomeCaller::callHome(const TransactionRequest& request, const std::optional<TargetedRead>& targeted, const Region& region)
+{
+    const std::optional<LiveVm> home = this->homeOf(request.database, region);
+    if (!home)
+        return { TransactionOutcome(fail(ErrorKind::PeerUnavailable, "no live VM is home of the database")), false, {} };
+    HomeAnswer answer;
+    if (home->id == this->self) {
+        answer = this->local.execute(request, targeted);
+    } else {
+        json::object parameters = encodeRequest(request, now());
+        if (targeted)
+            encodeTargetedRead(*targeted, parameters);
+        const Result<json::object> reply
+            = this->peers.call(home->peerEndpoint, TrafficPurpose::Statements, "execute", parameters, request.deadline);
+        if (!reply) {
+            // An error that the home itself reported says whether the request ran; a broken call does not.
+            const bool broken = reply.error().kind == ErrorKind::OutcomeUnknown || reply.error().kind == ErrorKind::PeerUnavailable;
+            if (broken)
+                return { std::nullopt, reply.error().kind == ErrorKind::OutcomeUnknown, {} };
+            return { TransactionOutcome(reply.error()), true, {} };
+        }
+        answer = decodeHomeAnswer(reply.value());
+    }
+    this->learn(request.database, answer);
+    return answer;
+}
+
+Resolved HomeCaller::resolve(const ResolveRequest& request)
+{
+    const std::optional<LiveVm> home = this->homeOf(request.database, this->regionFor(request.database, TransactionKind::Write));
+    if (!home)
+        return { Ran::Unknown, std::nullopt, "no live VM is home of the database" };
+    if (home->id == this->self)
+        return this->local.resolve(request);
+    const Result<json::object> reply = this->peers.call(
+        home->peerEndpoint, TrafficPurpose::Statements, "resolve", encodeResolveRequest(request, now()), request.deadline);
+    if (!reply)
+        return { Ran::Unknown, std::nullopt, reply.error().detail };
+    return decodeResolved(reply.value());
+}
+
+void HomeCaller::learn(const DatabaseId& database, const HomeAnswer& answer)
+{
+    if (!answer.primaryRegion.empty())
+        this->primaryRegions[database] = answer.primaryRegion;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/server/MembershipService.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "foxtailtrail/membership/PeerTable.h"
+#include "foxtailtrail/server/PeerClient.h"
+#include "foxtailtrail/server/Snapshot.h"
+#include "foxtailtrail/store/StoreClient.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace foxtail {
+
+// What a MembershipService is built from.
+struct MembershipServiceSettings {
+    // This VM. Its configuration version is not used.
+    LiveVm self;
+    uint64_t incarnation = 0;
+    // Where to look for VMs before the platform's list has been read.
+    std::vector<Endpoint> bootstrapPeers;
+    Duration listInterval = std::chrono::seconds(5);
+    PeerTableSettings table;
+};
+
+// Finds the other VMs and judges by pings which of them live. Runs in fibers of the control thread.
+class MembershipService {
+public:
+    MembershipService(MembershipServiceSettings, StoreClient&, PeerClient&, std::function<uint64_t()> configurationVersion);
+
+    // Sends the pings that are due. Call it every 50 ms.
+    void sendDuePings();
+
+    // Registers this VM and reads the platform's list, when that is due. Blocks the calling fiber.
+    void refreshList();
+
+    // Answers the peer call "ping".
+    Result<json::object> answerPing(const json::object& parameters);
+
+    // Names the peers that must be pinged whatever their number.
+    void setRequired(std::vector<VmId>);
+
+    // Marks this VM as leaving; peers learn it from the next pings.
+    void setLeaving();
+
+    // This VM and the peers that live, ordered by id.
+    std::vector<LiveVm> liveVms() const;
+
+    // How long a VM has been silent. Empty when it was never heard, or is this VM.
+    std::optional<Duration> silence(const VmId&) const;
+
+    bool isLeaving() const { return this->settings.self.leaving; }
+
+private:
+    json::object encodeSelf() const;
+    Result<void> hear(const json::object& report, TimePoint sentAt);
+    void ping(const Endpoint&);
+    void updateTable();
+
+    MembershipServiceSettings settings;
+    StoreClient& store;
+    PeerClient& peers;
+    std::function<uint64_t()> configurationVersion;
+    PeerTable table;
+    std::map<VmId, LiveVm> known;
+    std::vector<VmId> required;
+    // Addresses of the settings that have not answered yet, so that their VM ids are not known.
+    std::vector<Endpoint> unanswered;
+    TimePoint nextBootstrap;
+    TimePoint nextList;
+    bool registered = false;
+};
+
+}
--- a/foxtailtrail/server/Snapshot.h
+++ b/foxtailtrail/server/Snapshot.h
@@ -25,6 +25,13 @@
     bool operator==(const LiveVm&) const = default;
 };
 
+// A database and a region in which it has backend servers.
+struct HomeKey {
+    DatabaseId database;
+    Region region;
+    auto operator<=>(const HomeKey&) const = default;
+};
+
 // What the control thread publishes for the traffic threads. It never changes after it was published.
 struct Snapshot {
     // Null until the first document is installed.
@@ -36,7 +43,9 @@
     std::vector<LiveVm> vms;
     // The groups that this VM watches.
     std::map<DatabaseId, std::shared_ptr<const GroupView>> groups;
-    // Whether this VM holds the home of a database in its own or a stand-in region, by server.
+    // The VM that should be home of a database in a region, as this VM computes it.
+    std::map<HomeKey, VmId> homes;
+    // The epochs of the homes that this VM holds, by server.
     std::map<BackendServerId, uint64_t> homeEpochs;
 
     // The live VM with the id, or null.
