--- /dev/null
+++ b/foxtailtrail/execution/ReadExecution.cpp
@@ -0,0 +1,92 @@
+#include "foxtailtrail/execution/ReadExecution.h"
+
+#include <utility>
+
+namespace foxtail {
+
+ReadExecution::ReadExecution(TransactionRequest request, const ReadTarget& target, const ExecutionSettings& settings)
+    : Execution(request.deadline)
+    , request(std::move(request))
+    , target(target)
+    , settings(settings)
+{
+}
+
+void ReadExecution::onConnected()
+{
+    this->answer.server = this->server();
+    this->answer.source = this->target.source;
+    this->answer.point = this->request.token;
+    this->run(beginReadStatement());
+}
+
+void ReadExecution::onResult(const StatementResult& result)
+{
+    switch (this->stage) {
+    case Stage::Begin:
+        this->runServerCheck();
+        return;
+    case Stage::ServerCheck:
+        this->stage = Stage::Statements;
+        this->runNextStatement();
+        return;
+    case Stage::Statements:
+        this->onStatementResult(result);
+        return;
+    }
+}
+
+void ReadExecution::onCommitted()
+{
+    // The position 0 is held by every server of the term, so only the term is confirmed.
+    if (this->target.confirmTerm) {
+        this->returnAndAwait({ this->term(), Position {} });
+    } else {
+        this->returnAndFinish(Answer { std::move(this->answer) });
+    }
+}
+
+ExecutionEffect ReadExecution::durableOutcome(const LogPoint&) { return Answer { std::move(this->answer) }; }
+
+ExecutionEffect ReadExecution::failedOutcome(Error error)
+{
+    if (error.kind == ErrorKind::OutcomeUnknown)
+        error = { ErrorKind::ReadNotCurrent, "the primary's term could not be confirmed" };
+    return Answer { fail(error.kind, std::move(error.detail)) };
+}
+
+void ReadExecution::runServerCheck()
+{
+    this->stage = Stage::ServerCheck;
+    if (this->target.source == AnswerSource::Primary) {
+        this->run(platformBeginStatement(this->term(), this->request.organisation));
+    } else {
+        this->run(platformRequireStatement(this->target.requirement.value_or(LogPoint {})));
+    }
+}
+
+void ReadExecution::onStatementResult(const StatementResult& result)
+{
+    const size_t index = this->answer.results.size();
+    const auto expected = this->request.statements[index].expectRows;
+    this->answerBytes += resultBytes(result);
+    if (expected && *expected != result.rowCount) {
+        this->rollBack({ ErrorKind::ExpectationFailed, "statement " + std::to_string(index + 1) });
+    } else if (this->answerBytes > this->settings.maxAnswerBytes) {
+        this->rollBack({ ErrorKind::AnswerTooLarge, {} });
+    } else {
+        this->answer.results.push_back(result);
+        this->runNextStatement();
+    }
+}
+
+void ReadExecution::runNextStatement()
+{
+    if (this->answer.results.size() < this->request.statements.size()) {
+        this->run(this->request.statements[this->answer.results.size()]);
+    } else {
+        this->commit();
+    }
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/execution/ReadExecution.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "foxtailtrail/execution/WriteExecution.h"
+
+namespace foxtail {
+
+// How a read is to be run, as the router decided.
+struct ReadTarget {
+    AnswerSource source = AnswerSource::Primary;
+    // The point that the server must hold. Empty when only the age counts, which the router has checked.
+    std::optional<LogPoint> requirement;
+    // When set, the answer waits until a majority of the group reports the server's term after the read ran. This
+    // proves that no later primary had acknowledged a write when the request arrived.
+    bool confirmTerm = false;
+};
+
+// One attempt at a read at the home of one backend server: BEGIN READ ONLY, the term or position check in the same
+// transaction, the statements, COMMIT. A failed read had no effect, so every error of it is "not run".
+class ReadExecution final : public Execution {
+public:
+    ReadExecution(TransactionRequest, const ReadTarget&, const ExecutionSettings&);
+
+private:
+    // What the outstanding statement is.
+    enum class Stage : uint8_t {
+        Begin,
+        ServerCheck,
+        Statements,
+    };
+
+    void onConnected() override;
+    void onResult(const StatementResult&) override;
+    void onCommitted() override;
+    ExecutionEffect durableOutcome(const LogPoint&) override;
+    ExecutionEffect failedOutcome(Error) override;
+    bool commitHasEffect() const override { return false; }
+
+    void runServerCheck();
+    void onStatementResult(const StatementResult&);
+    void runNextStatement();
+
+    TransactionRequest request;
+    ReadTarget target;
+    ExecutionSettings settings;
+    Stage stage = Stage::Begin;
+    size_t answerBytes = 0;
+    TransactionAnswer answer;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/execution/RetryPolicy.cpp
@@ -0,0 +1,153 @@
+#include "foxtailtrail/execution/RetryPolicy.h"
+
+#include "foxtailtrail/base/Hash.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace foxtail {
+
+RetryPolicy::RetryPolicy(const TransactionRequest& request, const RetryPolicySettings& settings)
+    : kind(request.kind)
+    , requestId(request.requestId)
+    , digest(request.kind == TransactionKind::Write ? requestDigest(request) : std::string())
+    , deadline(request.deadline)
+    , settings(settings)
+{
+}
+
+RetryEffect RetryPolicy::start(TimePoint now)
+{
+    assert(this->attempt == 0);
+    this->attempt = 1;
+    this->attemptOutstanding = true;
+    return StartAttempt { this->attempt, now, this->homeDeadline(now) };
+}
+
+std::optional<RetryEffect> RetryPolicy::attemptFinished(uint32_t number, const TransactionOutcome& outcome, TimePoint now)
+{
+    if (!this->isOutstanding(number))
+        return std::nullopt;
+    this->attemptOutstanding = false;
+    if (outcome.has_value())
+        return this->answer(outcome);
+    const Ran ran = errorKindRow(outcome.error().kind).ran;
+    if (ran == Ran::Yes)
+        return this->answer(outcome);
+    if (ran == Ran::No)
+        return this->afterRefusal(outcome.error(), now);
+    this->mayHaveRun = this->kind == TransactionKind::Write;
+    return this->attemptAgain(now);
+}
+
+std::optional<RetryEffect> RetryPolicy::attemptLost(uint32_t number, bool sent, TimePoint now)
+{
+    if (!this->isOutstanding(number))
+        return std::nullopt;
+    this->attemptOutstanding = false;
+    this->refusal = { ErrorKind::PeerUnavailable, "the VM that serves the database cannot be reached" };
+    this->mayHaveRun = this->mayHaveRun || (sent && this->kind == TransactionKind::Write);
+    return this->attemptAgain(now);
+}
+
+std::optional<RetryEffect> RetryPolicy::resolutionFinished(uint32_t number, const Resolved& resolved, TimePoint now)
+{
+    if (!this->isOutstanding(number))
+        return std::nullopt;
+    if (resolved.ran == Ran::Unknown)
+        return this->resolveAgain(now);
+    if (resolved.ran == Ran::Yes && resolved.answer)
+        return this->answer(*resolved.answer);
+    if (resolved.ran == Ran::Yes)
+        return this->answer(fail(ErrorKind::AnswerTooLarge, resolved.detail));
+    this->mayHaveRun = false;
+    return this->answerRefusal();
+}
+
+std::optional<RetryEffect> RetryPolicy::deadlinePassed()
+{
+    if (this->finished)
+        return std::nullopt;
+    // An attempt that is still at a home may yet commit.
+    this->mayHaveRun = this->mayHaveRun || (this->attemptOutstanding && this->kind == TransactionKind::Write);
+    return this->answerRefusal();
+}
+
+bool RetryPolicy::isRetried(const Error& error)
+{
+    switch (error.kind) {
+    case ErrorKind::NoPrimary:
+    case ErrorKind::NotHome:
+    case ErrorKind::PeerUnavailable:
+    case ErrorKind::Stopping:
+        return true;
+    case ErrorKind::ReadNotCurrent:
+        return this->kind == TransactionKind::Read;
+    case ErrorKind::Conflict:
+        return ++this->conflicts <= this->settings.maxConflicts;
+    default:
+        return false;
+    }
+}
+
+RetryEffect RetryPolicy::afterRefusal(const Error& error, TimePoint now)
+{
+    this->refusal = error;
+    if (this->isRetried(error))
+        return this->attemptAgain(now);
+    if (this->mayHaveRun)
+        return this->resolveAgain(now);
+    return this->answerRefusal();
+}
+
+RetryEffect RetryPolicy::attemptAgain(TimePoint now)
+{
+    const TimePoint start = this->nextStart(now);
+    if (start >= this->deadline)
+        return this->answerRefusal();
+    ++this->attempt;
+    this->attemptOutstanding = true;
+    return StartAttempt { this->attempt, start, this->homeDeadline(start) };
+}
+
+RetryEffect RetryPolicy::resolveAgain(TimePoint now)
+{
+    const TimePoint start = this->nextStart(now);
+    if (start >= this->deadline)
+        return this->answerRefusal();
+    ++this->attempt;
+    return ResolveById { this->attempt, this->requestId, this->digest, start, this->homeDeadline(start) };
+}
+
+RetryEffect RetryPolicy::answerRefusal()
+{
+    if (this->mayHaveRun)
+        return this->answer(fail(ErrorKind::OutcomeUnknown, "ask for the outcome of request " + this->requestId.value));
+    return this->answer(fail(this->refusal.kind, this->refusal.detail));
+}
+
+RetryEffect RetryPolicy::answer(TransactionOutcome outcome)
+{
+    this->finished = true;
+    return Answer { std::move(outcome) };
+}
+
+TimePoint RetryPolicy::nextStart(TimePoint now) const
+{
+    constexpr uint32_t maxDoublings = 16;
+    const Duration doubled = this->settings.firstWait * (uint64_t { 1 } << std::min(this->attempt - 1, maxDoublings));
+    const Duration wait = std::min(doubled, this->settings.longestWait);
+    const uint64_t spread = stableHash(this->requestId.value + "/" + std::to_string(this->attempt));
+    // Between half of the wait and the whole of it.
+    const auto half = static_cast<uint64_t>(wait.count()) / 2;
+    return now + Duration(half + spread % (half + 1));
+}
+
+TimePoint RetryPolicy::homeDeadline(TimePoint start) const
+{
+    const TimePoint earlier = this->deadline - this->settings.answerMargin;
+    // A short deadline keeps half of its time.
+    return std::max(earlier, start + (this->deadline - start) / 2);
+}
+
+}
--- /dev/null
+++ b/tests/execution/World.cpp
@@ -0,0 +1,337 @@
+#include "tests/execution/World.h"
+
+#include <algorithm>
+
+namespace foxtail::test {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration networkDelay = 1ms;
+    constexpr Duration replicationDelay = 6ms;
+    // How long a server takes to notice that a connection is gone, and a message to arrive that was under way.
+    constexpr Duration noticeDelay = 30ms;
+    constexpr Duration healDelay = 60ms;
+    constexpr Duration veryLate = 10s;
+
+}
+
+// One caller at one VM. The VM that died feeds nothing any more.
+struct World::Caller {
+    size_t call = 0;
+    RetryPolicy policy;
+    bool dead = false;
+};
+
+struct World::Attempt {
+    std::shared_ptr<Caller> caller;
+    uint32_t number = 0;
+    std::unique_ptr<Execution> execution;
+    int connection = 0;
+};
+
+World::World() { this->servers[0].primary = true; }
+
+void World::after(Duration delay, std::function<void()> action)
+{
+    this->events.push({ this->time + delay, ++this->eventNumber, std::move(action) });
+}
+
+void World::run()
+{
+    while (!this->events.empty()) {
+        const Event event = this->events.top();
+        this->events.pop();
+        this->time = event.time;
+        event.action();
+    }
+    this->healAll();
+}
+
+void World::call(const TransactionRequest& request, Duration delay)
+{
+    this->after(delay, [this, request] {
+        auto caller = std::make_shared<Caller>(Caller { this->calls.size(), RetryPolicy(request, {}) });
+        this->calls.push_back({ request, this->time, {} });
+        this->after(request.deadline - this->time, [this, caller] { this->perform(caller, caller->policy.deadlinePassed()); });
+        this->perform(caller, caller->policy.start(this->time));
+    });
+}
+
+Resolved World::resolve(const TransactionRequest& request)
+{
+    do {
+        auto resolution = std::make_unique<Resolution>(request.organisation, request.requestId, requestDigest(request), this->time + 1s);
+        this->lastResolved.reset();
+        this->startAttempt(nullptr, 0, std::move(resolution));
+        this->run();
+    } while (!this->lastResolved || this->lastResolved->ran == Ran::Unknown);
+    return *this->lastResolved;
+}
+
+void World::perform(const std::shared_ptr<Caller>& caller, const std::optional<RetryEffect>& effect)
+{
+    if (caller->dead || !effect)
+        return;
+    const TransactionRequest& request = this->calls[caller->call].request;
+    if (const auto* answer = std::get_if<Answer>(&*effect)) {
+        if (this->calls[caller->call].outcome)
+            this->violations.emplace_back("a call was answered twice");
+        this->calls[caller->call].outcome = answer->outcome;
+    } else if (const auto* start = std::get_if<StartAttempt>(&*effect)) {
+        TransactionRequest attempt = request;
+        attempt.deadline = start->deadline;
+        this->after(start->notBefore - this->time, [this, caller, number = start->attempt, attempt] {
+            if (attempt.kind == TransactionKind::Write) {
+                this->startAttempt(caller, number, std::make_unique<WriteExecution>(attempt, ExecutionSettings {}));
+            } else {
+                this->startAttempt(caller, number,
+                    std::make_unique<ReadExecution>(
+                        attempt, ReadTarget { AnswerSource::Primary, attempt.token, true }, ExecutionSettings {}));
+            }
+        });
+    } else if (const auto* resolve = std::get_if<ResolveById>(&*effect)) {
+        this->after(resolve->notBefore - this->time, [this, caller, resolve = *resolve, organisation = request.organisation] {
+            this->startAttempt(
+                caller, resolve.attempt, std::make_unique<Resolution>(organisation, resolve.requestId, resolve.digest, resolve.deadline));
+        });
+    }
+}
+
+void World::startAttempt(const std::shared_ptr<Caller>& caller, uint32_t number, std::unique_ptr<Execution> execution)
+{
+    auto attempt = std::make_shared<Attempt>(Attempt { caller, number, std::move(execution) });
+    this->after(attempt->execution->deadline() - this->time, [this, attempt] { this->feed(attempt, DeadlinePassed {}); });
+    this->perform(attempt, attempt->execution->start());
+}
+
+void World::feed(const std::shared_ptr<Attempt>& attempt, const ExecutionEvent& event)
+{
+    if (attempt->caller && attempt->caller->dead)
+        return;
+    this->perform(attempt, attempt->execution->handle(event));
+}
+
+void World::perform(const std::shared_ptr<Attempt>& attempt, const ExecutionEffects& effects)
+{
+    for (const ExecutionEffect& effect : effects) {
+        if (std::holds_alternative<AcquireConnection>(effect)) {
+            this->after(networkDelay, [this, attempt] { this->acquire(attempt); });
+        } else if (const auto* step = std::get_if<RunStep>(&effect)) {
+            this->runStep(attempt, *step);
+        } else if (std::holds_alternative<CloseConnection>(effect)) {
+            this->release(attempt, true);
+        } else if (std::holds_alternative<ReturnConnection>(effect)) {
+            this->release(attempt, false);
+        } else if (const auto* durability = std::get_if<AwaitDurability>(&effect)) {
+            this->strike(attempt, this->faultOf(attempt, 0), nullptr);
+            this->awaitDurability(attempt, durability->point);
+        } else if (const auto* answer = std::get_if<Answer>(&effect)) {
+            this->finish(
+                attempt, [&](RetryPolicy& policy) { return policy.attemptFinished(attempt->number, answer->outcome, this->time); });
+        } else if (const auto* resolved = std::get_if<Resolved>(&effect)) {
+            this->lastResolved = *resolved;
+            this->finish(attempt, [&](RetryPolicy& policy) { return policy.resolutionFinished(attempt->number, *resolved, this->time); });
+        }
+    }
+}
+
+void World::finish(const std::shared_ptr<Attempt>& attempt, const std::function<std::optional<RetryEffect>(RetryPolicy&)>& event)
+{
+    if (attempt->caller)
+        this->perform(attempt->caller, event(attempt->caller->policy));
+}
+
+void World::acquire(const std::shared_ptr<Attempt>& attempt)
+{
+    if ((attempt->caller && attempt->caller->dead) || attempt->execution->isFinished())
+        return;
+    // Any idle connection to the primary, else a new one.
+    auto idle = std::find_if(this->connections.begin(), this->connections.end(),
+        [this](const auto& entry) { return !entry.second.closed && !entry.second.owner && entry.second.server == this->primaryIndex; });
+    if (idle == this->connections.end())
+        idle = this->connections.emplace(++this->connectionNumber, Connection { this->primaryIndex }).first;
+    if (idle->second.outstanding || idle->second.open)
+        this->violations.emplace_back("a connection was reused with an answer outstanding or a transaction open");
+    idle->second.owner = attempt.get();
+    attempt->connection = idle->first;
+    this->feed(attempt, ConnectionReady { BackendServerId("server" + std::to_string(this->primaryIndex)), this->term });
+}
+
+void World::release(const std::shared_ptr<Attempt>& attempt, bool close)
+{
+    const int number = attempt->connection;
+    Connection& connection = this->connections[number];
+    connection.owner = nullptr;
+    connection.closed = close;
+    if (close)
+        this->after(noticeDelay, [this, number] { this->servers[this->connections[number].server].closed(number); });
+}
+
+Fault World::faultOf(const std::shared_ptr<Attempt>& attempt, uint32_t step) const
+{
+    return attempt->caller ? this->faultAt(attempt->caller->call, attempt->number, step) : Fault::None;
+}
+
+void World::runStep(const std::shared_ptr<Attempt>& attempt, const RunStep& step)
+{
+    const int number = attempt->connection;
+    Connection& connection = this->connections[number];
+    if (connection.outstanding || connection.owner != attempt.get())
+        this->violations.emplace_back("a step was sent on a connection of another transaction");
+    connection.outstanding = true;
+    const Fault fault = this->faultOf(attempt, step.step);
+    if (fault == Fault::None) {
+        this->after(networkDelay, [this, attempt, number, step] { this->deliver(attempt, number, step, networkDelay); });
+    } else {
+        this->strike(attempt, fault, &step);
+    }
+}
+
+void World::deliver(const std::shared_ptr<Attempt>& attempt, int number, const RunStep& step, Duration replyAfter)
+{
+    Connection& connection = this->connections[number];
+    FakeServer& server = this->servers[connection.server];
+    const size_t logged = server.log.size();
+    const Reply reply = server.run(number, step.statement);
+    if (server.log.size() > logged && attempt->caller)
+        server.log.back().call = attempt->caller->call;
+    if (reply.blocked) {
+        if (!connection.closed)
+            this->after(networkDelay, [this, attempt, number, step, replyAfter] { this->deliver(attempt, number, step, replyAfter); });
+        return;
+    }
+    if (reply.tag == "BEGIN" && connection.open)
+        this->violations.emplace_back("a transaction began inside another");
+    connection.open = reply.tag == "BEGIN" || (connection.open && reply.tag.empty());
+    this->after(replicationDelay, [this] { this->replicate(); });
+    this->after(replyAfter, [this, attempt, number, step, reply] {
+        this->connections[number].outstanding = false;
+        if (reply.sqlState.empty()) {
+            this->feed(attempt, StepSucceeded { step.step, reply.result, reply.tag });
+        } else {
+            this->feed(attempt, StepFailed { step.step, reply.sqlState, "refused" });
+        }
+    });
+}
+
+void World::strike(const std::shared_ptr<Attempt>& attempt, Fault fault, const RunStep* step)
+{
+    const int number = attempt->connection;
+    const auto deliverAfter = [&](Duration delay, Duration replyAfter) {
+        if (step)
+            this->after(delay, [this, attempt, number, step = *step, replyAfter] { this->deliver(attempt, number, step, replyAfter); });
+    };
+    switch (fault) {
+    case Fault::None:
+        break;
+    case Fault::LostBeforeSend:
+        this->after(networkDelay, [this, attempt] { this->feed(attempt, ConnectionLost { false }); });
+        break;
+    case Fault::LostAfterSend:
+        deliverAfter(noticeDelay, veryLate);
+        this->after(networkDelay, [this, attempt] { this->feed(attempt, ConnectionLost { true }); });
+        break;
+    case Fault::LostBeforeReply:
+        deliverAfter(networkDelay, veryLate);
+        this->after(networkDelay, [this, attempt] { this->feed(attempt, ConnectionLost { true }); });
+        break;
+    case Fault::LateReply:
+        deliverAfter(networkDelay, veryLate);
+        break;
+    case Fault::Deadline:
+        deliverAfter(networkDelay, networkDelay);
+        this->feed(attempt, DeadlinePassed {});
+        break;
+    case Fault::PrimaryReplaced:
+        this->replacePrimary();
+        deliverAfter(networkDelay, networkDelay);
+        break;
+    case Fault::PrimaryReplacedAfterStep:
+        deliverAfter(networkDelay, networkDelay);
+        this->after(networkDelay + Duration { 1 }, [this] { this->replacePrimary(); });
+        break;
+    case Fault::VmDeath:
+        deliverAfter(networkDelay, networkDelay);
+        attempt->caller->dead = true;
+        if (step)
+            this->release(attempt, true);
+        this->call(this->calls[attempt->caller->call].request, 5ms);
+        break;
+    case Fault::Duplicate:
+        deliverAfter(networkDelay, networkDelay);
+        this->call(this->calls[attempt->caller->call].request);
+        break;
+    }
+}
+
+void World::awaitDurability(const std::shared_ptr<Attempt>& attempt, const LogPoint& point)
+{
+    if (attempt->execution->isFinished() || (attempt->caller && attempt->caller->dead))
+        return;
+    const auto holds = [&](const FakeServer& server) {
+        return server.promisedTerm == point.term && server.logTerm == point.term && server.log.size() >= point.position.value;
+    };
+    if (std::count_if(this->servers.begin(), this->servers.end(), holds) >= 2) {
+        this->feed(attempt, DurabilityReached { point });
+    } else if (this->term > point.term) {
+        this->feed(attempt, TermMoved { this->term });
+    } else {
+        this->after(networkDelay, [this, attempt, point] { this->awaitDurability(attempt, point); });
+    }
+}
+
+void World::replicate()
+{
+    const FakeServer& primary = this->servers[this->primaryIndex];
+    for (FakeServer& server : this->servers) {
+        if (server.promisedTerm != primary.promisedTerm)
+            continue;
+        server.log = primary.log;
+        server.logTerm = primary.logTerm;
+    }
+}
+
+// Fences the two replicas and promotes the better one. The old primary hears of it after the heal delay.
+void World::replacePrimary()
+{
+    const size_t old = this->primaryIndex;
+    ++this->term.value;
+    this->primaryIndex = (old + 1) % 3;
+    for (size_t index = 0; index < 3; ++index) {
+        if (index == old)
+            continue;
+        this->servers[index].promisedTerm = this->term;
+        if (this->servers[index].point() > this->servers[this->primaryIndex].point())
+            this->primaryIndex = index;
+    }
+    this->servers[this->primaryIndex].primary = true;
+    this->servers[this->primaryIndex].logTerm = this->term;
+    this->after(replicationDelay, [this] { this->replicate(); });
+    this->after(healDelay, [this] { this->healAll(); });
+}
+
+void World::healAll()
+{
+    for (size_t index = 0; index < 3; ++index) {
+        this->servers[index].primary = index == this->primaryIndex;
+        this->servers[index].promisedTerm = this->term;
+    }
+    this->replicate();
+}
+
+TransactionRequest bookingRequest(const std::string& id, std::vector<Statement> statements, TimePoint deadline)
+{
+    TransactionRequest request;
+    request.service = ServiceName("bookings");
+    request.database = DatabaseId("wattle");
+    request.organisation = OrganisationId("families");
+    request.requestId = RequestId(id);
+    request.kind = TransactionKind::Write;
+    request.statements = std::move(statements);
+    request.deadline = deadline;
+    return request;
+}
+
+}
