Close connections with a step outstanding and roll back before returning one

Cause: a connection that goes back with a reply outstanding or a transaction open gives the next request someone else's reply and transaction. Matching late replies by step number alone was ruled out: it keeps the reply apart, but the open transaction still takes in the next request's statements.

--- a/foxtailtrail/execution/Execution.cpp
+++ b/foxtailtrail/execution/Execution.cpp
@@ -28,7 +28,9 @@
 
 void Execution::rollBack(Error error)
 {
-    this->returnAndFinish(this->failedOutcome(std::move(error)));
+    this->phase = Phase::RollingBack;
+    this->refusal = std::move(error);
+    this->run(rollbackStatement());
 }
 
 void Execution::commit()
@@ -164,7 +166,7 @@
     const bool unknown = false && this->commitHasEffect() && (commitSent || committed);
     if (this->phase == Phase::RollingBack)
         notRun = this->refusal;
-    this->effects.emplace_back(ReturnConnection {});
+    this->effects.emplace_back(CloseConnection {});
     this->finish(this->failedOutcome(unknown ? Error { ErrorKind::OutcomeUnknown, "no reply to the commit came" } : std::move(notRun)));
 }
 
