Insert the request id first and answer when a majority holds the commit

Cause: a retry after a lost reply booked again, or was refused by its own first booking, and a commit that only the replaced primary held was acknowledged.

The insert of the id makes the server decide between two attempts: the second waits for the first one's lock and then finds its answer. A check by SELECT before the statements was ruled out, as two attempts can both see nothing. A repeat writes the row again unchanged, so that the position of its own commit covers what it read and the usual wait for durability covers the first answer.

--- a/foxtailtrail/execution/WriteExecution.cpp
+++ b/foxtailtrail/execution/WriteExecution.cpp
@@ -22,7 +22,7 @@
         this->run(Stage::TermCheck, platformBeginStatement(this->term(), this->request.organisation));
         return;
     case Stage::TermCheck:
-        this->runNextStatement();
+        this->run(Stage::InsertId, insertRequestStatement(this->request.organisation, this->request.requestId, this->digest));
         return;
     case Stage::InsertId:
         this->onInserted(result);
@@ -39,7 +39,7 @@
     }
 }
 
-void WriteExecution::onCommitted() { this->returnAndFinish(this->durableOutcome({ this->term(), Position {} })); }
+void WriteExecution::onCommitted() { this->awaitDurability(); }
 
 ExecutionEffect WriteExecution::durableOutcome(const LogPoint& point)
 {
@@ -114,7 +114,7 @@
     } else {
         this->outcome = fail(ErrorKind::AnswerTooLarge);
     }
-    this->commit();
+    this->run(Stage::StoreAnswer, storeAnswerStatement(this->request.organisation, this->request.requestId, kept));
 }
 
 TransactionOutcome outcomeOfRow(const RequestRow& row, std::string_view digest)
