Report a commit without a reply as an unknown outcome

Cause: a COMMIT that was sent may take effect after its connection is gone, so "not run" was false. Asking the server again over a new connection without the id was ruled out: the first COMMIT may still be under way.

--- a/foxtailtrail/execution/Execution.cpp
+++ b/foxtailtrail/execution/Execution.cpp
@@ -163,7 +163,7 @@
 {
     const bool commitSent = this->phase == Phase::Committing && outstandingStepSent;
     const bool committed = this->phase == Phase::ReadingPosition;
-    const bool unknown = false && this->commitHasEffect() && (commitSent || committed);
+    const bool unknown = this->commitHasEffect() && (commitSent || committed);
     if (this->phase == Phase::RollingBack)
         notRun = this->refusal;
     this->effects.emplace_back(CloseConnection {});
