--- a/foxtailtrail/filters/AcceptFilter.cpp
+++ b/foxtailtrail/filters/AcceptFilter.cpp
@@ -33,9 +33,10 @@
 
 }
 
-AcceptFilter::AcceptFilter(RequestParserSettings parserSettings, TransactionLimits limits)
+AcceptFilter::AcceptFilter(RequestParserSettings parserSettings, TransactionLimits limits, std::string requestIdPrefix)
     : parserSettings(parserSettings)
     , limits(limits)
+    , requestIdPrefix(std::move(requestIdPrefix))
 {
 }
 
@@ -71,7 +72,7 @@
     return fail(ErrorKind::UnknownRoute, "a service has the operations read, write and requests/ID");
 }
 
-Result<void> AcceptFilter::readHeaders(RequestContext& context) const
+Result<void> AcceptFilter::readHeaders(RequestContext& context)
 {
     std::vector<HeaderField> fields;
     fields.reserve(context.http.headers.size());
@@ -83,8 +84,11 @@
     context.request.kind = context.kind == RequestKind::Write ? TransactionKind::Write : TransactionKind::Read;
     context.request.maxStaleness = context.headers.maxStaleness;
     context.request.deadline = context.headers.deadline;
-    if (context.kind != RequestKind::Status)
-        context.request.requestId = context.headers.requestId;
+    if (context.kind == RequestKind::Status)
+        return succeed();
+    context.request.requestId = context.headers.requestId;
+    if (context.request.requestId.empty())
+        context.request.requestId = RequestId(this->requestIdPrefix + "-" + std::to_string(++this->lastRequestId));
     return succeed();
 }
 
--- a/foxtailtrail/filters/AcceptFilter.h
+++ b/foxtailtrail/filters/AcceptFilter.h
@@ -7,16 +7,19 @@
 // Reads the target, the headers and the body of a request. Fails with UnknownRoute, MethodNotAllowed or MalformedRequest.
 class AcceptFilter final : public RequestFilter {
 public:
-    AcceptFilter(RequestParserSettings, TransactionLimits);
+    // The prefix makes the request ids that this filter generates unique over VMs, their starts and threads.
+    AcceptFilter(RequestParserSettings, TransactionLimits, std::string requestIdPrefix);
 
     Result<void> apply(RequestContext&) override;
 
 private:
     Result<void> readTarget(RequestContext&) const;
-    Result<void> readHeaders(RequestContext&) const;
+    Result<void> readHeaders(RequestContext&);
 
     RequestParserSettings parserSettings;
     TransactionLimits limits;
+    std::string requestIdPrefix;
+    uint64_t lastRequestId = 0;
 };
 
 }
--- a/foxtailtrail/server/ConfigurationService.cpp
+++ b/foxtailtrail/server/ConfigurationService.cpp
@@ -69,6 +69,7 @@
     this->storeReachable = stored.has_value();
     if (wasReachable != this->storeReachable)
         logEvent(LogLevel::Warning, this->storeReachable ? "store reachable" : "store unreachable");
+    this->storeEmpty = stored && !stored.value();
     if (!stored || !stored.value())
         return;
 
@@ -101,7 +102,6 @@
     }
     if (offered.value() != OfferOutcome::Installed)
         return;
-    this->versionAcceptedBy = now();
     this->freshness.install(*this->follower.document(), this->follower.digest());
     logEvent(LogLevel::Info, "configuration installed",
         { { "version", this->follower.version() }, { "author", this->follower.document()->author } });
--- a/foxtailtrail/server/ConfigurationService.h
+++ b/foxtailtrail/server/ConfigurationService.h
@@ -51,8 +51,8 @@
     // Whether the last read of the store succeeded.
     bool isStoreReachable() const { return this->storeReachable; }
 
-    // A moment by which the newest installed version had been accepted.
-    TimePoint acceptedBy() const { return this->versionAcceptedBy; }
+    // Whether the last read of the store found no configuration at all.
+    bool isStoreEmpty() const { return this->storeEmpty; }
 
 private:
     void checkStore();
@@ -73,7 +73,7 @@
     ConfigurationFollower follower;
     FreshnessMonitor freshness;
     bool storeReachable = false;
-    TimePoint versionAcceptedBy;
+    bool storeEmpty = false;
 };
 
 }
--- /dev/null
+++ b/foxtailtrail/server/Upkeep.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "foxtailtrail/config/ConfigurationChange.h"
+#include "foxtailtrail/server/Snapshot.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace foxtail {
+
+// What the upkeep of the configuration is decided from.
+struct UpkeepView {
+    VmId self;
+    // Null while there is no configuration; then storeIsEmpty tells whether the store has none either.
+    ConfigurationDocument configuration;
+    bool storeIsEmpty = false;
+    // The VMs that live and are not leaving, ordered by id.
+    std::vector<LiveVm> liveVms;
+    // How long a VM has been silent. A VM that was never heard counts as silent since the start of this process.
+    std::function<Duration(const VmId&)> silence;
+};
+
+// How long a VM must be silent before its tasks are given to others.
+struct UpkeepSettings {
+    Duration limitOwnerSilence = std::chrono::seconds(3);
+    // Longer than a restart, since each replacement of a witness needs majorities of two lists.
+    Duration witnessSilence = std::chrono::seconds(10);
+};
+
+// The number of witnesses that the fleet keeps when it has that many VMs.
+constexpr size_t wantedWitnesses = 5;
+
+// The change that this VM should propose now so that the configuration fits the live VMs, if any: the first version, owners for
+// limit shards, or a witness. The VM with the lowest id proposes; should two do so, the compare-and-set lets one win.
+std::optional<ChangeAction> dueUpkeep(const UpkeepView&, const UpkeepSettings&);
+
+// A random secret for the first version, as hexadecimal text.
+std::string makeFleetSecret();
+
+}
