Close a connection whose answer is late or broken

A late answer can still arrive on the connection, and nothing on it tells which statement it belongs to. So the connection is closed as soon as an answer is missing, and a statement that cannot be sent is reported as not sent. Draining the late answer before the next statement was ruled out: it makes the next request wait for a server that is already too slow.

--- a/foxtailtrail/backend/BackendConnection.cpp
+++ b/foxtailtrail/backend/BackendConnection.cpp
@@ -114,10 +114,15 @@
     values.reserve(parameters.size());
     for (const SqlValue& parameter : parameters)
         values.push_back(parameter ? parameter->c_str() : nullptr);
-    PQsendQueryParams(this->connection.get(), sql.c_str(), static_cast<int>(values.size()), nullptr, values.data(), nullptr, nullptr, 0);
+    if (!PQsendQueryParams(
+            this->connection.get(), sql.c_str(), static_cast<int>(values.size()), nullptr, values.data(), nullptr, nullptr, 0)) {
+        const std::string reason = trimmed(PQerrorMessage(this->connection.get()));
+        this->close();
+        return fail(ErrorKind::PeerUnavailable, "the statement was not sent: " + reason);
+    }
     if (!this->flush(deadline) || !this->awaitAnswer(deadline))
-        return fail(ErrorKind::OutcomeUnknown, "the backend server did not answer: " + trimmed(PQerrorMessage(this->connection.get())));
-    return this->readAnswer();
+        return this->abandon(PQerrorMessage(this->connection.get()));
+    return this->readAnswer(deadline);
 }
 
 bool BackendConnection::isReusable()
@@ -126,7 +131,7 @@
         return false;
     // Notices the end of the connection without blocking.
     PQconsumeInput(this->connection.get());
-    return PQstatus(this->connection.get()) == CONNECTION_OK;
+    return PQstatus(this->connection.get()) == CONNECTION_OK && PQtransactionStatus(this->connection.get()) == PQTRANS_IDLE;
 }
 
 Result<void> BackendConnection::finishConnecting(TimePoint deadline)
@@ -173,22 +178,32 @@
     return true;
 }
 
-Result<QueryResult> BackendConnection::readAnswer()
+Result<QueryResult> BackendConnection::readAnswer(TimePoint deadline)
 {
     const PostgresResult result(PQgetResult(this->connection.get()));
-    while (PGresult* rest = PQgetResult(this->connection.get()))
-        PQclear(rest);
     const ExecStatusType status = PQresultStatus(result.get());
-    if (status == PGRES_TUPLES_OK || status == PGRES_COMMAND_OK)
-        return readRows(result.get());
     const char* state = PQresultErrorField(result.get(), PG_DIAG_SQLSTATE);
+    // Without a SQLSTATE the error is libpq's own: the connection broke. A copy would need a second exchange.
+    if (status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK && !state)
+        return this->abandon(PQresultErrorMessage(result.get()));
+    // The answer is complete when the server is ready for the next statement.
+    if (!this->awaitAnswer(deadline) || PostgresResult(PQgetResult(this->connection.get())))
+        return this->abandon(PQerrorMessage(this->connection.get()));
     if (!state)
-        return fail(ErrorKind::OutcomeUnknown, "the connection broke: " + trimmed(PQresultErrorMessage(result.get())));
+        return readRows(result.get());
     this->sqlState = state;
     const char* text = PQresultErrorField(result.get(), PG_DIAG_MESSAGE_PRIMARY);
     return fail(errorKindOfSqlState(this->sqlState), this->sqlState + ": " + (text ? text : ""));
 }
 
+Result<QueryResult> BackendConnection::abandon(std::string_view reason)
+{
+    Error error { ErrorKind::OutcomeUnknown, "no whole answer from the backend server: " + trimmed(std::string(reason)) };
+    // The answer may still arrive, so nobody may read from this connection any more.
+    this->close();
+    return error;
+}
+
 void BackendConnection::close()
 {
     this->waiter.reset();
--- a/foxtailtrail/backend/BackendConnection.h
+++ b/foxtailtrail/backend/BackendConnection.h
@@ -80,7 +80,8 @@
     Result<void> finishConnecting(TimePoint deadline);
     bool flush(TimePoint deadline);
     bool awaitAnswer(TimePoint deadline);
-    Result<QueryResult> readAnswer();
+    Result<QueryResult> readAnswer(TimePoint deadline);
+    Result<QueryResult> abandon(std::string_view reason);
     void close();
 
     std::unique_ptr<pg_conn, Finish> connection;
