--- a/foxtailtrail/backend/BackendConnection.cpp
+++ b/foxtailtrail/backend/BackendConnection.cpp
@@ -108,19 +108,18 @@
 Result<QueryResult> BackendConnection::query(const std::string& sql, const std::vector<SqlValue>& parameters, TimePoint deadline)
 {
     this->sqlState.clear();
-    if (!this->isOpen())
+    if (!this->isOpen() || PQstatus(this->connection.get()) != CONNECTION_OK) {
+        this->close();
         return fail(ErrorKind::PeerUnavailable, "the connection to the backend server is closed");
+    }
     std::vector<const char*> values;
     values.reserve(parameters.size());
     for (const SqlValue& parameter : parameters)
         values.push_back(parameter ? parameter->c_str() : nullptr);
-    if (!PQsendQueryParams(
-            this->connection.get(), sql.c_str(), static_cast<int>(values.size()), nullptr, values.data(), nullptr, nullptr, 0)) {
-        const std::string reason = trimmed(PQerrorMessage(this->connection.get()));
-        this->close();
-        return fail(ErrorKind::PeerUnavailable, "the statement was not sent: " + reason);
-    }
-    if (!this->flush(deadline) || !this->awaitAnswer(deadline))
+    // A send that fails may have sent a part, so from here on the outcome is unknown without an answer.
+    const bool sent = PQsendQueryParams(
+        this->connection.get(), sql.c_str(), static_cast<int>(values.size()), nullptr, values.data(), nullptr, nullptr, 0);
+    if (!sent || !this->flush(deadline) || !this->awaitAnswer(deadline))
         return this->abandon(PQerrorMessage(this->connection.get()));
     return this->readAnswer(deadline);
 }
