--- a/foxtailtrail/failover/GroupMonitor.cpp
+++ b/foxtailtrail/failover/GroupMonitor.cpp
@@ -11,6 +11,9 @@
     // One failed probe may be one lost packet.
     constexpr unsigned failuresOfUnreachable = 2;
 
+    // How many VMs of other data centres must confirm that the primary can't be reached.
+    constexpr size_t confirmingPeers = 2;
+
     std::vector<BackendServerId> idsOf(const std::vector<GroupMember>& members)
     {
         std::vector<BackendServerId> ids;
@@ -142,10 +145,21 @@
     // Fencing needs a majority, so without one a promotion could only disturb the group.
     if (this->reachableCount(nullptr, now) < this->observations.majority())
         return std::nullopt;
-    if (!primary || !this->isUnansweredFor(*silent, this->settings.probeSilence, now))
+    if (!primary && !this->isTermSettled(now))
+        return std::nullopt;
+    if (!primary && this->isUnfinished(now))
+        return PromotionCause::Unfinished;
+    if (!silent)
         return std::nullopt;
+    if (!this->isUnansweredFor(*silent, this->settings.probeSilence, now)) {
+        const bool canReplace = this->reachableCount(silent, now) >= this->observations.majority();
+        const bool cutOff = this->othersReportSilence(silent, this->settings.brokenLinkSilence, now);
+        return primary && canReplace && cutOff ? std::optional(PromotionCause::ReplicasCutOff) : std::nullopt;
+    }
     if (this->othersReportSilence(silent, this->settings.replicaSilence, now))
         return PromotionCause::PrimarySilent;
+    if (this->isUnansweredFor(*silent, this->settings.brokenLinkSilence, now) && this->isConfirmedByPeers(silent->member.server, now))
+        return PromotionCause::PeersConfirm;
     return std::nullopt;
 }
 
@@ -248,6 +262,35 @@
         [&](const Server& server) { return &server != except && this->answersProbes(server, now); }));
 }
 
+bool GroupMonitor::isConfirmedByPeers(const BackendServerId& server, TimePoint now) const
+{
+    size_t elsewhere = 0;
+    size_t confirming = 0;
+    for (const MonitorPeer& peer : this->scope.peers) {
+        if (peer.dataCentre == this->scope.ownDataCentre)
+            continue;
+        ++elsewhere;
+        confirming += static_cast<size_t>(std::count_if(this->evidence.begin(), this->evidence.end(), [&](const PeerEvidence& answer) {
+            return answer.vm == peer.vm && answer.server == server && !answer.reachable
+                && answer.askedAt + this->settings.peerEvidenceLifetime > now;
+        }));
+    }
+    return confirming >= std::max<size_t>(1, std::min(elsewhere, confirmingPeers));
+}
+
+// Whether a promoter of the highest term has had the time to finish.
+bool GroupMonitor::isTermSettled(TimePoint now) const
+{
+    return this->termSeenAt && *this->termSeenAt + this->settings.unfinishedAfter <= now;
+}
+
+// No server that answers is the primary of the highest term; and no other can be, or replicas would hear it.
+bool GroupMonitor::isUnfinished(TimePoint now) const
+{
+    return this->reachableCount(nullptr, now) == this->servers.size()
+        || this->othersReportSilence(nullptr, this->settings.replicaSilence, now);
+}
+
 const GroupMonitor::Server* GroupMonitor::successor(const Server& leaving) const
 {
     const Server* best = nullptr;
--- a/foxtailtrail/failover/GroupMonitor.h
+++ b/foxtailtrail/failover/GroupMonitor.h
@@ -150,6 +150,9 @@
     bool reportsSilence(const Server&, Duration) const;
     bool othersReportSilence(const Server* primary, Duration, TimePoint now) const;
     size_t reachableCount(const Server* except, TimePoint now) const;
+    bool isConfirmedByPeers(const BackendServerId&, TimePoint now) const;
+    bool isTermSettled(TimePoint now) const;
+    bool isUnfinished(TimePoint now) const;
     std::optional<PromotionCause> causeOfUnplanned(TimePoint now) const;
     const Server* successor(const Server& leaving) const;
     void adoptTerm(const ServerStatus&, TimePoint now);
--- a/tests/failover/FaultMatrixTest.cpp
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -238,4 +238,55 @@
     EXPECT_NE(scenario.violationsOf("acknowledged but lost"), 0);
 }
 
+// Every fault at every step of a promotion and of an acknowledgement, after the death of the primary.
+class SingleFaultTest : public testing::TestWithParam<std::tuple<size_t, size_t>> { };
+
+// Guards against a fault at one step that loses or duplicates a write, makes two primaries or ends the service.
+TEST_P(SingleFaultTest, HoldsWithADeadPrimary)
+{
+    const auto [fault, step] = this->GetParam();
+    Scenario scenario({ { static_cast<Fault>(fault), static_cast<Step>(step) } });
+    scenario.killPrimary();
+    expectCorrect(scenario, anyGap);
+}
+
+// Guards against the same without a dead primary: the fault itself is what the group has to survive.
+TEST_P(SingleFaultTest, HoldsWithALivePrimary)
+{
+    const auto [fault, step] = this->GetParam();
+    Scenario scenario({ { static_cast<Fault>(fault), static_cast<Step>(step) } });
+    expectCorrect(scenario, anyGap);
+}
+
+std::string matrixName(size_t fault, size_t other) { return std::string(faultNames[fault]) + "At" + stepNames[other]; }
+
+INSTANTIATE_TEST_SUITE_P(Matrix, SingleFaultTest,
+    testing::Combine(testing::Range<size_t>(0, faultNames.size()), testing::Range<size_t>(0, stepCount)),
+    [](const auto& parameters) { return matrixName(std::get<0>(parameters.param), std::get<1>(parameters.param)); });
+
+// Pairs of faults, the second at the same step as the first or at the next one.
+class FaultPairTest : public testing::TestWithParam<std::tuple<size_t, size_t>> { };
+
+// Guards against two faults that together break what each alone does not.
+TEST_P(FaultPairTest, HoldsAtEveryStep)
+{
+    const auto [first, second] = this->GetParam();
+    for (size_t step = 0; step < stepCount; ++step) {
+        for (size_t offset = 0; offset < 2; ++offset) {
+            const size_t next = (step + offset) % stepCount;
+            SCOPED_TRACE(matrixName(first, step) + " and " + matrixName(second, next));
+            Scenario scenario(
+                { { static_cast<Fault>(first), static_cast<Step>(step) }, { static_cast<Fault>(second), static_cast<Step>(next) } });
+            scenario.killPrimary();
+            expectCorrect(scenario, anyGap);
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Matrix, FaultPairTest,
+    testing::Combine(testing::Range<size_t>(0, faultNames.size()), testing::Range<size_t>(0, faultNames.size())),
+    [](const auto& parameters) {
+        return std::string(faultNames[std::get<0>(parameters.param)]) + "And" + faultNames[std::get<1>(parameters.param)];
+    });
+
 }
