--- a/tests/failover/FakeGroup.h
+++ b/tests/failover/FakeGroup.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -53,16 +52,18 @@
 
     void at(TimePoint when, std::function<void()> action)
     {
-        this->events.push({ std::max(when, this->time), ++this->sequence, std::move(action) });
+        this->events.push_back({ std::max(when, this->time), ++this->sequence, std::move(action) });
+        std::push_heap(this->events.begin(), this->events.end());
     }
 
     void after(Duration delay, std::function<void()> action) { this->at(this->time + delay, std::move(action)); }
 
     void runUntil(TimePoint end)
     {
-        while (!this->events.empty() && this->events.top().when <= end) {
-            const Event event = this->events.top();
-            this->events.pop();
+        while (!this->events.empty() && this->events.front().when <= end) {
+            std::pop_heap(this->events.begin(), this->events.end());
+            const Event event = std::move(this->events.back());
+            this->events.pop_back();
             this->time = event.when;
             event.action();
         }
@@ -83,7 +84,7 @@
     std::mt19937_64 random;
     TimePoint time;
     uint64_t sequence = 0;
-    std::priority_queue<Event> events;
+    std::vector<Event> events;
 };
 
 // A transaction in a log. Equal entries have the same write and the same term of origin.
@@ -151,13 +152,12 @@
     static BackendServerId id(size_t server) { return BackendServerId("s" + std::to_string(server)); }
     static size_t indexOf(const BackendServerId& server) { return static_cast<size_t>(server.value.back() - '0'); }
 
-    // Blocks or opens every link that leaves the server, and with both set also every link towards it.
-    void isolate(size_t server, bool blocked, bool both)
+    // Blocks or opens every link from one set of nodes to another.
+    void block(const std::set<size_t>& from, const std::set<size_t>& to, bool blocked)
     {
-        for (size_t node = 0; node < nodeCount; ++node) {
-            this->blockedLinks[server][node] = blocked;
-            if (both)
-                this->blockedLinks[node][server] = blocked;
+        for (const size_t source : from) {
+            for (const size_t target : to)
+                this->blockedLinks[source][target] = blocked;
         }
     }
 
--- a/tests/failover/FaultMatrixTest.cpp
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -9,16 +9,22 @@
 
     enum class Fault : uint8_t {
         Kill,
+        // The server loses every link.
         Partition,
+        // Nothing that the server sends arrives.
         OneWayPartition,
+        // The server reaches the VMs but no other server.
+        CutOff,
+        // The server and the first VM are on one side, all others on the other.
+        Split,
         PausePromoter,
         LoseReply,
         DelayRequest,
         SecondPromoter,
         ReplicaLag,
     };
-    constexpr std::array<const char*, 8> faultNames { "Kill", "Partition", "OneWay", "Pause", "LoseReply", "DelayRequest", "SecondPromoter",
-        "Lag" };
+    constexpr std::array<const char*, 10> faultNames { "Kill", "Partition", "OneWay", "CutOff", "Split", "Pause", "LoseReply",
+        "DelayRequest", "SecondPromoter", "Lag" };
     constexpr std::array<const char*, stepCount> stepNames { "PromotionStarted", "FenceSent", "FenceDone", "FenceReplied", "PromoteSent",
         "PromoteDone", "PromoteReplied", "FollowSent", "FollowDone", "PromotionEnded", "WriteSent", "WriteCommitted", "StatusRead",
         "Acknowledged" };
@@ -59,6 +65,15 @@
             this->simulation().at(firstFaultAt, [this] { this->inject(Fault::Kill, 0, std::chrono::seconds(8)); });
         }
 
+        // Drains the first primary at 1 s in the configuration of every VM.
+        void drainPrimary()
+        {
+            this->simulation().at(firstFaultAt, [this] {
+                for (auto& vm : this->vms)
+                    EXPECT_TRUE(vm->monitor.changeScope(vm->scope(0)).has_value());
+            });
+        }
+
         void run()
         {
             this->simulation().at(end - std::chrono::seconds(2), [this] { this->clientsStop = true; });
@@ -100,8 +115,10 @@
                 break;
             case Fault::Partition:
             case Fault::OneWayPartition:
-                this->group.isolate(server, true, fault == Fault::Partition);
-                heal([this, server] { this->group.isolate(server, false, true); });
+            case Fault::CutOff:
+            case Fault::Split:
+                this->cut(fault, server, true);
+                heal([this, fault, server] { this->cut(fault, server, false); });
                 break;
             case Fault::PausePromoter:
                 this->group.pausedUntil[firstVm] = this->simulation().now() + length;
@@ -132,7 +149,25 @@
         FakeGroup group { 42 };
         std::vector<std::unique_ptr<FakeVm>> vms;
 
+        // Whether every injection took place.
+        bool isComplete() const { return this->done.size() == this->injections.size(); }
+
     private:
+        void cut(Fault fault, size_t server, bool blocked)
+        {
+            std::set<size_t> side { server };
+            if (fault == Fault::Split)
+                side.insert(firstVm);
+            std::set<size_t> others;
+            for (size_t node = 0; node < (fault == Fault::CutOff ? groupSize : nodeCount); ++node) {
+                if (!side.contains(node))
+                    others.insert(node);
+            }
+            this->group.block(side, others, blocked);
+            if (fault != Fault::OneWayPartition)
+                this->group.block(others, side, blocked);
+        }
+
         void reached(Step step, size_t server)
         {
             if (this->simulation().now() < firstFaultAt)
@@ -238,31 +273,84 @@
     EXPECT_NE(scenario.violationsOf("acknowledged but lost"), 0);
 }
 
-// Every fault at every step of a promotion and of an acknowledgement, after the death of the primary.
-class SingleFaultTest : public testing::TestWithParam<std::tuple<size_t, size_t>> { };
-
-// Guards against a fault at one step that loses or duplicates a write, makes two primaries or ends the service.
-TEST_P(SingleFaultTest, HoldsWithADeadPrimary)
+// Guards against a group without service when replicas still hear a primary that no VM can reach.
+TEST(FaultMatrixTest, PeersConfirmPrimaryThatReplicasHear)
 {
-    const auto [fault, step] = this->GetParam();
-    Scenario scenario({ { static_cast<Fault>(fault), static_cast<Step>(step) } });
-    scenario.killPrimary();
+    Scenario scenario({});
+    scenario.simulation().at(firstFaultAt, [&] {
+        scenario.group.block({ 0 }, { 3, 4, 5 }, true);
+        scenario.group.block({ 3, 4, 5 }, { 0 }, true);
+    });
     expectCorrect(scenario, anyGap);
+    EXPECT_TRUE(scenario.vms[0]->causes.contains(PromotionCause::PeersConfirm));
+    EXPECT_FALSE(scenario.vms[0]->causes.contains(PromotionCause::PrimarySilent));
 }
 
-// Guards against the same without a dead primary: the fault itself is what the group has to survive.
-TEST_P(SingleFaultTest, HoldsWithALivePrimary)
+// Guards against one VM's broken link replacing a healthy primary.
+TEST(FaultMatrixTest, OneBrokenLinkPromotesNobody)
 {
-    const auto [fault, step] = this->GetParam();
-    Scenario scenario({ { static_cast<Fault>(fault), static_cast<Step>(step) } });
-    expectCorrect(scenario, anyGap);
+    Scenario scenario({});
+    scenario.simulation().at(firstFaultAt, [&] { scenario.group.block({ 0 }, { 3 }, true); });
+    scenario.run();
+    EXPECT_EQ(scenario.group.history.primaries.size(), 1U);
+}
+
+// Guards against an ordered promotion that cuts off service for longer than the successor needs to catch up.
+TEST(FaultMatrixTest, DrainingPrimaryIsReplacedWithoutDetection)
+{
+    Scenario scenario({});
+    scenario.drainPrimary();
+    expectCorrect(scenario, milliseconds(500));
+    EXPECT_EQ(scenario.group.history.primaries.size(), 2U);
 }
 
-std::string matrixName(size_t fault, size_t other) { return std::string(faultNames[fault]) + "At" + stepNames[other]; }
+// A fault and a step.
+class SingleFaultTest : public testing::TestWithParam<std::tuple<size_t, size_t>> {
+protected:
+    void expectWithFault(Scenario& scenario, Duration gapLimit)
+    {
+        expectCorrect(scenario, gapLimit);
+        EXPECT_TRUE(scenario.isComplete());
+    }
+
+    Scenario scenario { { { static_cast<Fault>(std::get<0>(GetParam())), static_cast<Step>(std::get<1>(GetParam())) } } };
+};
+class DeadPrimaryTest : public SingleFaultTest { };
+class LivePrimaryTest : public SingleFaultTest { };
+class LeavingPrimaryTest : public SingleFaultTest { };
+
+// Guards against a fault during the promotion that replaces a dead primary. While the fault takes a second server away
+// there is no majority.
+TEST_P(DeadPrimaryTest, SurvivesFault)
+{
+    this->scenario.killPrimary();
+    this->expectWithFault(
+        this->scenario, std::get<0>(GetParam()) <= static_cast<size_t>(Fault::Split) ? faultLength + silentGap : silentGap);
+}
 
-INSTANTIATE_TEST_SUITE_P(Matrix, SingleFaultTest,
-    testing::Combine(testing::Range<size_t>(0, faultNames.size()), testing::Range<size_t>(0, stepCount)),
-    [](const auto& parameters) { return matrixName(std::get<0>(parameters.param), std::get<1>(parameters.param)); });
+// Guards against a fault during an acknowledgement by a healthy primary.
+TEST_P(LivePrimaryTest, SurvivesFault) { this->expectWithFault(this->scenario, silentGap); }
+
+// Guards against a fault during the ordered promotion away from a draining primary.
+TEST_P(LeavingPrimaryTest, SurvivesFault)
+{
+    this->scenario.drainPrimary();
+    this->expectWithFault(this->scenario, faultLength + silentGap);
+    EXPECT_NE(this->scenario.vms[0]->monitor.view(end).primary, FakeGroup::id(0));
+}
+
+std::string matrixName(size_t fault, size_t step) { return std::string(faultNames[fault]) + "At" + stepNames[step]; }
+std::string matrixParameterName(const testing::TestParamInfo<std::tuple<size_t, size_t>>& parameters)
+{
+    return matrixName(std::get<0>(parameters.param), std::get<1>(parameters.param));
+}
+
+const auto everyFault = testing::Range<size_t>(0, faultNames.size());
+const auto everyStep = testing::Range<size_t>(0, stepCount);
+const auto acknowledgementSteps = testing::Range(static_cast<size_t>(Step::WriteSent), stepCount);
+INSTANTIATE_TEST_SUITE_P(Matrix, DeadPrimaryTest, testing::Combine(everyFault, everyStep), matrixParameterName);
+INSTANTIATE_TEST_SUITE_P(Matrix, LivePrimaryTest, testing::Combine(everyFault, acknowledgementSteps), matrixParameterName);
+INSTANTIATE_TEST_SUITE_P(Matrix, LeavingPrimaryTest, testing::Combine(everyFault, everyStep), matrixParameterName);
 
 // Pairs of faults, the second at the same step as the first or at the next one.
 class FaultPairTest : public testing::TestWithParam<std::tuple<size_t, size_t>> { };
@@ -283,10 +371,8 @@
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(Matrix, FaultPairTest,
-    testing::Combine(testing::Range<size_t>(0, faultNames.size()), testing::Range<size_t>(0, faultNames.size())),
-    [](const auto& parameters) {
-        return std::string(faultNames[std::get<0>(parameters.param)]) + "And" + faultNames[std::get<1>(parameters.param)];
-    });
+INSTANTIATE_TEST_SUITE_P(Matrix, FaultPairTest, testing::Combine(everyFault, everyFault), [](const auto& parameters) {
+    return std::string(faultNames[std::get<0>(parameters.param)]) + "And" + faultNames[std::get<1>(parameters.param)];
+});
 
 }
