Begin a planned promotion once and at one VM

Before: draining a primary made three VMs fence it at once and the winner promoted again on statuses older than its own promotion, so one drain used terms up to 4 (4 primaries, expected 2).

--- a/foxtailtrail/failover/Promotion.cpp
+++ b/foxtailtrail/failover/Promotion.cpp
@@ -31,7 +31,10 @@
 
 std::vector<PromotionEffect> Promotion::start(const PromotionRequest& newRequest, TimePoint now)
 {
-    if (this->isRunning() || now < this->startNotBefore || newRequest.members.empty())
+    if (this->isRunning() || now < this->startNotBefore || newRequest.members.empty() || !this->isTurnForPlanned(newRequest, now))
+        return {};
+    // Statuses read before this object's own promotion ended still call for it.
+    if (this->currentPhase == PromotionPhase::Done && newRequest.highestTerm < this->currentTerm)
         return {};
     this->request = newRequest;
     this->highestSeen = std::max(this->highestSeen, newRequest.highestTerm);
@@ -40,6 +43,15 @@
     return this->dueEffects(now);
 }
 
+bool Promotion::isTurnForPlanned(const PromotionRequest& asked, TimePoint now)
+{
+    if (this->plannedFor != asked.leavingPrimary) {
+        this->plannedFor = asked.leavingPrimary;
+        this->plannedSince = now;
+    }
+    return !asked.leavingPrimary || this->plannedSince + this->settings.plannedStep * asked.place <= now;
+}
+
 std::vector<PromotionEffect> Promotion::handle(const PromotionEvent& event, TimePoint now)
 {
     if (!this->isRunning())
--- a/foxtailtrail/failover/Promotion.h
+++ b/foxtailtrail/failover/Promotion.h
@@ -25,6 +25,8 @@
     Duration backoffStep = std::chrono::milliseconds(400);
     // Random-like extra back-off per lost attempt in a row. It separates two VMs that both believe they are first.
     Duration backoffSpread = std::chrono::milliseconds(100);
+    // A planned promotion is not urgent: the VM at place n leaves the VMs before it this long, times n, to begin it.
+    Duration plannedStep = std::chrono::seconds(1);
     // How often a promotion begins again in a higher term, when the server it chose doesn't answer, before it gives up.
     unsigned restarts = 3;
 };
@@ -143,7 +145,8 @@
     // its former life could choose a second server in the same term.
     explicit Promotion(std::string promoter, PromotionSettings = {});
 
-    // Begins in a term higher than any seen. Does nothing while a promotion runs or the back-off lasts.
+    // Begins in a term higher than any seen. Does nothing while a promotion runs or the back-off lasts, or before a planned
+    // promotion is this VM's turn. Called again as long as the promotion is due.
     std::vector<PromotionEffect> start(const PromotionRequest&, TimePoint now);
 
     // Takes in an event. Events of former terms and repeated events do no harm.
@@ -178,6 +181,7 @@
     void applyFence(Member&, const CommandReply&);
     void learn(Member&, const ServerStatus&, TimePoint now);
 
+    bool isTurnForPlanned(const PromotionRequest&, TimePoint now);
     void beginTerm(TimePoint now);
     void enter(PromotionPhase, Duration limit, TimePoint now);
     void advance(TimePoint now);
@@ -203,6 +207,9 @@
     std::vector<Member> members;
     TimePoint phaseDeadline;
     TimePoint startNotBefore;
+    // When the planned promotion away from a primary was first asked for.
+    std::optional<BackendServerId> plannedFor;
+    TimePoint plannedSince;
     std::optional<BackendServerId> chosen;
     bool promoted = false;
     bool hintRecorded = false;
--- a/tests/failover/FaultMatrixTest.cpp
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -281,6 +281,10 @@
         scenario.group.block({ 0 }, { 3, 4, 5 }, true);
         scenario.group.block({ 3, 4, 5 }, { 0 }, true);
     });
+    scenario.simulation().at(TimePoint(std::chrono::seconds(9)), [&] {
+        scenario.group.block({ 0 }, { 3, 4, 5 }, false);
+        scenario.group.block({ 3, 4, 5 }, { 0 }, false);
+    });
     expectCorrect(scenario, anyGap);
     EXPECT_TRUE(scenario.vms[0]->causes.contains(PromotionCause::PeersConfirm));
     EXPECT_FALSE(scenario.vms[0]->causes.contains(PromotionCause::PrimarySilent));
