--- a/foxtailtrail/failover/DurabilityTracker.cpp
+++ b/foxtailtrail/failover/DurabilityTracker.cpp
@@ -86,10 +86,11 @@
         Durability durability = this->strategy->judge(wait.commit, this->observations);
         if (durability == Durability::Pending && now >= wait.deadline)
             durability = Durability::Expired;
-        if (durability == Durability::Pending)
+        if (durability == Durability::Pending) {
             undecided.push_back(wait);
-        else
+        } else {
             outcomes.push_back({ wait.ticket, wait.commit, durability });
+        }
     }
     this->pending = std::move(undecided);
     return outcomes;
--- a/foxtailtrail/failover/DurabilityTracker.h
+++ b/foxtailtrail/failover/DurabilityTracker.h
@@ -76,7 +76,8 @@
 // Names a commit that waits for its acknowledgement.
 struct DurabilityTicket {
     uint64_t value = 0;
-    auto operator<=>(const DurabilityTicket&) const = default;
+    bool operator==(const DurabilityTicket&) const = default;
+    bool operator<(const DurabilityTicket& other) const { return this->value < other.value; }
 };
 
 // A commit whose wait is over.
--- a/foxtailtrail/failover/GroupMonitor.cpp
+++ b/foxtailtrail/failover/GroupMonitor.cpp
@@ -17,6 +17,7 @@
     std::vector<BackendServerId> idsOf(const std::vector<GroupMember>& members)
     {
         std::vector<BackendServerId> ids;
+        ids.reserve(members.size());
         for (const GroupMember& member : members)
             ids.push_back(member.server);
         return ids;
@@ -29,9 +30,10 @@
         auto ids = idsOf(scope.members);
         std::sort(ids.begin(), ids.end());
         const auto twice = std::adjacent_find(ids.begin(), ids.end());
-        if (twice != ids.end())
+        if (twice != ids.end()) {
             return fail(
                 ErrorKind::MalformedRequest, "database " + scope.database.value + " names backend server " + twice->value + " twice");
+        }
         return succeed();
     }
 
--- a/foxtailtrail/failover/Promotion.cpp
+++ b/foxtailtrail/failover/Promotion.cpp
@@ -137,10 +137,11 @@
     for (const PromotionMember& member : this->request.members)
         this->members.push_back({ member.server, member.draining, false, false, false, std::nullopt, now });
     const bool planned = this->request.leavingPrimary && this->request.successor;
-    if (planned)
+    if (planned) {
         this->enter(PromotionPhase::CatchingUp, this->settings.catchUpLimit, now);
-    else
+    } else {
         this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
+    }
 }
 
 void Promotion::enter(PromotionPhase phase, Duration limit, TimePoint now)
@@ -169,10 +170,11 @@
 {
     const Member* leaving = this->find(*this->request.leavingPrimary);
     // Another promoter has fenced the leaving primary already.
-    if (leaving && leaving->refused)
+    if (leaving && leaving->refused) {
         this->lose(now);
-    else if (this->successorCaughtUp || !leaving || now >= this->phaseDeadline)
+    } else if (this->successorCaughtUp || !leaving || now >= this->phaseDeadline) {
         this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
+    }
 }
 
 void Promotion::advanceFencing(TimePoint now)
@@ -288,14 +290,15 @@
 {
     const bool fencing = this->currentPhase == PromotionPhase::CatchingUp || this->currentPhase == PromotionPhase::Fencing;
     const bool watched = this->currentPhase == PromotionPhase::CatchingUp && member.server == this->request.successor;
-    if (watched || member.refused || (fencing && member.fenced))
+    if (watched || member.refused || (fencing && member.fenced)) {
         effects.emplace_back(ReadStatus { member.server });
-    else if (fencing)
+    } else if (fencing) {
         effects.emplace_back(FenceServer { member.server, this->currentTerm });
-    else if (this->currentPhase == PromotionPhase::Promoting)
+    } else if (this->currentPhase == PromotionPhase::Promoting) {
         effects.emplace_back(PromoteServer { member.server, this->currentTerm });
-    else
+    } else {
         effects.emplace_back(FollowPrimary { member.server, this->currentTerm, *this->chosen });
+    }
 }
 
 Promotion::Member* Promotion::find(const BackendServerId& server)
--- a/tests/failover/FakeGroup.h
+++ b/tests/failover/FakeGroup.h
@@ -162,16 +162,18 @@
     }
 
     // Runs an action of a VM, when the VM is not paused.
-    void onVm(size_t vm, std::function<void()> action)
+    void onVm(size_t vm, const std::function<void()>& action)
     {
-        if (this->simulation.now() >= this->pausedUntil[vm])
+        if (this->simulation.now() >= this->pausedUntil[vm]) {
             action();
-        else
+        } else {
             this->simulation.at(this->pausedUntil[vm], [this, vm, action] { this->onVm(vm, action); });
+        }
     }
 
     // Calls a server from a VM. The result is empty when there was no reply in time.
-    void call(size_t vm, size_t server, std::function<FakeReply(FakeServer&)> operation, std::function<void(std::optional<FakeReply>)> done)
+    void call(size_t vm, size_t server, const std::function<FakeReply(FakeServer&)>& operation,
+        const std::function<void(std::optional<FakeReply>)>& done)
     {
         const auto answered = std::make_shared<bool>(false);
         const auto finish = [this, vm, answered, done](std::optional<FakeReply> reply) {
--- a/tests/failover/FakeVm.h
+++ b/tests/failover/FakeVm.h
@@ -52,7 +52,7 @@
     }
 
     // Commits a write once and calls back when it is acknowledged; tries the same id again until then.
-    void write(uint64_t id, std::function<void(LogPoint)> acknowledged)
+    void write(uint64_t id, const std::function<void(LogPoint)>& acknowledged)
     {
         const GroupView view = this->monitor.view(this->now());
         const auto again
@@ -84,7 +84,7 @@
     }
 
     // Looks for a write with a read as the router plans it, and routes again until a read succeeds.
-    void read(ReadNeed need, uint64_t write, std::function<void(bool)> done)
+    void read(const ReadNeed& need, uint64_t write, const std::function<void(bool)>& done)
     {
         const auto plan = ReadRouter().route(need, this->monitor.view(this->now()), this->now(), this->now().time_since_epoch().count());
         const auto again
@@ -99,13 +99,14 @@
             this->node, FakeGroup::indexOf(attempt.server),
             [this, attempt, asPrimary, write](FakeServer& server) { return this->group.read(server, attempt.required, asPrimary, write); },
             [this, attempt, again, done](std::optional<FakeReply> reply) {
-                if (!reply || reply->outcome != CommandOutcome::Done)
+                if (!reply || reply->outcome != CommandOutcome::Done) {
                     again();
-                else if (!attempt.confirmedSince)
+                } else if (!attempt.confirmedSince) {
                     done(reply->found);
-                else
+                } else {
                     this->confirm(
                         attempt, 5, [done, reply] { done(reply->found); }, again);
+                }
             });
     }
 
@@ -125,12 +126,12 @@
         std::function<void(LogPoint)> acknowledged;
     };
 
-    void later(Duration delay, std::function<void()> action)
+    void later(Duration delay, const std::function<void()>& action)
     {
         this->group.simulation.after(delay, [this, action] { this->group.onVm(this->node, action); });
     }
 
-    void tick(Duration period, std::function<void()> action)
+    void tick(Duration period, const std::function<void()>& action)
     {
         this->later(period, [this, period, action] {
             action();
@@ -138,7 +139,7 @@
         });
     }
 
-    void readStatus(size_t server, std::function<void(TimePoint, std::optional<ServerStatus>)> done)
+    void readStatus(size_t server, const std::function<void(TimePoint, std::optional<ServerStatus>)>& done)
     {
         this->group.call(
             this->node, server, [this](FakeServer& target) { return this->group.reply(target, true); },
@@ -228,7 +229,8 @@
     }
 
     // Sends a command; the steps that follow the sending of it are the two next in the list.
-    void command(PromotionCommand command, const BackendServerId& id, Term term, Step sent, std::function<FakeReply(FakeServer&)> operation)
+    void command(
+        PromotionCommand command, const BackendServerId& id, Term term, Step sent, const std::function<FakeReply(FakeServer&)>& operation)
     {
         const auto following = [sent](int offset) { return static_cast<Step>(static_cast<int>(sent) + offset); };
         const size_t target = FakeGroup::indexOf(id);
@@ -278,14 +280,15 @@
     {
         for (const DurabilityOutcome& outcome : this->tracker.settle(this->now())) {
             const Waiting wait = this->waiting.extract(outcome.ticket).mapped();
-            if (outcome.durability == Durability::Durable)
+            if (outcome.durability == Durability::Durable) {
                 wait.acknowledged(outcome.commit);
-            else
+            } else {
                 wait.again();
+            }
         }
     }
 
-    void confirm(const ReadAttempt& attempt, unsigned tries, std::function<void()> confirmed, std::function<void()> again)
+    void confirm(const ReadAttempt& attempt, unsigned tries, const std::function<void()>& confirmed, const std::function<void()>& again)
     {
         if (this->tracker.isTermConfirmed(attempt.required.term, *attempt.confirmedSince)) {
             confirmed();
--- a/tests/failover/FaultMatrixTest.cpp
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -43,7 +43,7 @@
     class Scenario {
     public:
         explicit Scenario(std::vector<Injection> injections,
-            std::shared_ptr<const AcknowledgementStrategy> strategy = std::make_shared<MajorityAcknowledgement>())
+            const std::shared_ptr<const AcknowledgementStrategy>& strategy = std::make_shared<MajorityAcknowledgement>())
             : injections(std::move(injections))
         {
             const auto onStep = [this](Step step, size_t server) { this->reached(step, server); };
--- a/tests/session/SessionTest.cpp
+++ b/tests/session/SessionTest.cpp
@@ -13,7 +13,7 @@
 
     constexpr std::string_view secret = "a secret of the fleet";
 
-    TimePoint at(int64_t milliseconds_) { return TimePoint(milliseconds(milliseconds_)); }
+    TimePoint at(int64_t count) { return TimePoint(milliseconds(count)); }
 
     LogPoint point(uint64_t term, uint64_t position) { return { Term { term }, Position { position } }; }
 
