--- a/foxtailtrail/failover/Promotion.cpp
+++ b/foxtailtrail/failover/Promotion.cpp
@@ -31,7 +31,10 @@
 
 std::vector<PromotionEffect> Promotion::start(const PromotionRequest& newRequest, TimePoint now)
 {
-    if (this->isRunning() || now < this->startNotBefore || newRequest.members.empty())
+    if (this->isRunning() || now < this->startNotBefore || newRequest.members.empty() || !this->isTurnForPlanned(newRequest, now))
+        return {};
+    // Statuses read before this object's own promotion ended still call for it.
+    if (this->currentPhase == PromotionPhase::Done && newRequest.highestTerm < this->currentTerm)
         return {};
     this->request = newRequest;
     this->highestSeen = std::max(this->highestSeen, newRequest.highestTerm);
@@ -40,6 +43,15 @@
     return this->dueEffects(now);
 }
 
+bool Promotion::isTurnForPlanned(const PromotionRequest& asked, TimePoint now)
+{
+    if (this->plannedFor != asked.leavingPrimary) {
+        this->plannedFor = asked.leavingPrimary;
+        this->plannedSince = now;
+    }
+    return !asked.leavingPrimary || this->plannedSince + this->settings.plannedStep * asked.place <= now;
+}
+
 std::vector<PromotionEffect> Promotion::handle(const PromotionEvent& event, TimePoint now)
 {
     if (!this->isRunning())
@@ -125,10 +137,11 @@
     for (const PromotionMember& member : this->request.members)
         this->members.push_back({ member.server, member.draining, false, false, false, std::nullopt, now });
     const bool planned = this->request.leavingPrimary && this->request.successor;
-    if (planned)
+    if (planned) {
         this->enter(PromotionPhase::CatchingUp, this->settings.catchUpLimit, now);
-    else
+    } else {
         this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
+    }
 }
 
 void Promotion::enter(PromotionPhase phase, Duration limit, TimePoint now)
@@ -157,10 +170,11 @@
 {
     const Member* leaving = this->find(*this->request.leavingPrimary);
     // Another promoter has fenced the leaving primary already.
-    if (leaving && leaving->refused)
+    if (leaving && leaving->refused) {
         this->lose(now);
-    else if (this->successorCaughtUp || !leaving || now >= this->phaseDeadline)
+    } else if (this->successorCaughtUp || !leaving || now >= this->phaseDeadline) {
         this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
+    }
 }
 
 void Promotion::advanceFencing(TimePoint now)
@@ -276,14 +290,15 @@
 {
     const bool fencing = this->currentPhase == PromotionPhase::CatchingUp || this->currentPhase == PromotionPhase::Fencing;
     const bool watched = this->currentPhase == PromotionPhase::CatchingUp && member.server == this->request.successor;
-    if (watched || member.refused || (fencing && member.fenced))
+    if (watched || member.refused || (fencing && member.fenced)) {
         effects.emplace_back(ReadStatus { member.server });
-    else if (fencing)
+    } else if (fencing) {
         effects.emplace_back(FenceServer { member.server, this->currentTerm });
-    else if (this->currentPhase == PromotionPhase::Promoting)
+    } else if (this->currentPhase == PromotionPhase::Promoting) {
         effects.emplace_back(PromoteServer { member.server, this->currentTerm });
-    else
+    } else {
         effects.emplace_back(FollowPrimary { member.server, this->currentTerm, *this->chosen });
+    }
 }
 
 Promotion::Member* Promotion::find(const BackendServerId& server)
