--- /dev/null
+++ b/tests/scheduling/FairQueueTest.cpp
@@ -0,0 +1,158 @@
+#include "foxtailtrail/scheduling/FifoQueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <gtest/gtest.h>
+#include <memory>
+#include <random>
+
+namespace foxtail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr TimePoint start { std::chrono::seconds(50) };
+
+    // Requests of one organisation: arrivals per second and how long each statement runs.
+    struct Load {
+        std::string organisation;
+        double rate = 0;
+        Duration cost { 0 };
+        Duration deadline = milliseconds(1000);
+    };
+
+    struct Served {
+        size_t offered = 0;
+        std::vector<Duration> waits;
+
+        double share() const { return static_cast<double>(this->waits.size()) / static_cast<double>(this->offered); }
+        Duration p99()
+        {
+            std::sort(this->waits.begin(), this->waits.end());
+            return this->waits.at(this->waits.size() * 99 / 100);
+        }
+    };
+
+    // One backend server whose slots run statements of fixed lengths, in virtual time.
+    class ServerRun {
+    public:
+        ServerRun(QueueStrategy& strategy, uint32_t slotCount, std::vector<Load> offeredLoads)
+            : queue(strategy)
+            , slots(slotCount)
+            , loads(std::move(offeredLoads))
+        {
+        }
+
+        void run(Duration length)
+        {
+            for (size_t index = 0; index < this->loads.size(); ++index) {
+                Duration time = this->gap(index);
+                for (; time < length; time += this->gap(index))
+                    this->events.emplace(start + time, [this, index] { this->arrive(index); });
+            }
+            while (!this->events.empty()) {
+                this->now = this->events.begin()->first;
+                const auto work = std::move(this->events.begin()->second);
+                this->events.erase(this->events.begin());
+                work();
+                this->fill();
+            }
+        }
+
+        std::map<std::string, Served> served;
+        // Moments at which a slot was free although an entry waited.
+        size_t idleSlots = 0;
+
+    private:
+        struct Pending {
+            size_t load = 0;
+            TimePoint arrivedAt;
+        };
+
+        Duration gap(size_t index)
+        {
+            const double random = static_cast<double>(this->generator() >> 11) / 9007199254740992.0;
+            return Duration(1 + static_cast<int64_t>(-std::log(1 - random) * 1e6 / this->loads[index].rate));
+        }
+
+        void arrive(size_t index)
+        {
+            const Load& load = this->loads[index];
+            const QueueEntryId id { ++this->lastId };
+            ++this->served[load.organisation].offered;
+            if (this->queue.push({ id, OrganisationId(load.organisation), this->now + load.deadline, {} }, this->now))
+                this->pending[id] = { index, this->now };
+        }
+
+        void fill()
+        {
+            while (true) {
+                const QueueTurn turn = this->queue.next(this->now);
+                for (const QueueEntry& entry : turn.shed)
+                    this->pending.erase(entry.id);
+                if (!turn.run)
+                    break;
+                this->begin(*turn.run);
+            }
+            this->idleSlots += this->queue.waiting() > 0 && this->queue.running() < this->slots ? 1 : 0;
+        }
+
+        void begin(const QueueEntry& entry)
+        {
+            const Pending request = this->pending.at(entry.id);
+            this->pending.erase(entry.id);
+            const Load& load = this->loads[request.load];
+            this->served[load.organisation].waits.push_back(this->now - request.arrivedAt);
+            this->events.emplace(
+                this->now + load.cost, [this, id = entry.id, cost = load.cost] { this->queue.finished(id, cost, this->now); });
+        }
+
+        QueueStrategy& queue;
+        uint32_t slots;
+        std::vector<Load> loads;
+        std::multimap<TimePoint, std::function<void()>> events;
+        std::map<QueueEntryId, Pending> pending;
+        TimePoint now = start;
+        uint64_t lastId = 0;
+        std::mt19937_64 generator { 20261204 };
+    };
+
+    std::unique_ptr<QueueStrategy> makeQueue(uint32_t slots) { return std::make_unique<FifoQueue>(slots, 256); }
+
+}
+
+class NeighbourTest : public testing::TestWithParam<uint32_t> { };
+
+// Guards against an organisation at five times its rate that takes the slots and the queue of one within its rate.
+TEST_P(NeighbourTest, AnOrganisationWithinItsRateIsServedBesideOneAtFiveTimesItsRate)
+{
+    const uint32_t slots = GetParam();
+    const double part = 100.0 * slots / 2;
+    const auto queue = makeQueue(slots);
+    ServerRun server(*queue, slots, { { "north", part, milliseconds(5) }, { "south", 5 * part, milliseconds(5) } });
+    server.run(std::chrono::seconds(60));
+    EXPECT_GE(server.served["north"].share(), 0.99);
+    EXPECT_LT(server.served["north"].p99(), milliseconds(100));
+    EXPECT_EQ(server.idleSlots, 0U);
+}
+
+// Guards against a few slow statements of other organisations that hold all slots.
+TEST_P(NeighbourTest, SlowStatementsOfOthersLeaveASlot)
+{
+    const uint32_t slots = GetParam();
+    const auto queue = makeQueue(slots);
+    ServerRun server(*queue, slots,
+        { { "north", 50, milliseconds(5) }, { "south", 4, milliseconds(400), std::chrono::seconds(10) },
+            { "east", 4, milliseconds(700), std::chrono::seconds(10) } });
+    server.run(std::chrono::seconds(120));
+    EXPECT_GE(server.served["north"].share(), 0.99);
+    EXPECT_LT(server.served["north"].p99(), milliseconds(100));
+    EXPECT_GT(server.served["south"].waits.size(), 50U);
+    EXPECT_GT(server.served["east"].waits.size(), 50U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Slots, NeighbourTest, testing::Values(2, 3));
+
+}
