Resolve lost replies by change id and accept by majorities of witnesses

Cause: a compare-and-set without reply may have taken effect, and the store alone does not know which VMs still confirm the old version with witnesses.

After a lost reply the row is read back. If nothing was stored the compare-and-set is sent again, as at most one of the two can succeed. What stays open at the deadline is Unknown, never Refused.

"Accepted" needs majorities of the witnesses and, while a replacement is open, of the previous ones; otherwise the operator is told that it is stored but not confirmed.

Ruled out: a new change id for each retry (a duplicate would count as another change) and giving up after the first lost reply.

--- a/foxtailtrail/config/ChangeProposal.cpp
+++ b/foxtailtrail/config/ChangeProposal.cpp
@@ -145,7 +145,8 @@
 ChangeProposal::Effects ChangeProposal::handle(const StoreFailed& failure, TimePoint now)
 {
     if (this->stage == Stage::Swapping && failure.effectPossible) {
-        return this->finish(ProposalVerdict::Refused, 0, { ErrorKind::StoreUnavailable, "no reply" });
+        this->swapUncertain = true;
+        this->stage = Stage::ReadingBack;
     }
     this->stepDeadline = now + this->settings.retryInterval;
     return {};
@@ -165,9 +166,12 @@
 {
     this->stage = Stage::Collecting;
     this->deadline = now + this->settings.acknowledgementTime;
-    Effects effects = this->announce(now);
-    this->finish(ProposalVerdict::Accepted, this->next->version);
-    return effects;
+    // Without witnesses only the store confirms, so no VM serves an older version for longer than the freshness time.
+    if (this->next->witnesses.empty() && this->next->previousWitnesses.empty()) {
+        this->finish(ProposalVerdict::Accepted, this->next->version);
+        return { AnnounceVersion { this->next, {} } };
+    }
+    return this->announce(now);
 }
 
 ChangeProposal::Effects ChangeProposal::announce(TimePoint now)
