Start the VM as one process with its four ports

Found by the first run of the whole path: change ids and authors may not hold '/' or spaces, and the stand-in's request table differed from the one that writes use, so both now come from RequestTable.h.

--- a/foxtailtrail/backend/BackendConnection.cpp
+++ b/foxtailtrail/backend/BackendConnection.cpp
@@ -67,6 +67,7 @@
             }
         }
         const char* affected = PQcmdTuples(const_cast<PGresult*>(result));
+        answer.commandTag = PQcmdStatus(const_cast<PGresult*>(result));
         answer.rowCount = *affected ? std::strtoull(affected, nullptr, 10) : answer.rows.size();
         return answer;
     }
@@ -124,9 +125,16 @@
     return this->readAnswer(deadline);
 }
 
+void BackendConnection::interrupt()
+{
+    this->interrupted = true;
+    if (this->waiter)
+        this->waiter->cancel();
+}
+
 bool BackendConnection::isReusable()
 {
-    if (!this->isOpen())
+    if (!this->isOpen() || this->interrupted)
         return false;
     // Notices the end of the connection without blocking.
     PQconsumeInput(this->connection.get());
@@ -163,7 +171,7 @@
         const int left = PQflush(this->connection.get());
         if (left <= 0)
             return !left;
-        if (!this->waiter->waitWritable(deadline))
+        if (this->interrupted || !this->waiter->waitWritable(deadline))
             return false;
     }
 }
@@ -171,7 +179,7 @@
 bool BackendConnection::awaitAnswer(TimePoint deadline)
 {
     while (PQisBusy(this->connection.get())) {
-        if (!this->waiter->waitReadable(deadline) || !PQconsumeInput(this->connection.get()))
+        if (this->interrupted || !this->waiter->waitReadable(deadline) || !PQconsumeInput(this->connection.get()))
             return false;
     }
     return true;
--- a/foxtailtrail/backend/BackendConnection.h
+++ b/foxtailtrail/backend/BackendConnection.h
@@ -26,6 +26,8 @@
     std::vector<std::vector<SqlValue>> rows;
     // The rows returned, inserted, updated or deleted, by the server's count.
     uint64_t rowCount = 0;
+    // What the server says it did, such as "COMMIT" or "ROLLBACK".
+    std::string commandTag;
 
     // The value of the named column in the first row. Empty when there is no such value or it is null.
     std::optional<std::string_view> value(std::string_view column) const;
@@ -61,6 +63,9 @@
     // error is PeerUnavailable and nothing is sent.
     Result<QueryResult> query(const std::string& sql, const std::vector<SqlValue>& parameters, TimePoint deadline);
 
+    // Ends the statement that another fiber of the thread is running: it fails with OutcomeUnknown and the connection is closed.
+    void interrupt();
+
     // The SQLSTATE of the last error that the server reported. Empty when there was none.
     const std::string& lastSqlState() const { return this->sqlState; }
 
@@ -88,6 +93,7 @@
     // Registers the socket of the connection, so it goes first.
     std::unique_ptr<DescriptorWaiter> waiter;
     std::string sqlState;
+    bool interrupted = false;
 };
 
 }
--- a/foxtailtrail/net/FiberThread.cpp
+++ b/foxtailtrail/net/FiberThread.cpp
@@ -135,6 +135,11 @@
 
 bool DescriptorWaiter::waitWritable(TimePoint deadline) { return this->wait(boost::asio::posix::descriptor_base::wait_write, deadline); }
 
+void DescriptorWaiter::cancel()
+{
+    this->descriptor.cancel();
+}
+
 bool DescriptorWaiter::wait(boost::asio::posix::descriptor_base::wait_type type, TimePoint deadline)
 {
     boost::asio::steady_timer timer(FiberThread::current()->ioContext(), toSteady(deadline));
--- a/foxtailtrail/net/FiberThread.h
+++ b/foxtailtrail/net/FiberThread.h
@@ -85,6 +85,9 @@
     bool waitReadable(TimePoint deadline);
     bool waitWritable(TimePoint deadline);
 
+    // Ends a wait of another fiber, which returns false.
+    void cancel();
+
 private:
     bool wait(boost::asio::posix::descriptor_base::wait_type, TimePoint deadline);
 
--- a/foxtailtrail/server/ConfigurationService.h
+++ b/foxtailtrail/server/ConfigurationService.h
@@ -31,6 +31,9 @@
     // The function is called after the document or the serving deadline has changed.
     ConfigurationService(ConfigurationServiceSettings, StoreClient&, PeerClient&, std::function<void()> onChange);
 
+    // Sets this VM's port for calls of other VMs, when the system picked it.
+    void setPeerPort(uint16_t port) { this->settings.ownEndpoint.port = port; }
+
     // One check: reads the store's row, or asks the witnesses when the store does not answer, and fetches a newer document.
     void check();
 
--- a/foxtailtrail/server/ControlLoop.cpp
+++ b/foxtailtrail/server/ControlLoop.cpp
@@ -96,6 +96,13 @@
 {
 }
 
+void ControlLoop::setPeerPort(uint16_t port)
+{
+    this->settings.self.peerEndpoint.port = port;
+    this->configuration.setPeerPort(port);
+    this->membership.setPeerPort(port);
+}
+
 void ControlLoop::start()
 {
     this->startLoop(pingTick, [this] { this->membership.sendDuePings(); });
@@ -298,7 +305,7 @@
 
 ConfigurationChange ControlLoop::changeBy(ChangeAction action)
 {
-    return { this->settings.processName + "/" + std::to_string(++this->changeCount), "vm " + this->settings.self.id.value, std::nullopt,
+    return { this->settings.processName + "-" + std::to_string(++this->changeCount), "vm-" + this->settings.self.id.value, std::nullopt,
         std::move(action) };
 }
 
--- a/foxtailtrail/server/ControlLoop.h
+++ b/foxtailtrail/server/ControlLoop.h
@@ -29,6 +29,9 @@
 public:
     ControlLoop(ControlLoopSettings, SnapshotBoard&, Metrics&);
 
+    // Sets the port for calls of other VMs, when the system picked it. Call it before start().
+    void setPeerPort(uint16_t);
+
     // Starts the fibers.
     void start();
 
--- a/foxtailtrail/server/DatabaseHome.cpp
+++ b/foxtailtrail/server/DatabaseHome.cpp
@@ -4,6 +4,7 @@
 #include "foxtailtrail/execution/ReadExecution.h"
 #include "foxtailtrail/execution/Resolution.h"
 #include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/FiberThread.h"
 #include "foxtailtrail/scheduling/ConnectionBudget.h"
 
 #include <algorithm>
--- a/foxtailtrail/server/MembershipService.h
+++ b/foxtailtrail/server/MembershipService.h
@@ -28,6 +28,9 @@
 public:
     MembershipService(MembershipServiceSettings, StoreClient&, PeerClient&, std::function<uint64_t()> configurationVersion);
 
+    // Sets this VM's port for calls of other VMs, when the system picked it.
+    void setPeerPort(uint16_t port) { this->settings.self.peerEndpoint.port = port; }
+
     // Sends the pings that are due. Call it every 50 ms.
     void sendDuePings();
 
--- /dev/null
+++ b/foxtailtrail/server/Vm.cpp
@@ -0,0 +1,122 @@
+#include "foxtailtrail/server/Vm.h"
+
+#include "foxtailtrail/base/Hash.h"
+#include "foxtailtrail/filters/AnswerFilter.h"
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <chrono>
+
+namespace foxtail {
+
+namespace {
+
+    // Rises with every start of a VM, as long as the VM's clock does not go back over a restart.
+    uint64_t makeIncarnation()
+    {
+        return static_cast<uint64_t>(
+            std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    }
+
+    // Time for the peers to learn that this VM leaves: two pings.
+    constexpr Duration leavingNotice = std::chrono::milliseconds(500);
+
+}
+
+Vm::Vm(const Settings& settings)
+    : settings(settings)
+    , controlThread(FiberThread::start("control"))
+{
+    const uint64_t incarnation = makeIncarnation();
+    const std::string processName = settings.vmId + "-" + std::to_string(incarnation);
+    LiveVm self;
+    self.id = VmId(settings.vmId);
+    self.peerEndpoint = { settings.listenAddress, settings.peerPort };
+    self.region = Region(settings.vmRegion);
+    self.dataCentre = DataCentre(settings.vmDataCentre);
+    this->control
+        = std::make_unique<ControlLoop>(ControlLoopSettings { this->settings, self, incarnation, processName }, this->board, this->metrics);
+    this->operators = std::make_unique<OperatorService>(
+        OperatorServiceSettings { this->settings, self.id, processName }, this->board, *this->control, *this->controlThread, this->metrics);
+
+    const auto workerOf = [this](const DatabaseId& database) -> TrafficWorker& {
+        return *this->workers[stableHash(database.value) % this->workers.size()];
+    };
+    for (size_t index = 0; index < settings.trafficThreads; ++index) {
+        TrafficContext context { this->settings, self, processName, incarnation, this->board, this->metrics, *this->controlThread,
+            *this->control, workerOf, [this](const RequestRecord& record) { this->operators->count(record); } };
+        this->workers.push_back(std::make_unique<TrafficWorker>(std::move(context), index));
+    }
+}
+
+Result<std::unique_ptr<Vm>> Vm::start(const Settings& settings)
+{
+    std::unique_ptr<Vm> vm(new Vm(settings));
+    BOOST_OUTCOME_TRY(vm->listen());
+    const VmPorts ports = vm->ports();
+    logEvent(LogLevel::Info, "listening",
+        { { "callerPort", ports.caller }, { "peerPort", ports.peer }, { "operatorPort", ports.operators },
+            { "metricsPort", ports.metrics } });
+    return vm;
+}
+
+Result<void> Vm::listen()
+{
+    uint16_t callerPort = this->settings.callerPort;
+    uint16_t peerPort = this->settings.peerPort;
+    for (const auto& worker : this->workers) {
+        BOOST_OUTCOME_TRY(worker->listen(callerPort, peerPort));
+        // The other traffic threads share the ports that the system picked for the first.
+        callerPort = worker->callerPort();
+        peerPort = worker->peerPort();
+    }
+    this->controlThread->call([&] {
+        this->control->setPeerPort(peerPort);
+        this->control->start();
+    });
+
+    HttpServerSettings server;
+    server.address = this->settings.listenAddress;
+    server.port = this->settings.operatorPort;
+    server.errorResponse = AnswerFilter::errorResponse;
+    BOOST_OUTCOME_TRY(this->operatorServer,
+        HttpServer::listen(*this->controlThread, server, [this](const HttpRequest& request) { return this->operators->answer(request); }));
+    server.port = this->settings.metricsPort;
+    BOOST_OUTCOME_TRY(this->metricsServer, HttpServer::listen(*this->controlThread, server, [this](const HttpRequest& request) {
+        if (request.target != "/metrics")
+            return AnswerFilter::errorResponse({ ErrorKind::UnknownRoute, "metrics are at /metrics" });
+        return HttpResponse { 200, "text/plain; version=0.0.4", {}, this->operators->exposition() };
+    }));
+    return succeed();
+}
+
+VmPorts Vm::ports() const
+{
+    return { this->workers.front()->callerPort(), this->workers.front()->peerPort(), this->operatorServer->port(),
+        this->metricsServer->port() };
+}
+
+void Vm::stop()
+{
+    if (this->stopped)
+        return;
+    this->stopped = true;
+    logEvent(LogLevel::Info, "stopping");
+    const TimePoint deadline = now() + this->settings.stopGrace;
+    // Peers send no more work to a VM that leaves, and take over its homes.
+    this->controlThread->call([this] { this->control->announceLeaving(); });
+    sleepFor(leavingNotice);
+    bool finished = true;
+    for (const auto& worker : this->workers)
+        finished = worker->drainCallers(deadline) && finished;
+    for (const auto& worker : this->workers)
+        worker->stop(deadline);
+    this->controlThread->call([&] { this->control->stop(deadline); });
+    this->operatorServer->drain(deadline);
+    this->metricsServer->drain(deadline);
+    logEvent(LogLevel::Info, "stopped", { { "allRequestsFinished", finished } });
+}
+
+Vm::~Vm() { this->stop(); }
+
+}
--- a/standins/SqliteDatabase.cpp
+++ b/standins/SqliteDatabase.cpp
@@ -1,5 +1,7 @@
 #include "standins/SqliteDatabase.h"
 
+#include "foxtailtrail/execution/RequestTable.h"
+
 #include <array>
 #include <cstdlib>
 #include <memory>
@@ -14,9 +16,6 @@
     constexpr std::chrono::seconds statementTimeLimit { 1 };
     constexpr int progressInstructions = 10000;
 
-    constexpr const char* requestTable = "CREATE TABLE IF NOT EXISTS foxtail_requests(organisation text, id text, digest text, state text, "
-                                         "answer text, created integer, primary key(organisation,id))";
-
     struct SqliteErrorRow {
         int code;
         const char* state;
@@ -80,7 +79,7 @@
     sqlite3_create_function(
         this->handle, "platform_organisation", 0, SQLITE_UTF8, &this->currentOrganisation, organisationFunction, nullptr, nullptr);
     sqlite3_progress_handler(this->handle, progressInstructions, checkTime, this);
-    this->control(requestTable);
+    this->control(std::string(requestTableSql).c_str());
     this->control(schema.c_str());
     sqlite3_set_authorizer(this->handle, authorize, this);
 }
