--- a/foxtailtrail/limits/LimitStrategy.h
+++ b/foxtailtrail/limits/LimitStrategy.h
@@ -3,7 +3,6 @@
 #include "foxtailtrail/base/ErrorKind.h"
 #include "foxtailtrail/limits/ShareMessages.h"
 
-#include <compare>
 #include <vector>
 
 namespace foxtail {
@@ -11,7 +10,8 @@
 // Names a request that waits for a token.
 struct AdmissionTicket {
     uint64_t value = 0;
-    auto operator<=>(const AdmissionTicket&) const = default;
+    bool operator==(const AdmissionTicket&) const = default;
+    bool operator<(const AdmissionTicket& other) const { return this->value < other.value; }
 };
 
 // Whether a request may go on.
--- a/foxtailtrail/limits/ShareLender.cpp
+++ b/foxtailtrail/limits/ShareLender.cpp
@@ -206,12 +206,13 @@
     answer.organisation = item.organisation;
     const auto shard = this->shards.find(limitShardOf(item.organisation));
     const auto account = this->accounts.find(item.organisation);
-    if (shard == this->shards.end() || shard->second.epoch != item.ownerEpoch || account == this->accounts.end())
+    if (shard == this->shards.end() || shard->second.epoch != item.ownerEpoch || account == this->accounts.end()) {
         answer.status = GrantStatus::NotOwner;
-    else if (now < shard->second.lendFrom || now >= servingDeadline)
+    } else if (now < shard->second.lendFrom || now >= servingDeadline) {
         answer.status = GrantStatus::NotReady;
-    else
+    } else {
         this->grant(account->second, vm, item, answer, now);
+    }
     return answer;
 }
 
--- a/foxtailtrail/limits/ShareMessages.h
+++ b/foxtailtrail/limits/ShareMessages.h
@@ -21,7 +21,7 @@
 struct LoanId {
     uint64_t lenderIncarnation = 0;
     uint64_t number = 0;
-    auto operator<=>(const LoanId&) const = default;
+    bool operator==(const LoanId&) const = default;
 };
 
 // A loan that its borrower no longer uses, with the tokens that it did not spend.
--- /dev/null
+++ b/foxtailtrail/scheduling/ConnectionBudget.cpp
@@ -0,0 +1,82 @@
+#include "foxtailtrail/scheduling/ConnectionBudget.h"
+
+#include <algorithm>
+#include <boost/assert.hpp>
+#include <string>
+
+namespace foxtail {
+
+namespace {
+
+    constexpr uint32_t monitoringConnections = 1;
+    constexpr uint32_t reservedConnections = 2;
+
+}
+
+uint32_t ConnectionSplit::of(ConnectionPurpose purpose) const
+{
+    switch (purpose) {
+    case ConnectionPurpose::Pooled:
+        return this->pooled;
+    case ConnectionPurpose::Monitoring:
+        return this->monitoring;
+    case ConnectionPurpose::Reserved:
+        return this->reserved;
+    }
+    return 0;
+}
+
+Result<ConnectionSplit> splitConnections(uint32_t cap, uint32_t servers, uint32_t slots)
+{
+    if (servers == 0)
+        return fail(ErrorKind::CommandInvalid, "a database needs at least one backend server");
+    const uint32_t perServer = cap / servers;
+    const uint32_t needed = std::max(1U, slots) + monitoringConnections + reservedConnections;
+    if (perServer < needed) {
+        return fail(ErrorKind::CommandInvalid,
+            "each backend server needs " + std::to_string(needed) + " connections, the cap leaves " + std::to_string(perServer));
+    }
+    return ConnectionSplit { perServer - monitoringConnections - reservedConnections, monitoringConnections, reservedConnections };
+}
+
+bool ConnectionPacer::tryOpen(TimePoint now)
+{
+    if (now < this->nextOpening())
+        return false;
+    this->openings[this->oldest] = now;
+    this->oldest = (this->oldest + 1) % connectionsPerPeriod;
+    return true;
+}
+
+ConnectionBudget::ConnectionBudget(ConnectionSplit initial)
+    : split(initial)
+{
+}
+
+bool ConnectionBudget::tryOpen(ConnectionPurpose purpose, ConnectionPacer& pacer, TimePoint now)
+{
+    uint32_t& count = this->counts[static_cast<size_t>(purpose)];
+    if (count >= this->split.of(purpose))
+        return false;
+    if (purpose != ConnectionPurpose::Reserved && !pacer.tryOpen(now))
+        return false;
+    ++count;
+    return true;
+}
+
+void ConnectionBudget::closed(ConnectionPurpose purpose)
+{
+    uint32_t& count = this->counts[static_cast<size_t>(purpose)];
+    BOOST_ASSERT_MSG(count > 0, "more connections closed than opened");
+    --count;
+}
+
+void ConnectionBudget::setSplit(ConnectionSplit changed) { this->split = changed; }
+
+uint32_t ConnectionBudget::excess(ConnectionPurpose purpose) const
+{
+    const uint32_t allowed = this->split.of(purpose);
+    return this->open(purpose) > allowed ? this->open(purpose) - allowed : 0;
+}
+
+}
--- a/foxtailtrail/scheduling/FairQueue.cpp
+++ b/foxtailtrail/scheduling/FairQueue.cpp
@@ -151,7 +151,7 @@
     // An organisation without credit waits for its next round.
     if (tenant.credit <= Duration(0))
         this->round.splice(this->round.end(), this->round, turn);
-    const QueueEntry entry = *this->takeOut(tenant.entries.front().id);
+    QueueEntry entry = *this->takeOut(tenant.entries.front().id);
     this->runningEntries.emplace(entry.id, running);
     return entry;
 }
--- a/foxtailtrail/scheduling/QueueStrategy.h
+++ b/foxtailtrail/scheduling/QueueStrategy.h
@@ -4,7 +4,6 @@
 #include "foxtailtrail/base/Result.h"
 #include "foxtailtrail/base/Time.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <vector>
@@ -14,7 +13,8 @@
 // Names a request in the queue of one backend server.
 struct QueueEntryId {
     uint64_t value = 0;
-    auto operator<=>(const QueueEntryId&) const = default;
+    bool operator==(const QueueEntryId&) const = default;
+    bool operator<(const QueueEntryId& other) const { return this->value < other.value; }
 };
 
 // A request that waits for a slot.
--- a/tests/limits/LendingFleet.h
+++ b/tests/limits/LendingFleet.h
@@ -71,10 +71,11 @@
             this->now = this->events.begin()->first.first;
             this->events.erase(this->events.begin());
             Vm& vm = *this->vms[event.vm];
-            if (this->now < vm.pausedUntil)
+            if (this->now < vm.pausedUntil) {
                 this->events.emplace(std::pair(vm.pausedUntil, ++this->lastEvent), event);
-            else if (!vm.dead)
+            } else if (!vm.dead) {
                 event.work();
+            }
         }
     }
 
@@ -130,9 +131,9 @@
         vm->clockSpeed = index == 0 ? this->options.ownerClockSpeed : this->options.borrowerClockSpeed;
         vm->clockOffset = std::chrono::seconds(100 + 1000 * index);
         const std::map<OrganisationId, Organisation> limits { { this->options.limit.id, this->options.limit } };
-        if (this->options.staticSplit)
+        if (this->options.staticSplit) {
             vm->strategy = std::make_unique<StaticSplit>(this->options.vmCount, limits, TimePoint(vm->clockOffset));
-        else {
+        } else {
             auto borrower = std::make_unique<ShareBorrower>(this->options.borrower, this->idOf(index), 1);
             vm->borrower = borrower.get();
             vm->strategy = std::move(borrower);
@@ -282,8 +283,9 @@
         if (admission.state == AdmissionState::Waiting) {
             vm.idealByTicket[admission.ticket] = idealAdmits;
             this->sendRequests(index);
-        } else
+        } else {
             this->record(admission, idealAdmits, true);
+        }
         this->reach(LendingStep::DuringUse, index);
     }
 
