Take the position of a commit from the first column

The stand-in also returns the term, so the check for exactly one column turned every durable write into OutcomeUnknown after its 5 s deadline.

--- a/foxtailtrail/execution/RequestTable.cpp
+++ b/foxtailtrail/execution/RequestTable.cpp
@@ -53,7 +53,7 @@
 
 std::optional<Position> positionOf(const StatementResult& result)
 {
-    if (result.rows.size() != 1 || result.rows.front().size() != 1 || !result.rows.front().front())
+    if (result.rows.size() != 1 || result.rows.front().empty() || !result.rows.front().front())
         return std::nullopt;
     const std::string& text = *result.rows.front().front();
     uint64_t value = 0;
--- a/foxtailtrail/execution/RequestTable.h
+++ b/foxtailtrail/execution/RequestTable.h
@@ -33,7 +33,7 @@
 // Fails at the server when its log does not hold the point.
 Statement platformRequireStatement(const LogPoint&);
 
-// The position of the connection's last commit, as one row with one column.
+// The position of the connection's last commit, as the first column of one row; its term follows.
 Statement platformPositionStatement();
 
 // Inserts the id. Changes no row when the id is there already; waits while another transaction is inserting it.
