Count conflicts where a refusal is taken, not where it is judged

isRetried() changed the count that it compares, so asking twice would have given two answers. It is const now. No change in behaviour; the fault matrix passes as before.

--- a/foxtailtrail/execution/RetryPolicy.cpp
+++ b/foxtailtrail/execution/RetryPolicy.cpp
@@ -73,7 +73,7 @@
     return this->answerRefusal();
 }
 
-bool RetryPolicy::isRetried(const Error& error)
+bool RetryPolicy::isRetried(const Error& error) const
 {
     switch (error.kind) {
     case ErrorKind::NoPrimary:
@@ -84,7 +84,7 @@
     case ErrorKind::ReadNotCurrent:
         return this->kind == TransactionKind::Read;
     case ErrorKind::Conflict:
-        return ++this->conflicts <= this->settings.maxConflicts;
+        return this->conflicts <= this->settings.maxConflicts;
     default:
         return false;
     }
@@ -93,6 +93,7 @@
 RetryEffect RetryPolicy::afterRefusal(const Error& error, TimePoint now)
 {
     this->refusal = error;
+    this->conflicts += error.kind == ErrorKind::Conflict ? 1 : 0;
     if (this->isRetried(error))
         return this->attemptAgain(now);
     if (this->mayHaveRun)
--- a/foxtailtrail/execution/RetryPolicy.h
+++ b/foxtailtrail/execution/RetryPolicy.h
@@ -61,7 +61,7 @@
 
 private:
     bool isOutstanding(uint32_t number) const { return !this->finished && number == this->attempt; }
-    bool isRetried(const Error&);
+    bool isRetried(const Error&) const;
     RetryEffect afterRefusal(const Error&, TimePoint now);
     RetryEffect attemptAgain(TimePoint now);
     RetryEffect resolveAgain(TimePoint now);
