Read the commit's term with its position and name the id column as the stand-in does

Cause: platform_position() of the backend server stand-in returns the columns position and term, and its request table calls the id "id". The machine expected one column, so it took every commit for unknown, and its insert named a column that is not there.

The term of the commit is now compared with the term that the transaction was begun in, so a position of another commit cannot pass. The fake group keeps the last commit of each connection, as the stand-in does; before, it answered with the newest commit of the server.

--- a/foxtailtrail/execution/Execution.cpp
+++ b/foxtailtrail/execution/Execution.cpp
@@ -151,12 +151,12 @@
 
 void Execution::onPosition(const StatementResult& result)
 {
-    const auto position = positionOf(result);
-    if (!position) {
+    const auto point = commitPointOf(result);
+    if (!point || point->term != this->connectedTerm) {
         this->closeAndFail({}, true);
         return;
     }
-    this->returnAndAwait({ this->connectedTerm, *position });
+    this->returnAndAwait(*point);
 }
 
 void Execution::closeAndFail(Error notRun, bool outstandingStepSent)
--- a/foxtailtrail/execution/RequestTable.h
+++ b/foxtailtrail/execution/RequestTable.h
@@ -6,8 +6,8 @@
 
 // The table in every database that keeps the ids and first answers of writes.
 constexpr std::string_view requestTableSql = "CREATE TABLE IF NOT EXISTS foxtail_requests (organisation TEXT NOT NULL, "
-                                             "request_id TEXT NOT NULL, digest TEXT NOT NULL, answer TEXT, "
-                                             "PRIMARY KEY (organisation, request_id))";
+                                             "id TEXT NOT NULL, digest TEXT NOT NULL, answer TEXT, "
+                                             "PRIMARY KEY (organisation, id))";
 
 // One row of the table.
 struct RequestRow {
@@ -33,7 +33,7 @@
 // Fails at the server when its log does not hold the point.
 Statement platformRequireStatement(const LogPoint&);
 
-// The position of the connection's last commit, as one row with one column.
+// The point of the connection's last commit, as one row with the columns position and term.
 Statement platformPositionStatement();
 
 // Inserts the id. Changes no row when the id is there already; waits while another transaction is inserting it.
@@ -48,7 +48,7 @@
 // The row that touchRequestStatement returned, or nothing when the result holds none.
 std::optional<RequestRow> requestRowOf(const StatementResult&);
 
-// The position that platformPositionStatement returned, or nothing when the result holds none.
-std::optional<Position> positionOf(const StatementResult&);
+// The point that platformPositionStatement returned, or nothing when the result holds none.
+std::optional<LogPoint> commitPointOf(const StatementResult&);
 
 }
--- a/tests/execution/FakeGroup.cpp
+++ b/tests/execution/FakeGroup.cpp
@@ -57,7 +57,7 @@
         return nested ? refusal("25001") : tagged("BEGIN");
     }
     if (statement.sql == platformPositionStatement().sql)
-        return rows(1, { { std::to_string(this->log.size()) } });
+        return this->positionReply(connection);
     const auto open = this->transactions.find(connection);
     if (open == this->transactions.end())
         return refusal("25P01");
@@ -68,7 +68,7 @@
     if (statement.sql == commitStatement().sql) {
         const Transaction transaction = open->second;
         this->closed(connection);
-        return this->commit(transaction);
+        return this->commit(connection, transaction);
     }
     if (open->second.aborted)
         return refusal("25P02");
@@ -77,6 +77,14 @@
     return reply;
 }
 
+Reply FakeServer::positionReply(int connection)
+{
+    const LogPoint point = this->lastCommits[connection];
+    Reply reply = rows(1, { { std::to_string(point.position.value), std::to_string(point.term.value) } });
+    reply.result.columns = { "position", "term" };
+    return reply;
+}
+
 void FakeServer::closed(int connection)
 {
     this->transactions.erase(connection);
@@ -84,7 +92,7 @@
         this->lockHolder = 0;
 }
 
-Reply FakeServer::commit(const Transaction& transaction)
+Reply FakeServer::commit(int connection, const Transaction& transaction)
 {
     if (transaction.aborted)
         return tagged("ROLLBACK");
@@ -94,6 +102,7 @@
     if (!this->primary || changes.term != this->promisedTerm)
         return refusal("FT001");
     this->log.push_back(changes);
+    this->lastCommits[connection] = { changes.term, Position { this->log.size() } };
     return tagged("COMMIT");
 }
 
--- a/tests/execution/FakeGroup.h
+++ b/tests/execution/FakeGroup.h
@@ -65,10 +65,12 @@
     };
 
     Reply runInTransaction(int connection, Transaction&, const Statement&);
-    Reply commit(const Transaction&);
+    Reply positionReply(int connection);
+    Reply commit(int connection, const Transaction&);
     Reply book(Transaction&, const Statement&);
 
     std::map<int, Transaction> transactions;
+    std::map<int, LogPoint> lastCommits;
     int lockHolder = 0;
 };
 
