--- a/foxtailtrail/filters/RouteFilter.cpp
+++ b/foxtailtrail/filters/RouteFilter.cpp
@@ -2,9 +2,20 @@
 
 #include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/net/FiberThread.h"
+#include "foxtailtrail/server/Log.h"
 
 namespace foxtail {
 
+namespace {
+
+    void logAttempt(std::string_view event, const RequestId& id, uint32_t attempt, TimePoint sentAt, std::string_view result)
+    {
+        logEvent(LogLevel::Debug, event,
+            { { "requestId", id.value }, { "attempt", attempt }, { "milliseconds", toMilliseconds(now() - sentAt) }, { "result", result } });
+    }
+
+}
+
 RouteFilter::RouteFilter(HomeCaller& caller, RetryPolicySettings settings)
     : caller(caller)
     , settings(settings)
@@ -40,7 +51,12 @@
     sleepUntil(start.notBefore);
     TransactionRequest attempted = request;
     attempted.deadline = start.deadline;
+    const TimePoint sentAt = now();
     const HomeAnswer answer = this->caller.execute(attempted);
+    logAttempt("attempt", request.requestId, start.attempt, sentAt,
+        !answer.outcome                ? "call broke"
+            : answer.outcome->has_value() ? "Success"
+                                          : errorKindRow(answer.outcome->error().kind).name);
     if (answer.outcome)
         return policy.attemptFinished(start.attempt, *answer.outcome, now());
     return policy.attemptLost(start.attempt, answer.sent, now());
@@ -49,8 +65,10 @@
 std::optional<RetryEffect> RouteFilter::resolve(RetryPolicy& policy, const ResolveById& resolution, const TransactionRequest& request)
 {
     sleepUntil(resolution.notBefore);
+    const TimePoint sentAt = now();
     const Resolved resolved
         = this->caller.resolve({ request.database, request.organisation, resolution.requestId, resolution.digest, resolution.deadline });
+    logAttempt("resolution", request.requestId, resolution.attempt, sentAt, ranName(resolved.ran));
     return policy.resolutionFinished(resolution.attempt, resolved, now());
 }
 
