Bound the wait for a connection so that a write follows the new primary

Cause: a write whose connection died with the primary waited in the pool of the dead server until its own deadline. The debug log of the attempts showed one attempt of 4,979 ms ending in PeerUnavailable, 4.3 s after the new primary was known. Ruled out: durability (the new primary answered other writes) and the retry policy (its next attempt succeeded at once).

Change: a request waits for a connection in slices of 50 ms and leaves when the server was lost meanwhile or cannot be reached.

--- a/foxtailtrail/filters/AnswerFilter.cpp
+++ b/foxtailtrail/filters/AnswerFilter.cpp
@@ -29,8 +29,8 @@
     const bool serving = snapshot.configuration && now() < snapshot.servingDeadline;
     HttpResponse response;
     response.status = serving ? httpOk : httpUnavailable;
-    response.body = json::serialize(json::object {
-        { "serving", serving }, { "configurationVersion", snapshot.configuration ? snapshot.configuration->version : 0 } });
+    response.body = json::serialize(
+        json::object { { "serving", serving }, { "configurationVersion", snapshot.configuration ? snapshot.configuration->version : 0 } });
     return response;
 }
 
--- a/foxtailtrail/filters/RouteFilter.cpp
+++ b/foxtailtrail/filters/RouteFilter.cpp
@@ -11,7 +11,8 @@
     void logAttempt(std::string_view event, const RequestId& id, uint32_t attempt, TimePoint sentAt, std::string_view result)
     {
         logEvent(LogLevel::Debug, event,
-            { { "requestId", id.value }, { "attempt", attempt }, { "milliseconds", toMilliseconds(now() - sentAt) }, { "result", result } });
+            { { "requestId", id.value }, { "attempt", attempt }, { "milliseconds", toMilliseconds(now() - sentAt) },
+                { "result", result } });
     }
 
 }
@@ -54,7 +55,7 @@
     const TimePoint sentAt = now();
     const HomeAnswer answer = this->caller.execute(attempted);
     logAttempt("attempt", request.requestId, start.attempt, sentAt,
-        !answer.outcome                ? "call broke"
+        !answer.outcome                   ? "call broke"
             : answer.outcome->has_value() ? "Success"
                                           : errorKindRow(answer.outcome->error().kind).name);
     if (answer.outcome)
--- a/foxtailtrail/net/FiberThread.cpp
+++ b/foxtailtrail/net/FiberThread.cpp
@@ -135,10 +135,7 @@
 
 bool DescriptorWaiter::waitWritable(TimePoint deadline) { return this->wait(boost::asio::posix::descriptor_base::wait_write, deadline); }
 
-void DescriptorWaiter::cancel()
-{
-    this->descriptor.cancel();
-}
+void DescriptorWaiter::cancel() { this->descriptor.cancel(); }
 
 bool DescriptorWaiter::wait(boost::asio::posix::descriptor_base::wait_type type, TimePoint deadline)
 {
--- a/foxtailtrail/server/BackendLane.cpp
+++ b/foxtailtrail/server/BackendLane.cpp
@@ -2,8 +2,16 @@
 
 #include "foxtailtrail/net/Clock.h"
 
+#include <algorithm>
+
 namespace foxtail {
 
+namespace {
+
+    constexpr Duration longestConnectionWait = std::chrono::milliseconds(50);
+
+}
+
 BackendLane::BackendLane(BackendLaneSettings settings)
     : queue(settings.queue)
     , pool(ConnectionPool::create(std::move(settings.pool)))
@@ -15,7 +23,7 @@
     const QueueEntryId entry { ++this->lastEntry };
     BOOST_OUTCOME_TRY(this->awaitSlot(entry, organisation, deadline));
     const TimePoint startedAt = now();
-    Result<ConnectionLease> connection = this->pool->acquire(deadline);
+    Result<ConnectionLease> connection = this->awaitConnection(deadline);
     if (!connection) {
         this->finish(entry, startedAt);
         return connection.error();
@@ -24,6 +32,21 @@
     return LaneSlot { entry, std::move(connection.value()), startedAt };
 }
 
+Result<ConnectionLease> BackendLane::awaitConnection(TimePoint deadline)
+{
+    // The pool keeps trying a server that is down until the deadline. A request must not wait that long: another server may
+    // have become primary meanwhile.
+    const uint64_t startInterruptions = this->interruptions;
+    while (true) {
+        Result<ConnectionLease> connection = this->pool->acquire(std::min(deadline, now() + longestConnectionWait));
+        const bool mayWaitOn = !connection && connection.error().kind == ErrorKind::DeadlineExceeded && now() < deadline;
+        if (!mayWaitOn)
+            return connection;
+        if (this->interruptions != startInterruptions)
+            return fail(ErrorKind::PeerUnavailable, "the backend server was lost while the request waited for a connection");
+    }
+}
+
 Result<void> BackendLane::awaitSlot(QueueEntryId entry, const OrganisationId& organisation, TimePoint deadline)
 {
     if (!this->claim())
@@ -83,6 +106,7 @@
 
 void BackendLane::interruptRunning()
 {
+    ++this->interruptions;
     for (BackendConnection* connection : this->running)
         connection->interrupt();
 }
@@ -104,14 +128,8 @@
     this->waiting.clear();
 }
 
-void BackendLane::setSlots(uint32_t slots)
-{
-    this->queue.setSlots(slots);
-}
+void BackendLane::setSlots(uint32_t slots) { this->queue.setSlots(slots); }
 
-LaneLoad BackendLane::load() const
-{
-    return { this->queue.running(), this->queue.waiting(), this->pool->openCount() };
-}
+LaneLoad BackendLane::load() const { return { this->queue.running(), this->queue.waiting(), this->pool->openCount() }; }
 
 }
--- a/foxtailtrail/server/BackendLane.h
+++ b/foxtailtrail/server/BackendLane.h
@@ -45,7 +45,7 @@
     // Gives a slot back and closes its connection.
     void discard(LaneSlot);
 
-    // Ends the statements that run now: their connections are closed and their fibers see a lost connection.
+    // Ends the statements that run now, whose fibers see a lost connection, and the waits for a connection.
     void interruptRunning();
 
     // Takes over the claim under which connections are opened. Without one, what waits fails with NotHome, what runs is
@@ -60,6 +60,7 @@
 
 private:
     Result<void> awaitSlot(QueueEntryId, const OrganisationId&, TimePoint deadline);
+    Result<ConnectionLease> awaitConnection(TimePoint deadline);
     void pump();
     void finish(QueueEntryId, TimePoint startedAt);
 
@@ -68,6 +69,8 @@
     uint64_t lastEntry = 0;
     std::map<QueueEntryId, boost::fibers::promise<Result<void>>> waiting;
     std::set<BackendConnection*> running;
+    // Counts the calls of interruptRunning().
+    uint64_t interruptions = 0;
 };
 
 }
--- a/foxtailtrail/server/ControlLoop.cpp
+++ b/foxtailtrail/server/ControlLoop.cpp
@@ -335,7 +335,8 @@
     const std::vector<LiveVm> live = this->membership.liveVms();
     if (!document || document->previousWitnesses.empty() || live.front().id != this->settings.self.id)
         return;
-    if (this->hasAcknowledged(document->witnesses, document->version) && this->hasAcknowledged(document->previousWitnesses, document->version))
+    if (this->hasAcknowledged(document->witnesses, document->version)
+        && this->hasAcknowledged(document->previousWitnesses, document->version))
         (void)this->propose(this->changeBy(SettleWitnesses { document->version }), now() + upkeepDeadline);
 }
 
@@ -366,20 +367,11 @@
     (void)this->store.compareAndSet(key, row.value() ? row.value()->version : 0, value);
 }
 
-Result<json::object> ControlLoop::answerPing(const json::object& parameters)
-{
-    return this->membership.answerPing(parameters);
-}
+Result<json::object> ControlLoop::answerPing(const json::object& parameters) { return this->membership.answerPing(parameters); }
 
-Result<json::object> ControlLoop::reportVersion(const json::object& parameters)
-{
-    return this->configuration.reportVersion(parameters);
-}
+Result<json::object> ControlLoop::reportVersion(const json::object& parameters) { return this->configuration.reportVersion(parameters); }
 
-Result<json::object> ControlLoop::reportDocument(const json::object&)
-{
-    return this->configuration.reportDocument();
-}
+Result<json::object> ControlLoop::reportDocument(const json::object&) { return this->configuration.reportDocument(); }
 
 Result<json::object> ControlLoop::borrow(const json::object& parameters)
 {
@@ -407,10 +399,7 @@
     return this->lender.lend(request, this->configuration.servingDeadline(), now());
 }
 
-void ControlLoop::takeBack(const GiveBack& message)
-{
-    this->lender.giveBack(message, now());
-}
+void ControlLoop::takeBack(const GiveBack& message) { this->lender.giveBack(message, now()); }
 
 Durability ControlLoop::awaitDurability(const DatabaseId& database, LogPoint commit, TimePoint deadline)
 {
--- a/foxtailtrail/server/DatabaseHome.cpp
+++ b/foxtailtrail/server/DatabaseHome.cpp
@@ -104,7 +104,8 @@
         const ServerView* before = this->handledView ? this->handledView->find(server.id) : nullptr;
         const ServerView* after = group ? group->find(server.id) : nullptr;
         const bool lostReach = before && after && before->reachable && !after->reachable;
-        const bool replaced = group && this->handledView && this->handledView->primary == server.id && group->term > this->handledView->term;
+        const bool replaced
+            = group && this->handledView && this->handledView->primary == server.id && group->term > this->handledView->term;
         if (lostReach || replaced)
             lane->interruptRunning();
     }
@@ -221,7 +222,8 @@
     const ServerView* server = group ? group->find(attempt.server) : nullptr;
     if (server && !this->heldLane(attempt.server) && server->region != this->settings.region) {
         const HomeAnswer answer = this->caller.executeAt(request, { attempt.server, targetOf(attempt) }, server->region);
-        return answer.outcome ? *answer.outcome : TransactionOutcome(fail(ErrorKind::PeerUnavailable, "the home of the server's region did not answer"));
+        return answer.outcome ? *answer.outcome
+                              : TransactionOutcome(fail(ErrorKind::PeerUnavailable, "the home of the server's region did not answer"));
     }
     return this->readAt(request, attempt.server, targetOf(attempt));
 }
--- a/foxtailtrail/server/HomeCaller.cpp
+++ b/foxtailtrail/server/HomeCaller.cpp
@@ -11,10 +11,7 @@
 
     constexpr std::array<std::string_view, 2> sourceNames { "primary", "replica" };
 
-    json::object encodePoint(const LogPoint& point)
-    {
-        return { { "term", point.term.value }, { "position", point.position.value } };
-    }
+    json::object encodePoint(const LogPoint& point) { return { { "term", point.term.value }, { "position", point.position.value } }; }
 
     Result<LogPoint> decodePoint(const json::object& object)
     {
--- a/foxtailtrail/server/MembershipService.cpp
+++ b/foxtailtrail/server/MembershipService.cpp
@@ -103,9 +103,10 @@
         return;
     if (!this->registered) {
         const LiveVm& self = this->settings.self;
-        this->registered = this->store
-                               .registerVm({ self.id, self.peerEndpoint.address, self.peerEndpoint.port, self.region, self.dataCentre, self.leaving })
-                               .has_value();
+        this->registered
+            = this->store
+                  .registerVm({ self.id, self.peerEndpoint.address, self.peerEndpoint.port, self.region, self.dataCentre, self.leaving })
+                  .has_value();
     }
     this->nextList = now() + (this->registered ? this->settings.listInterval : registrationInterval);
     const Result<std::vector<ListedVm>> listed = this->store.listVms();
--- a/foxtailtrail/server/TrafficWorker.cpp
+++ b/foxtailtrail/server/TrafficWorker.cpp
@@ -61,13 +61,9 @@
     this->addPeerMethods();
 }
 
-TrafficWorker::~TrafficWorker()
-{
-    this->stop(now());
-}
+TrafficWorker::~TrafficWorker() { this->stop(now()); }
 
-template<typename Function>
-auto TrafficWorker::onOwnThread(Function function)
+template <typename Function> auto TrafficWorker::onOwnThread(Function function)
 {
     return FiberThread::current() == this->thread.get() ? function() : this->thread->call(std::move(function));
 }
@@ -188,9 +184,10 @@
         return *home;
     DatabaseHomeSettings settings { database, this->context.processName, this->context.self.region,
         { this->context.settings.maxAnswerBytes }, { this->context.settings.replicaWait } };
-    home = std::make_unique<DatabaseHome>(std::move(settings), this->context.board, *this->caller, [this, database](LogPoint commit, TimePoint deadline) {
-        return this->context.controlThread.call([&] { return this->context.control.awaitDurability(database, commit, deadline); });
-    });
+    home = std::make_unique<DatabaseHome>(
+        std::move(settings), this->context.board, *this->caller, [this, database](LogPoint commit, TimePoint deadline) {
+            return this->context.controlThread.call([&] { return this->context.control.awaitDurability(database, commit, deadline); });
+        });
     home->update();
     return *home;
 }
@@ -220,10 +217,7 @@
     return this->onOwnThread([&] { return this->peers.bytes(purpose); });
 }
 
-bool TrafficWorker::drainCallers(TimePoint deadline)
-{
-    return this->callerServer->drain(deadline);
-}
+bool TrafficWorker::drainCallers(TimePoint deadline) { return this->callerServer->drain(deadline); }
 
 void TrafficWorker::stop(TimePoint deadline)
 {
--- a/foxtailtrail/server/TrafficWorker.h
+++ b/foxtailtrail/server/TrafficWorker.h
@@ -57,8 +57,7 @@
     HttpResponse answerPeer(const HttpRequest&);
     void addPeerMethods();
     DatabaseHome& homeOf(const DatabaseId&);
-    template<typename Function>
-    auto onOwnThread(Function);
+    template <typename Function> auto onOwnThread(Function);
 
     TrafficContext context;
     size_t index;
--- a/foxtailtrail/server/Upkeep.cpp
+++ b/foxtailtrail/server/Upkeep.cpp
@@ -9,10 +9,7 @@
 
 namespace {
 
-    VmAddress addressOf(const LiveVm& vm)
-    {
-        return { vm.id, vm.peerEndpoint.address, vm.peerEndpoint.port };
-    }
+    VmAddress addressOf(const LiveVm& vm) { return { vm.id, vm.peerEndpoint.address, vm.peerEndpoint.port }; }
 
     bool isLive(const UpkeepView& view, const VmId& id)
     {
@@ -63,8 +60,8 @@
         const Configuration& configuration = *view.configuration;
         if (!configuration.previousWitnesses.empty())
             return std::nullopt;
-        const auto joining = std::find_if(
-            view.liveVms.begin(), view.liveVms.end(), [&](const LiveVm& vm) { return !isWitness(configuration, vm.id); });
+        const auto joining
+            = std::find_if(view.liveVms.begin(), view.liveVms.end(), [&](const LiveVm& vm) { return !isWitness(configuration, vm.id); });
         if (joining == view.liveVms.end())
             return std::nullopt;
         if (configuration.witnesses.size() < wantedWitnesses)
