--- a/foxtailtrail/config/ConfigurationValidation.cpp
+++ b/foxtailtrail/config/ConfigurationValidation.cpp
@@ -34,8 +34,7 @@
 
     Result<void> checkAddress(const std::string& place, const std::string& address, uint16_t port)
     {
-        in6_addr parsed {};
-        if (inet_pton(AF_INET, address.c_str(), &parsed) != 1 && inet_pton(AF_INET6, address.c_str(), &parsed) != 1)
+        if (!isIpAddress(address))
             return fault(place, "address must be an IPv4 or IPv6 address");
         if (port == 0)
             return fault(place, "port must be 1 to 65535");
@@ -164,6 +163,12 @@
     return !text.empty() && text.size() <= maximumIdLength && std::all_of(text.begin(), text.end(), isIdCharacter);
 }
 
+bool isIpAddress(const std::string& text)
+{
+    in6_addr parsed {};
+    return inet_pton(AF_INET, text.c_str(), &parsed) == 1 || inet_pton(AF_INET6, text.c_str(), &parsed) == 1;
+}
+
 Result<void> validateConfiguration(const Configuration& configuration)
 {
     if (configuration.version == 0)
--- a/foxtailtrail/config/ConfigurationValidation.h
+++ b/foxtailtrail/config/ConfigurationValidation.h
@@ -2,6 +2,7 @@
 
 #include "foxtailtrail/config/Configuration.h"
 
+#include <string>
 #include <string_view>
 
 namespace foxtail {
@@ -16,6 +17,9 @@
 // Whether a text can be an id: 1 to 64 ASCII letters, digits, '-', '_' and '.'.
 bool isValidId(std::string_view text);
 
+// Whether a text is an IPv4 or IPv6 address.
+bool isIpAddress(const std::string& text);
+
 // Checks every rule of a document: ids, ranges, duplicates and references.
 // Fails with MalformedRequest, naming the member at fault and what is allowed.
 Result<void> validateConfiguration(const Configuration&);
