--- a/tests/backend/BackendConnectionTest.cpp
+++ b/tests/backend/BackendConnectionTest.cpp
@@ -110,9 +110,9 @@
             return BackendConnection::connect(endpoint, now() + within).error().kind;
         };
         EXPECT_EQ(kindOf(this->endpoint("foxtail/v1/7"), patience), ErrorKind::NotHome);
-        std::vector<std::unique_ptr<BackendConnection>> open;
-        for (int count = 0; count < 3; ++count)
-            open.push_back(connected(this->endpoint()));
+        std::vector<std::unique_ptr<BackendConnection>> open(3);
+        for (auto& connection : open)
+            connection = connected(this->endpoint());
         EXPECT_EQ(kindOf(this->endpoint(), patience), ErrorKind::Overloaded);
         open.clear();
         this->standin.setFault("silent", "all");
@@ -130,10 +130,10 @@
         EXPECT_EQ(pool->acquire(now() + patience).error().kind, ErrorKind::NotHome);
         this->standin.claim("v1", 1);
         pool->setClaim(1);
-        std::vector<boost::fibers::fiber> users;
+        std::vector<boost::fibers::fiber> users(8);
         int inUse = 0;
-        for (int user = 0; user < 8; ++user) {
-            users.emplace_back([&, user] {
+        for (size_t user = 0; user < users.size(); ++user) {
+            users[user] = boost::fibers::fiber([&, user] {
                 auto lease = pool->acquire(now() + patience);
                 ASSERT_TRUE(lease);
                 EXPECT_LE(++inUse, 2);
