--- a/foxtailtrail/server/ConfigurationService.h
+++ b/foxtailtrail/server/ConfigurationService.h
@@ -31,6 +31,9 @@
     // The function is called after the document or the serving deadline has changed.
     ConfigurationService(ConfigurationServiceSettings, StoreClient&, PeerClient&, std::function<void()> onChange);
 
+    // Sets this VM's port for calls of other VMs, when the system picked it.
+    void setPeerPort(uint16_t port) { this->settings.ownEndpoint.port = port; }
+
     // One check: reads the store's row, or asks the witnesses when the store does not answer, and fetches a newer document.
     void check();
 
@@ -51,8 +54,8 @@
     // Whether the last read of the store succeeded.
     bool isStoreReachable() const { return this->storeReachable; }
 
-    // A moment by which the newest installed version had been accepted.
-    TimePoint acceptedBy() const { return this->versionAcceptedBy; }
+    // Whether the last read of the store found no configuration at all.
+    bool isStoreEmpty() const { return this->storeEmpty; }
 
 private:
     void checkStore();
@@ -73,7 +76,7 @@
     ConfigurationFollower follower;
     FreshnessMonitor freshness;
     bool storeReachable = false;
-    TimePoint versionAcceptedBy;
+    bool storeEmpty = false;
 };
 
 }
