--- a/tests/execution/FakeGroup.h
+++ b/tests/execution/FakeGroup.h
@@ -52,6 +52,8 @@
     // Runs one statement on a connection. A blocked statement has had no effect and is run again later.
     Reply run(int connection, const Statement&);
 
+    bool hasTransaction(int connection) const { return this->transactions.contains(connection); }
+
     // The server notices that the connection was closed, and rolls its transaction back.
     void closed(int connection);
 
@@ -63,10 +65,12 @@
     };
 
     Reply runInTransaction(int connection, Transaction&, const Statement&);
-    Reply commit(const Transaction&);
+    Reply positionReply(int connection);
+    Reply commit(int connection, const Transaction&);
     Reply book(Transaction&, const Statement&);
 
     std::map<int, Transaction> transactions;
+    std::map<int, LogPoint> lastCommits;
     int lockHolder = 0;
 };
 
