Make the fake group stricter about fenced servers and silence

A fenced server no longer hands out its log, and following a new primary does not reset what a replica reports of the former one's silence; the backend stand-in behaves so. Two new tests show what breaks:

DrainingPrimaryIsReplacedByLaggingReplica: the draining server is primary again in term 2 (primaries.size() is 3, expected 2; gap 812 ms, limit 500) SilenceOfFormerPrimaryDoesNotCountAgainstNewOne: primaries.size() is 3, expected 2

--- a/tests/failover/FakeGroup.h
+++ b/tests/failover/FakeGroup.h
@@ -233,7 +233,6 @@
         server.promised = term;
         server.role = ServerRole::Replica;
         server.upstream = primary;
-        server.heardAt = this->simulation.now();
         return this->reply(server, true);
     }
 
@@ -286,7 +285,7 @@
                 return;
             this->simulation.after(this->simulation.delay(), [this, index, from] {
                 const FakeServer& source = this->servers[from];
-                if (!source.up || source.role == ServerRole::Replica || this->blockedLinks[from][index])
+                if (!source.up || source.role != ServerRole::Primary || this->blockedLinks[from][index])
                     return;
                 this->simulation.after(this->simulation.delay() + this->servers[index].lag,
                     [this, index, source] { this->receive(this->servers[index], source); });
@@ -294,13 +293,11 @@
         });
     }
 
-    // A fenced server still hands out its log, but no longer counts as a primary that is heard.
     void receive(FakeServer& replica, const FakeServer& source)
     {
         if (!replica.up || replica.role != ServerRole::Replica || replica.promised != source.logTerm || replica.upstream != source.index)
             return;
-        if (source.role == ServerRole::Primary)
-            replica.heardAt = this->simulation.now();
+        replica.heardAt = this->simulation.now();
         const auto common = static_cast<size_t>(
             std::mismatch(replica.log.begin(), replica.log.end(), source.log.begin(), source.log.end()).first - replica.log.begin());
         if (replica.logTerm < source.logTerm)
--- a/tests/failover/FaultMatrixTest.cpp
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -299,13 +299,27 @@
     EXPECT_EQ(scenario.group.history.primaries.size(), 1U);
 }
 
-// Guards against an ordered promotion that cuts off service for longer than the successor needs to catch up.
-TEST(FaultMatrixTest, DrainingPrimaryIsReplacedWithoutDetection)
+// Guards against an ordered promotion that cuts off service, or makes the draining server primary again because no
+// replica holds the newest writes.
+TEST(FaultMatrixTest, DrainingPrimaryIsReplacedByLaggingReplica)
 {
     Scenario scenario({});
     scenario.drainPrimary();
+    scenario.simulation().at(firstFaultAt - milliseconds(50), [&] { scenario.group.block({ 0 }, { 1, 2 }, true); });
+    scenario.simulation().at(firstFaultAt + milliseconds(800), [&] { scenario.group.block({ 0 }, { 1, 2 }, false); });
     expectCorrect(scenario, milliseconds(500));
     EXPECT_EQ(scenario.group.history.primaries.size(), 2U);
+    EXPECT_FALSE(scenario.group.history.primaries[Term { 2 }].contains(0));
+}
+
+// Guards against a new primary being replaced at once because its replicas still report the silence of the former one.
+TEST(FaultMatrixTest, SilenceOfFormerPrimaryDoesNotCountAgainstNewOne)
+{
+    Scenario scenario({});
+    scenario.killPrimary();
+    scenario.simulation().at(firstFaultAt, [&] { scenario.inject(Fault::Partition, 1, std::chrono::seconds(4)); });
+    expectCorrect(scenario, std::chrono::seconds(4) + silentGap);
+    EXPECT_EQ(scenario.group.history.primaries.size(), 2U);
 }
 
 // A fault and a step.
