Replace a draining primary without fencing it, and take turns

A planned promotion is due only when the group keeps a majority without the leaving server.

Now a VM waits for its turn, leaves a promoter in a higher term one more back-off step, and gives up early when a rival has begun. Silence that replicas report counts against a primary only when its term is old enough.

--- a/foxtailtrail/failover/DurabilityTracker.cpp
+++ b/foxtailtrail/failover/DurabilityTracker.cpp
@@ -66,6 +66,8 @@
     assert(this->strategy);
 }
 
+void DurabilityTracker::changeGroup(std::vector<BackendServerId> group) { this->observations = QuorumObservations(std::move(group)); }
+
 DurabilityTicket DurabilityTracker::track(LogPoint commit, TimePoint deadline)
 {
     const DurabilityTicket ticket { ++this->lastTicket };
--- a/foxtailtrail/failover/DurabilityTracker.h
+++ b/foxtailtrail/failover/DurabilityTracker.h
@@ -92,6 +92,9 @@
 public:
     DurabilityTracker(std::vector<BackendServerId> group, std::shared_ptr<const AcknowledgementStrategy>);
 
+    // Replaces the group after a change of configuration. Waits go on; what is known of the servers is read anew.
+    void changeGroup(std::vector<BackendServerId> group);
+
     // Starts the wait of a commit that the primary reported.
     DurabilityTicket track(LogPoint commit, TimePoint deadline);
 
--- a/foxtailtrail/failover/GroupMonitor.cpp
+++ b/foxtailtrail/failover/GroupMonitor.cpp
@@ -134,8 +134,8 @@
     const Server* leaving = this->primary();
     if (!leaving || !this->isDraining(*leaving) || !this->answersProbes(*leaving, now))
         return std::nullopt;
-    const Server* next = this->successor(*leaving);
-    if (!next || !this->answersProbes(*next, now))
+    const Server* next = this->successor(*leaving, now);
+    if (!next)
         return std::nullopt;
     return PromotionDue { PromotionCause::Planned, this->highestTerm, leaving->member.server, next->member.server };
 }
@@ -155,7 +155,9 @@
         return std::nullopt;
     if (!this->isUnansweredFor(*silent, this->settings.probeSilence, now)) {
         const bool canReplace = this->reachableCount(silent, now) >= this->observations.majority();
-        const bool cutOff = this->othersReportSilence(silent, this->settings.brokenLinkSilence, now);
+        // Replicas that have just begun to follow a new primary still report the silence of the former one.
+        const bool longInTerm = this->termSeenAt && *this->termSeenAt + this->settings.brokenLinkSilence <= now;
+        const bool cutOff = longInTerm && this->othersReportSilence(silent, this->settings.brokenLinkSilence, now);
         return primary && canReplace && cutOff ? std::optional(PromotionCause::ReplicasCutOff) : std::nullopt;
     }
     if (this->othersReportSilence(silent, this->settings.replicaSilence, now))
@@ -293,20 +295,22 @@
         || this->othersReportSilence(nullptr, this->settings.replicaSilence, now);
 }
 
-const GroupMonitor::Server* GroupMonitor::successor(const Server& leaving) const
+// The replica that has caught up best, when the group keeps a majority without the leaving primary.
+const GroupMonitor::Server* GroupMonitor::successor(const Server& leaving, TimePoint now) const
 {
     const Server* best = nullptr;
-    const auto leavingFresh = leaving.answeredAt;
+    size_t staying = 0;
     for (const Server& server : this->servers) {
-        if (&server == &leaving || this->isDraining(server) || !server.status || !server.status->isInTerm(this->highestTerm))
+        if (&server == &leaving || !this->answersProbes(server, now) || !server.status->isInTerm(this->highestTerm))
             continue;
+        ++staying;
         const auto fresh = this->replicaAge.freshAsOf(server.status->logPoint());
-        if (!fresh || *fresh + this->settings.plannedLag < *leavingFresh)
+        if (this->isDraining(server) || !fresh || *fresh + this->settings.plannedLag < *leaving.answeredAt)
             continue;
         if (!best || server.status->position > best->status->position)
             best = &server;
     }
-    return best;
+    return staying >= this->observations.majority() ? best : nullptr;
 }
 
 }
--- a/foxtailtrail/failover/GroupMonitor.h
+++ b/foxtailtrail/failover/GroupMonitor.h
@@ -76,7 +76,7 @@
     ReplicasCutOff,
     // A promoter fenced servers and stopped before there was a new primary.
     Unfinished,
-    // The primary is draining and a replica is ready to take over.
+    // The primary is draining, a replica has caught up, and the group keeps a majority without the primary.
     Planned,
 };
 
@@ -154,7 +154,7 @@
     bool isTermSettled(TimePoint now) const;
     bool isUnfinished(TimePoint now) const;
     std::optional<PromotionCause> causeOfUnplanned(TimePoint now) const;
-    const Server* successor(const Server& leaving) const;
+    const Server* successor(const Server& leaving, TimePoint now) const;
     void adoptTerm(const ServerStatus&, TimePoint now);
 
     GroupMonitorSettings settings;
--- a/foxtailtrail/failover/Promotion.cpp
+++ b/foxtailtrail/failover/Promotion.cpp
@@ -11,7 +11,7 @@
 
 std::string_view promotionPhaseName(PromotionPhase phase)
 {
-    constexpr std::array<std::string_view, 7> names { "idle", "catching up", "fencing", "promoting", "following", "done", "lost" };
+    constexpr std::array<std::string_view, 6> names { "idle", "fencing", "promoting", "following", "done", "lost" };
     return names[static_cast<size_t>(phase)];
 }
 
@@ -31,7 +31,7 @@
 
 std::vector<PromotionEffect> Promotion::start(const PromotionRequest& newRequest, TimePoint now)
 {
-    if (this->isRunning() || now < this->startNotBefore || newRequest.members.empty() || !this->isTurnForPlanned(newRequest, now))
+    if (newRequest.members.empty() || !this->isTurn(newRequest, now) || this->isRunning() || now < this->startNotBefore)
         return {};
     // Statuses read before this object's own promotion ended still call for it.
     if (this->currentPhase == PromotionPhase::Done && newRequest.highestTerm < this->currentTerm)
@@ -43,13 +43,15 @@
     return this->dueEffects(now);
 }
 
-bool Promotion::isTurnForPlanned(const PromotionRequest& asked, TimePoint now)
+bool Promotion::isTurn(const PromotionRequest& asked, TimePoint now)
 {
-    if (this->plannedFor != asked.leavingPrimary) {
-        this->plannedFor = asked.leavingPrimary;
-        this->plannedSince = now;
+    if (asked.highestTerm != this->askedTerm || this->askedLast + this->settings.askedLifetime < now) {
+        this->askedTerm = asked.highestTerm;
+        this->askedSince = now;
     }
-    return !asked.leavingPrimary || this->plannedSince + this->settings.plannedStep * asked.place <= now;
+    this->askedLast = now;
+    const Duration step = asked.leavingPrimary ? this->settings.plannedStep : this->settings.backoffStep;
+    return this->askedSince + step * asked.place <= now;
 }
 
 std::vector<PromotionEffect> Promotion::handle(const PromotionEvent& event, TimePoint now)
@@ -82,6 +84,9 @@
     }
     // The status tells why a command was refused; without one it is read before the command is repeated.
     member->refused = reply.outcome == CommandOutcome::Refused;
+    // Another promoter has begun, so waiting for servers that don't answer only delays whoever can win.
+    if (member->refused && this->currentPhase == PromotionPhase::Fencing)
+        this->phaseDeadline = std::min(this->phaseDeadline, now + this->settings.replyTimeout);
     if (reply.status)
         this->learn(*member, *reply.status, now);
 }
@@ -116,32 +121,23 @@
 {
     this->highestSeen = std::max({ this->highestSeen, status.promisedTerm, status.logTerm });
     if (status.promisedTerm > this->currentTerm) {
-        this->lose(now);
+        this->lose(now, this->request.place + 1);
         return;
     }
     // The reply to the promotion was lost, but it took effect.
     if (member.server == this->chosen && status.role == ServerRole::Primary && status.isInTerm(this->currentTerm))
         this->promoted = true;
-    if (this->currentPhase == PromotionPhase::CatchingUp && member.server == this->request.successor) {
-        const Member* leaving = this->find(*this->request.leavingPrimary);
-        this->successorCaughtUp = leaving && leaving->fencedPoint && status.logPoint() >= *leaving->fencedPoint;
-    }
 }
 
 void Promotion::beginTerm(TimePoint now)
 {
     this->currentTerm = Term { std::max(this->highestSeen, this->currentTerm).value + 1 };
     this->chosen.reset();
-    this->promoted = this->hintRecorded = this->successorCaughtUp = false;
+    this->promoted = this->hintRecorded = false;
     this->members.clear();
     for (const PromotionMember& member : this->request.members)
         this->members.push_back({ member.server, member.draining, false, false, false, std::nullopt, now });
-    const bool planned = this->request.leavingPrimary && this->request.successor;
-    if (planned) {
-        this->enter(PromotionPhase::CatchingUp, this->settings.catchUpLimit, now);
-    } else {
-        this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
-    }
+    this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
 }
 
 void Promotion::enter(PromotionPhase phase, Duration limit, TimePoint now)
@@ -156,8 +152,6 @@
 
 void Promotion::advance(TimePoint now)
 {
-    if (this->currentPhase == PromotionPhase::CatchingUp)
-        this->advanceCatchingUp(now);
     if (this->currentPhase == PromotionPhase::Fencing)
         this->advanceFencing(now);
     if (this->currentPhase == PromotionPhase::Promoting)
@@ -166,21 +160,10 @@
         this->advanceFollowing(now);
 }
 
-void Promotion::advanceCatchingUp(TimePoint now)
-{
-    const Member* leaving = this->find(*this->request.leavingPrimary);
-    // Another promoter has fenced the leaving primary already.
-    if (leaving && leaving->refused) {
-        this->lose(now);
-    } else if (this->successorCaughtUp || !leaving || now >= this->phaseDeadline) {
-        this->enter(PromotionPhase::Fencing, this->settings.fencingLimit, now);
-    }
-}
-
 void Promotion::advanceFencing(TimePoint now)
 {
-    const auto refused = static_cast<size_t>(
-        std::count_if(this->members.begin(), this->members.end(), [](const Member& member) { return member.refused && !member.fenced; }));
+    const auto lost = static_cast<size_t>(std::count_if(this->members.begin(), this->members.end(),
+        [this](const Member& member) { return (member.refused && !member.fenced) || member.server == this->request.leavingPrimary; }));
     const auto known = static_cast<size_t>(
         std::count_if(this->members.begin(), this->members.end(), [](const Member& member) { return member.fencedPoint.has_value(); }));
     if (known >= this->majority()) {
@@ -189,8 +172,8 @@
             [this](const Member& left, const Member& right) { return this->isBetter(right, left); });
         this->chosen = best->server;
         this->enter(PromotionPhase::Promoting, this->settings.promotingLimit, now);
-    } else if (refused > this->members.size() - this->majority() || now >= this->phaseDeadline) {
-        this->lose(now);
+    } else if (lost > this->members.size() - this->majority() || now >= this->phaseDeadline) {
+        this->lose(now, this->request.place);
     }
 }
 
@@ -213,7 +196,7 @@
         return;
     // The chosen server may be a primary already, so another one can be chosen only in a higher term.
     if (this->restartsLeft == 0) {
-        this->lose(now);
+        this->lose(now, this->request.place);
         return;
     }
     --this->restartsLeft;
@@ -232,12 +215,12 @@
     }
 }
 
-void Promotion::lose(TimePoint now)
+void Promotion::lose(TimePoint now, unsigned backoffSteps)
 {
     if (!this->isRunning())
         return;
     this->currentPhase = PromotionPhase::Lost;
-    this->startNotBefore = now + this->settings.backoffStep * this->request.place;
+    this->startNotBefore = now + this->settings.backoffStep * backoffSteps;
     if (++this->lossesInARow > 1) {
         const auto spread = static_cast<uint64_t>((this->settings.backoffSpread * this->lossesInARow).count());
         const uint64_t salt = stableHash(this->name + "/" + std::to_string(this->currentTerm.value));
@@ -273,10 +256,8 @@
 bool Promotion::needsCommand(const Member& member) const
 {
     switch (this->currentPhase) {
-    case PromotionPhase::CatchingUp:
-        return member.server == this->request.successor || (member.server == this->request.leavingPrimary && !member.fencedPoint);
     case PromotionPhase::Fencing:
-        return !member.fencedPoint;
+        return !member.fencedPoint && member.server != this->request.leavingPrimary;
     case PromotionPhase::Promoting:
         return member.server == this->chosen;
     case PromotionPhase::Following:
@@ -288,9 +269,8 @@
 
 void Promotion::addCommand(const Member& member, std::vector<PromotionEffect>& effects) const
 {
-    const bool fencing = this->currentPhase == PromotionPhase::CatchingUp || this->currentPhase == PromotionPhase::Fencing;
-    const bool watched = this->currentPhase == PromotionPhase::CatchingUp && member.server == this->request.successor;
-    if (watched || member.refused || (fencing && member.fenced)) {
+    const bool fencing = this->currentPhase == PromotionPhase::Fencing;
+    if (member.refused || (fencing && member.fenced)) {
         effects.emplace_back(ReadStatus { member.server });
     } else if (fencing) {
         effects.emplace_back(FenceServer { member.server, this->currentTerm });
--- a/foxtailtrail/failover/Promotion.h
+++ b/foxtailtrail/failover/Promotion.h
@@ -16,17 +16,19 @@
     Duration replyTimeout = std::chrono::milliseconds(200);
     // A command that failed is sent again after this.
     Duration retryDelay = std::chrono::milliseconds(40);
-    // Other VMs take a promotion over that has shown no primary for 600 ms, so catching up has to end before.
-    Duration catchUpLimit = std::chrono::milliseconds(400);
     Duration fencingLimit = std::chrono::seconds(1);
     Duration promotingLimit = std::chrono::milliseconds(500);
-    Duration followingLimit = std::chrono::seconds(2);
-    // The back-off after losing, times this VM's place in the rendezvous order of the database.
+    // Servers that don't answer by then are left to GroupMonitor, so that this VM can act on the next failure.
+    Duration followingLimit = std::chrono::milliseconds(500);
+    // The back-off after losing, times this VM's place in the rendezvous order of the database. One more step is added
+    // when another promoter is in a higher term, so that it can finish.
     Duration backoffStep = std::chrono::milliseconds(400);
     // Random-like extra back-off per lost attempt in a row. It separates two VMs that both believe they are first.
     Duration backoffSpread = std::chrono::milliseconds(100);
-    // A planned promotion is not urgent: the VM at place n leaves the VMs before it this long, times n, to begin it.
+    // The turn of the VM at place n comes n back-off steps after the promotion became due, or n of these when planned.
     Duration plannedStep = std::chrono::seconds(1);
+    // A promotion that was not asked for in this time is no longer due, and turns begin anew.
+    Duration askedLifetime = std::chrono::milliseconds(500);
     // How often a promotion begins again in a higher term, when the server it chose doesn't answer, before it gives up.
     unsigned restarts = 3;
 };
@@ -43,7 +45,9 @@
     std::vector<PromotionMember> members;
     // The highest term seen in the group.
     Term highestTerm;
-    // Set for a planned promotion: the primary to replace, and the replica that takes over once it has caught up.
+    // Set for a planned promotion: the primary to replace, and the replica that has caught up. The others are fenced
+    // without the leaving primary, because a fenced server hands out no more log: it alone could hold the newest, not yet
+    // acknowledged writes and would have to become primary again.
     std::optional<BackendServerId> leavingPrimary;
     std::optional<BackendServerId> successor;
     // This VM's place in the rendezvous order of the database, from 0.
@@ -124,8 +128,6 @@
 // Where a promotion is.
 enum class PromotionPhase : uint8_t {
     Idle,
-    // Planned only: the leaving primary is being fenced and the successor receives the end of its log.
-    CatchingUp,
     Fencing,
     Promoting,
     Following,
@@ -145,8 +147,9 @@
     // its former life could choose a second server in the same term.
     explicit Promotion(std::string promoter, PromotionSettings = {});
 
-    // Begins in a term higher than any seen. Does nothing while a promotion runs or the back-off lasts, or before a planned
-    // promotion is this VM's turn. Called again as long as the promotion is due.
+    // Begins in a term higher than any seen. Called again as long as the promotion is due. Does nothing while a promotion
+    // runs, while the back-off lasts, or before this VM's turn: VMs that see the same evidence at once would split the
+    // servers' promises among them, so each leaves those before it in the rendezvous order the time to act.
     std::vector<PromotionEffect> start(const PromotionRequest&, TimePoint now);
 
     // Takes in an event. Events of former terms and repeated events do no harm.
@@ -181,15 +184,14 @@
     void applyFence(Member&, const CommandReply&);
     void learn(Member&, const ServerStatus&, TimePoint now);
 
-    bool isTurnForPlanned(const PromotionRequest&, TimePoint now);
+    bool isTurn(const PromotionRequest&, TimePoint now);
     void beginTerm(TimePoint now);
     void enter(PromotionPhase, Duration limit, TimePoint now);
     void advance(TimePoint now);
-    void advanceCatchingUp(TimePoint now);
     void advanceFencing(TimePoint now);
     void advancePromoting(TimePoint now);
     void advanceFollowing(TimePoint now);
-    void lose(TimePoint now);
+    void lose(TimePoint now, unsigned backoffSteps);
 
     std::vector<PromotionEffect> dueEffects(TimePoint now);
     void addCommand(const Member&, std::vector<PromotionEffect>&) const;
@@ -207,13 +209,13 @@
     std::vector<Member> members;
     TimePoint phaseDeadline;
     TimePoint startNotBefore;
-    // When the planned promotion away from a primary was first asked for.
-    std::optional<BackendServerId> plannedFor;
-    TimePoint plannedSince;
+    // Since when a promotion out of this term has been asked for, and when last.
+    Term askedTerm;
+    TimePoint askedSince;
+    TimePoint askedLast;
     std::optional<BackendServerId> chosen;
     bool promoted = false;
     bool hintRecorded = false;
-    bool successorCaughtUp = false;
     unsigned restartsLeft = 0;
     unsigned lossesInARow = 0;
 };
--- a/tests/failover/FakeVm.h
+++ b/tests/failover/FakeVm.h
@@ -176,7 +176,7 @@
     void control()
     {
         const auto due = this->monitor.promotionDue(this->now());
-        if (!due || this->promotion.isRunning() || this->now() < this->promotion.backoffUntil())
+        if (!due)
             return;
         this->causes.insert(due->cause);
         this->promote(*due);
