Forget a connection before its lease does, and give up calls to a dead home

Cause of a crash of the home when its primary was paused (SIGSTOP): discard() cleared the lease first, so the set of running connections kept a dangling pointer that the next interruption used; the stack trace shows BackendLane::interruptRunning under DatabaseHome::update.

A call to a paused home ended only at the attempt's deadline: 4,979 ms in the debug log after SIGSTOP of the home, 4,993 ms for the caller. It is now given up once the home is believed dead, and the write is resolved by its id.

--- a/foxtailtrail/server/BackendLane.cpp
+++ b/foxtailtrail/server/BackendLane.cpp
@@ -100,6 +100,8 @@
 
 void BackendLane::discard(LaneSlot slot)
 {
+    // The lease forgets its connection, so the connection leaves the set of running ones first.
+    this->running.erase(&*slot.connection);
     slot.connection.discard();
     this->release(std::move(slot));
 }
--- a/foxtailtrail/server/HomeCaller.cpp
+++ b/foxtailtrail/server/HomeCaller.cpp
@@ -1,9 +1,11 @@
 #include "foxtailtrail/server/HomeCaller.h"
 
 #include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/FiberThread.h"
 
 #include <algorithm>
 #include <array>
+#include <boost/fiber/future.hpp>
 
 namespace foxtail {
 
@@ -25,6 +27,9 @@
         return deadline > now ? static_cast<uint64_t>(toMilliseconds(deadline - now)) : 0;
     }
 
+    // How often a call looks whether its home is still believed alive.
+    constexpr Duration liveCheckInterval = std::chrono::milliseconds(50);
+
     Ran ranByName(std::string_view name)
     {
         for (const Ran ran : { Ran::No, Ran::Yes }) {
@@ -189,8 +194,7 @@
         json::object parameters = encodeRequest(request, now());
         if (targeted)
             encodeTargetedRead(*targeted, parameters);
-        const Result<json::object> reply
-            = this->peers.call(home->peerEndpoint, TrafficPurpose::Statements, "execute", parameters, request.deadline);
+        const Result<json::object> reply = this->callPeer(*home, "execute", parameters, request.deadline);
         if (!reply) {
             // An error that the home itself reported says whether the request ran; a broken call does not.
             const bool broken = reply.error().kind == ErrorKind::OutcomeUnknown || reply.error().kind == ErrorKind::PeerUnavailable;
@@ -204,6 +208,22 @@
     return answer;
 }
 
+Result<json::object> HomeCaller::callPeer(const LiveVm& home, const std::string& method, const json::object& parameters, TimePoint deadline)
+{
+    // A home that is paused answers no call but keeps its connections, so the call is given up when the home is believed dead.
+    // The exchange itself goes on in its own fiber, as its connection must not be reused before the answer.
+    auto promise = std::make_shared<boost::fibers::promise<Result<json::object>>>();
+    auto future = promise->get_future();
+    startFiber([this, promise, endpoint = home.peerEndpoint, method, parameters, deadline] {
+        promise->set_value(this->peers.call(endpoint, TrafficPurpose::Statements, method, parameters, deadline));
+    });
+    while (future.wait_for(liveCheckInterval) == boost::fibers::future_status::timeout) {
+        if (!this->board.current()->find(home.id))
+            return fail(ErrorKind::OutcomeUnknown, "VM " + home.id.value + " stopped answering");
+    }
+    return future.get();
+}
+
 Resolved HomeCaller::resolve(const ResolveRequest& request)
 {
     const std::optional<LiveVm> home = this->homeOf(request.database, this->regionFor(request.database, TransactionKind::Write));
@@ -211,8 +231,7 @@
         return { Ran::Unknown, std::nullopt, "no live VM is home of the database" };
     if (home->id == this->self)
         return this->local.resolve(request);
-    const Result<json::object> reply = this->peers.call(
-        home->peerEndpoint, TrafficPurpose::Statements, "resolve", encodeResolveRequest(request, now()), request.deadline);
+    const Result<json::object> reply = this->callPeer(*home, "resolve", encodeResolveRequest(request, now()), request.deadline);
     if (!reply)
         return { Ran::Unknown, std::nullopt, reply.error().detail };
     return decodeResolved(reply.value());
--- a/foxtailtrail/server/HomeCaller.h
+++ b/foxtailtrail/server/HomeCaller.h
@@ -71,6 +71,7 @@
     Region regionFor(const DatabaseId&, TransactionKind) const;
     std::optional<LiveVm> homeOf(const DatabaseId&, const Region&) const;
     HomeAnswer callHome(const TransactionRequest&, const std::optional<TargetedRead>&, const Region&);
+    Result<json::object> callPeer(const LiveVm&, const std::string& method, const json::object& parameters, TimePoint deadline);
     void learn(const DatabaseId&, const HomeAnswer&);
 
     VmId self;
