--- a/tests/backend/BackendConnectionTest.cpp
+++ b/tests/backend/BackendConnectionTest.cpp
@@ -177,6 +177,23 @@
     });
 }
 
+// Guards against a pool that stays empty after its server has refused connections for a while.
+TEST_F(BackendConnectionTest, PoolRefillsAfterRefusals)
+{
+    this->thread->call([this] {
+        std::vector<std::unique_ptr<BackendConnection>> others(3);
+        for (auto& connection : others)
+            connection = connected(this->endpoint());
+        auto pool = ConnectionPool::create({ "127.0.0.1", this->standin.port(), "v1", 2 });
+        this->standin.claim("v1", 1);
+        pool->setClaim(1);
+        // Ends once the pool has seen a refusal; before that the error is DeadlineExceeded.
+        while (pool->acquire(now() + impatience).error().kind != ErrorKind::PeerUnavailable) { }
+        others.clear();
+        EXPECT_TRUE(pool->acquire(now() + patience));
+    });
+}
+
 // Guards against pools that flood a new primary with connections at the moment of a failover.
 TEST(RefillPacer, OpensAtMostTwoInAnyTenMilliseconds)
 {
