--- a/foxtailtrail/Main.cpp
+++ b/foxtailtrail/Main.cpp
@@ -1,5 +1,6 @@
 #include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/server/Log.h"
+#include "foxtailtrail/server/OperatorClient.h"
 #include "foxtailtrail/server/Settings.h"
 #include "foxtailtrail/server/Vm.h"
 
@@ -8,6 +9,7 @@
 #include <csignal>
 #include <iostream>
 #include <string>
+#include <unistd.h>
 #include <vector>
 
 namespace {
@@ -77,6 +79,129 @@
     std::_Exit(exitSuccess);
 }
 
+// Where the command line finds the operators' port, and how it prints.
+struct OperatorOptions {
+    Endpoint endpoint;
+    std::string secret;
+    bool json = false;
+    // The words that are no options, joined by spaces.
+    std::string text;
+};
+
+// Reads the options that "command" and "report" share. Prints the help or the fault and returns nothing when there is nothing
+// to run; status is then the exit status.
+std::optional<OperatorOptions> operatorOptions(const std::vector<std::string>& arguments, const std::string& usage, int& status)
+{
+    options::options_description description("options");
+    auto add = description.add_options();
+    OperatorOptions result;
+    uint16_t port = 0;
+    std::vector<std::string> words;
+    add("help", "show this text");
+    add("address", options::value(&result.endpoint.address)->default_value("127.0.0.1"), "IP address of a VM");
+    add("port", options::value(&port)->default_value(7082), "the VM's operator port");
+    add("secret", options::value(&result.secret), "the operators' secret; better given in the environment variable FOXTAIL_SECRET");
+    add("json", options::bool_switch(&result.json), "print JSON instead of a table");
+    add("text", options::value(&words), "the command");
+    options::positional_options_description positional;
+    positional.add("text", -1);
+    options::variables_map values;
+    status = exitUsage;
+    try {
+        options::store(options::command_line_parser(arguments).options(description).positional(positional).run(), values);
+        options::notify(values);
+    } catch (const options::error& error) {
+        std::cerr << "foxtailtrail: " << error.what() << "\n" << usage << description;
+        return std::nullopt;
+    }
+    if (values.count("help") > 0) {
+        std::cout << usage << description;
+        status = exitSuccess;
+        return std::nullopt;
+    }
+    result.endpoint.port = port;
+    const char* environmentSecret = std::getenv("FOXTAIL_SECRET");
+    if (result.secret.empty() && environmentSecret)
+        result.secret = environmentSecret;
+    if (result.secret.empty()) {
+        std::cerr << "foxtailtrail: no operators' secret: set FOXTAIL_SECRET or give --secret\n";
+        return std::nullopt;
+    }
+    for (const std::string& word : words)
+        result.text += (result.text.empty() ? "" : " ") + word;
+    return result;
+}
+
+int reportError(const Error& error)
+{
+    const ErrorKindRow& row = errorKindRow(error.kind);
+    std::cerr << "foxtailtrail: " << row.name << ": " << (error.detail.empty() ? std::string(row.text) : error.detail) << "\n";
+    return exitFailure;
+}
+
+// Runs one command and prints its answer.
+int runCommand(OperatorClient& client, const std::string& text, bool json)
+{
+    const Result<OperatorAnswer> answer = client.command(text);
+    if (!answer)
+        return reportError(answer.error());
+    if (json) {
+        std::cout << answer.value().text << std::endl;
+        return exitSuccess;
+    }
+    if (answer.value().table)
+        std::cout << renderText(*answer.value().table);
+    if (!answer.value().message.empty())
+        std::cout << answer.value().message << "\n";
+    if (!answer.value().key.empty())
+        std::cout << "key (shown only now): " << answer.value().key << "\n";
+    std::cout.flush();
+    return exitSuccess;
+}
+
+constexpr const char* commandUsage = "usage: foxtailtrail command [OPTIONS] [COMMAND]\n"
+                                     "Runs one command of the operators' language, or reads commands from standard input, one a line.\n"
+                                     "\"help\" lists the forms of commands.\n";
+
+int command(const std::vector<std::string>& arguments)
+{
+    int status = exitUsage;
+    const auto parsed = operatorOptions(arguments, commandUsage, status);
+    if (!parsed)
+        return status;
+    OperatorClient client(parsed->endpoint, parsed->secret);
+    if (!parsed->text.empty())
+        return runCommand(client, parsed->text, parsed->json);
+    const bool interactive = isatty(STDIN_FILENO) != 0;
+    status = exitSuccess;
+    std::string line;
+    while (true) {
+        if (interactive)
+            std::cout << "foxtail> " << std::flush;
+        if (!std::getline(std::cin, line) || line == "quit" || line == "exit")
+            return status;
+        if (line.find_first_not_of(" \t") != std::string::npos && runCommand(client, line, parsed->json) != exitSuccess)
+            status = exitFailure;
+    }
+}
+
+constexpr const char* reportUsage = "usage: foxtailtrail report [OPTIONS]\n"
+                                    "Shows how fast each service burns the error budget of its service-level objective.\n";
+
+int report(const std::vector<std::string>& arguments)
+{
+    int status = exitUsage;
+    const auto parsed = operatorOptions(arguments, reportUsage, status);
+    if (!parsed)
+        return status;
+    OperatorClient client(parsed->endpoint, parsed->secret);
+    const Result<BurnAnswer> burned = client.burn();
+    if (!burned)
+        return reportError(burned.error());
+    std::cout << (parsed->json ? burned.value().json + "\n" : burned.value().text);
+    return exitSuccess;
+}
+
 int check(const std::vector<std::string>& arguments)
 {
     const auto file = settingsArgument(arguments, "check");
@@ -99,9 +224,11 @@
     int (*run)(const std::vector<std::string>&);
 };
 
-constexpr std::array<Subcommand, 3> subcommands { {
+constexpr std::array<Subcommand, 5> subcommands { {
     { "serve", "serve SETTINGS-FILE", "run a VM until SIGTERM, SIGINT or an operator stops it", serve },
     { "check", "check SETTINGS-FILE", "check a settings file and print each fault with its line", check },
+    { "command", "command [OPTIONS] [COMMAND]", "run a command of the operators' language on a VM; see command --help", command },
+    { "report", "report [OPTIONS]", "show the burn of the service levels; see report --help", report },
     { "version", "version", "print the version", printVersion },
 } };
 
--- a/foxtailtrail/server/DatabaseHome.cpp
+++ b/foxtailtrail/server/DatabaseHome.cpp
@@ -88,15 +88,16 @@
     const Database& database = found->second;
     const auto split = splitConnections(database.connections, static_cast<uint32_t>(database.servers.size()), database.slots);
     for (const BackendServer& server : database.servers) {
-        std::unique_ptr<BackendLane>& lane = this->lanes[server.id];
         const auto held = snapshot->homeEpochs.find(server.id);
-        if (!lane && held != snapshot->homeEpochs.end()) {
+        if (held != snapshot->homeEpochs.end() && !this->lanes.contains(server.id)) {
             const uint32_t connections = split ? split.value().pooled : 1;
-            lane = std::make_unique<BackendLane>(BackendLaneSettings {
+            this->lanes[server.id] = std::make_unique<BackendLane>(BackendLaneSettings {
                 { server.address, server.port, this->settings.processName, connections }, FairQueueSettings { database.slots } });
         }
-        if (!lane)
+        const auto known = this->lanes.find(server.id);
+        if (known == this->lanes.end())
             continue;
+        BackendLane* lane = known->second.get();
         lane->setSlots(database.slots);
         lane->setClaim(held == snapshot->homeEpochs.end() ? std::nullopt : std::optional(held->second));
 
@@ -116,7 +117,7 @@
 {
     std::map<BackendServerId, LaneLoad> loads;
     for (const auto& [server, lane] : this->lanes) {
-        if (lane && lane->claim())
+        if (lane->claim())
             loads[server] = lane->load();
     }
     return loads;
--- a/foxtailtrail/server/OperatorService.cpp
+++ b/foxtailtrail/server/OperatorService.cpp
@@ -1,26 +1,248 @@
 #include "foxtailtrail/server/OperatorService.h"
 
+#include "foxtailtrail/base/Hash.h"
 #include "foxtailtrail/filters/AnswerFilter.h"
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/server/ActivityCodec.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/fiber/fiber.hpp>
+#include <openssl/rand.h>
 
 namespace foxtail {
 
-OperatorService::OperatorService(
-    OperatorServiceSettings settings, const SnapshotBoard& board, ControlLoop& control, FiberThread& controlThread, Metrics& metrics)
+namespace {
+
+    constexpr std::string_view bearerPrefix = "Bearer ";
+    constexpr Duration activityTimeout = std::chrono::milliseconds(500);
+    constexpr Duration changeDeadline = std::chrono::seconds(5);
+
+    constexpr std::array<std::string_view, 3> roleNames { "primary", "replica", "fenced" };
+    constexpr std::array<std::string_view, burnWindowCount> windowNames { "5m", "30m", "1h", "6h", "30d" };
+
+    constexpr std::array<std::string_view, 4> verdictNames { "accepted", "stored, not confirmed", "refused", "unknown" };
+
+    json::object tableToJson(const Table& table) { return parseJsonObject(renderJson(table)).value(); }
+
+    uint64_t lagOf(const ServerView& server, const GroupView& group)
+    {
+        const ServerView* primary = group.primary ? group.find(*group.primary) : nullptr;
+        if (!primary || primary->status.position <= server.status.position)
+            return 0;
+        return primary->status.position.value - server.status.position.value;
+    }
+
+}
+
+OperatorService::OperatorService(OperatorServiceSettings settings, const SnapshotBoard& board, ControlLoop& control, Metrics& metrics)
     : settings(std::move(settings))
     , board(board)
     , control(control)
-    , controlThread(controlThread)
     , metrics(metrics)
+    , secret(this->settings.vm.operatorSecret)
+    , burn(this->objectives())
 {
 }
 
-HttpResponse OperatorService::answer(const HttpRequest&)
+std::vector<ServiceObjective> OperatorService::objectives() const
+{
+    std::vector<ServiceObjective> result;
+    for (const ObjectiveSettings& objective : this->settings.vm.objectives)
+        result.push_back({ objective.service, objective.availabilityPercent, objective.latency });
+    return result;
+}
+
+void OperatorService::count(const RequestRecord& record)
+{
+    const std::lock_guard<std::mutex> lock(this->countMutex);
+    if (!record.organisation.empty()) {
+        OrganisationActivity& activity = this->counted[record.organisation];
+        activity.id = record.organisation;
+        const bool refused = record.error == ErrorKind::RateLimited || record.error == ErrorKind::LimitUnavailable;
+        ++(refused ? activity.refused : activity.admitted);
+    }
+    if (!record.service.empty())
+        this->burn.record({ record.service, record.organisation, record.error, record.duration }, now());
+}
+
+HttpResponse OperatorService::answer(const HttpRequest& request)
+{
+    const std::string* authorization = request.header("Authorization");
+    if (!authorization || !authorization->starts_with(bearerPrefix))
+        return AnswerFilter::errorResponse({ ErrorKind::KeyMissing, "operators send Authorization: Bearer SECRET" });
+    if (!equalInConstantTime(authorization->substr(bearerPrefix.size()), this->secret))
+        return AnswerFilter::errorResponse({ ErrorKind::KeyUnknown, "" });
+
+    HttpResponse response;
+    if (request.target == "/v1/burn" && request.method == "GET") {
+        const BurnReport report = makeBurnReport(this->objectives(), this->gather().burn);
+        response.body
+            = json::serialize(json::object { { "text", renderBurnText(report) }, { "report", parseJson(renderBurnJson(report)).value() } });
+        return response;
+    }
+    if (request.target != "/v1/command")
+        return AnswerFilter::errorResponse({ ErrorKind::UnknownRoute, "operators use POST /v1/command and GET /v1/burn" });
+    if (request.method != "POST")
+        return AnswerFilter::errorResponse({ ErrorKind::MethodNotAllowed, "/v1/command takes POST" });
+    const auto run = [&]() -> Result<json::object> {
+        BOOST_OUTCOME_TRY(const json::object body, parseJsonObject(request.body));
+        BOOST_OUTCOME_TRY(const std::string text, stringMember(body, "text"));
+        return this->execute(text);
+    };
+    const Result<json::object> result = run();
+    if (!result)
+        return AnswerFilter::errorResponse(result.error());
+    response.body = json::serialize(result.value());
+    return response;
+}
+
+Result<json::object> OperatorService::execute(std::string_view text)
 {
-    return AnswerFilter::errorResponse({ ErrorKind::UnknownRoute, "operators use POST /v1/command" });
+    const ParsedCommand parsed = parseCommand(text);
+    if (!parsed)
+        return fail(ErrorKind::CommandInvalid, parsed.error().text());
+    const Command& command = parsed.value();
+    if (const auto* query = std::get_if<Query>(&command))
+        return this->show(*query);
+    if (const auto* changed = std::get_if<ChangeCommand>(&command))
+        return this->change(*changed);
+    if (const auto* stop = std::get_if<StopVmCommand>(&command))
+        return this->stopVm(*stop);
+    return json::object { { "message", commandHelp() } };
 }
 
-void OperatorService::count(const RequestRecord&) { }
+Result<json::object> OperatorService::show(const Query& query) { return tableToJson(evaluateQuery(query, this->gather().fleet)); }
 
-std::string OperatorService::exposition() { return this->metrics.exposition(); }
+Result<json::object> OperatorService::change(const ChangeCommand& command)
+{
+    const auto snapshot = this->board.current();
+    const Configuration empty;
+    const Configuration& configuration = snapshot->configuration ? *snapshot->configuration : empty;
+    ChangeContext context { this->settings.processName + "-op-" + std::to_string(++this->changeCount),
+        "operator-" + this->settings.self.value, {} };
+    RAND_bytes(context.random.data(), static_cast<int>(context.random.size()));
+    EvaluatedChange evaluated = evaluateChange(command, configuration, context);
+    if (auto* initialize = std::get_if<InitializeFleet>(&evaluated.change.action)) {
+        for (const LiveVm& vm : snapshot->vms) {
+            if (initialize->witnesses.size() < wantedWitnesses)
+                initialize->witnesses.push_back({ vm.id, vm.peerEndpoint.address, vm.peerEndpoint.port });
+        }
+    }
+
+    const ProposalOutcome outcome = this->control.propose(std::move(evaluated.change), now() + changeDeadline);
+    if (outcome.verdict == ProposalVerdict::Refused)
+        return withSuggestion(outcome.error, command, configuration);
+    if (outcome.verdict == ProposalVerdict::Unknown)
+        return fail(ErrorKind::StoreOutcomeUnknown, outcome.error.detail);
+    std::string message
+        = std::string(verdictNames[static_cast<size_t>(outcome.verdict)]) + " as version " + std::to_string(outcome.version);
+    if (outcome.verdict == ProposalVerdict::StoredNotConfirmed)
+        message += ": a majority of the witnesses has not answered, so VMs that cannot reach the store may still serve the version before";
+    json::object result { { "message", message }, { "version", outcome.version } };
+    if (!evaluated.keyText.empty())
+        result["key"] = evaluated.keyText;
+    return result;
+}
+
+Result<json::object> OperatorService::stopVm(const StopVmCommand& command)
+{
+    if (command.vm == this->settings.self) {
+        this->stopRequested = true;
+        return json::object { { "message", "VM " + command.vm.value + " is stopping" } };
+    }
+    const auto snapshot = this->board.current();
+    const LiveVm* vm = snapshot->find(command.vm);
+    if (!vm)
+        return fail(ErrorKind::CommandInvalid, "no live VM is named " + command.vm.value);
+    BOOST_OUTCOME_TRY(this->control.peerClient().call(vm->peerEndpoint, TrafficPurpose::Control, "stopVm", {}, now() + activityTimeout));
+    return json::object { { "message", "VM " + command.vm.value + " is stopping" } };
+}
+
+Result<json::object> OperatorService::acceptStop(const json::object&)
+{
+    this->stopRequested = true;
+    return json::object {};
+}
+
+Result<json::object> OperatorService::reportActivity(const json::object&)
+{
+    const auto snapshot = this->board.current();
+    FleetSnapshot fleet;
+    BurnSnapshot burned;
+    {
+        const std::lock_guard<std::mutex> lock(this->countMutex);
+        for (const auto& [id, activity] : this->counted)
+            fleet.organisations.push_back(activity);
+        burned = this->burn.snapshot(now());
+    }
+    const std::map<BackendServerId, LaneLoad> loads = this->settings.loads();
+    for (const auto& [id, group] : snapshot->groups) {
+        DatabaseActivity database { id, group->term, group->primary, 0, 0 };
+        for (const ServerView& server : group->servers) {
+            fleet.servers.push_back({ server.server, std::string(roleNames[static_cast<size_t>(server.status.role)]), server.reachable,
+                server.status.position, lagOf(server, *group) });
+            const auto load = loads.find(server.server);
+            if (load == loads.end())
+                continue;
+            database.slotsInUse += static_cast<uint32_t>(load->second.slotsInUse);
+            database.queueLength += static_cast<uint32_t>(load->second.waiting);
+        }
+        fleet.databases.push_back(std::move(database));
+    }
+    json::object activity = encodeActivity(fleet);
+    activity["burn"] = serializeBurnSnapshot(burned);
+    return activity;
+}
+
+OperatorService::FleetActivity OperatorService::gather()
+{
+    const auto snapshot = this->board.current();
+    FleetActivity gathered;
+    gathered.fleet.configuration = snapshot->configuration;
+    std::vector<boost::fibers::fiber> calls;
+    std::vector<Result<json::object>> answers(snapshot->vms.size(), fail(ErrorKind::PeerUnavailable));
+    for (size_t index = 0; index < snapshot->vms.size(); ++index) {
+        calls.emplace_back([this, &snapshot, &answers, index] {
+            const LiveVm& vm = snapshot->vms[index];
+            answers[index] = vm.id == this->settings.self
+                ? this->reportActivity({})
+                : this->control.peerClient().call(vm.peerEndpoint, TrafficPurpose::Control, "activity", {}, now() + activityTimeout);
+        });
+    }
+    for (auto& call : calls)
+        call.join();
+    for (size_t index = 0; index < answers.size(); ++index) {
+        const LiveVm& vm = snapshot->vms[index];
+        const bool stale = vm.id == this->settings.self && now() >= snapshot->servingDeadline;
+        const std::string state = vm.leaving ? "leaving" : !answers[index] ? "silent" : stale ? "stale" : "serving";
+        gathered.fleet.vms.push_back({ vm.id, vm.region, vm.dataCentre, vm.configurationVersion, state });
+        if (!answers[index] || !mergeActivity(answers[index].value(), gathered.fleet))
+            continue;
+        const Result<std::string> text = stringMember(answers[index].value(), "burn");
+        const Result<BurnSnapshot> burned = text ? parseBurnSnapshot(text.value()) : fail(ErrorKind::MalformedRequest);
+        if (burned)
+            gathered.burn.merge(burned.value());
+    }
+    return gathered;
+}
+
+std::string OperatorService::exposition()
+{
+    BurnSnapshot burned;
+    {
+        const std::lock_guard<std::mutex> lock(this->countMutex);
+        burned = this->burn.snapshot(now());
+    }
+    for (const ServiceBurn& service : makeBurnReport(this->objectives(), burned).services) {
+        for (size_t window = 0; window < burnWindowCount; ++window)
+            this->metrics.setBurnRate(service.objective.service, windowNames[window], service.burnRates[window]);
+    }
+    for (const TrafficPurpose purpose :
+        { TrafficPurpose::Statements, TrafficPurpose::Control, TrafficPurpose::Lending, TrafficPurpose::Configuration })
+        this->metrics.countTraffic(trafficPurposeName(purpose), this->control.peerClient().bytes(purpose));
+    return this->metrics.exposition();
+}
 
 }
--- a/foxtailtrail/server/OperatorService.h
+++ b/foxtailtrail/server/OperatorService.h
@@ -1,10 +1,16 @@
 #pragma once
 
-#include "foxtailtrail/net/FiberThread.h"
+#include "foxtailtrail/burn/BurnReport.h"
+#include "foxtailtrail/commands/CommandEvaluator.h"
+#include "foxtailtrail/commands/CommandGrammar.h"
+#include "foxtailtrail/commands/QueryEvaluator.h"
+#include "foxtailtrail/server/BackendLane.h"
 #include "foxtailtrail/server/ControlLoop.h"
 #include "foxtailtrail/server/Metrics.h"
 
 #include <atomic>
+#include <functional>
+#include <mutex>
 
 namespace foxtail {
 
@@ -13,30 +19,56 @@
     const Settings& vm;
     VmId self;
     std::string processName;
+    // How busy the backend servers are whose homes this VM holds.
+    std::function<std::map<BackendServerId, LaneLoad>()> loads;
 };
 
-// Answers the operators' port: checks the operators' secret, runs commands and queries.
+// Answers the operators' port: checks the operators' secret, runs commands and queries, and reports the burn of service levels.
+// Everything but count() runs in fibers of the control thread.
 class OperatorService {
 public:
-    OperatorService(OperatorServiceSettings, const SnapshotBoard&, ControlLoop&, FiberThread& controlThread, Metrics&);
+    OperatorService(OperatorServiceSettings, const SnapshotBoard&, ControlLoop&, Metrics&);
 
-    // Answers one request. Runs in a fiber of the control thread.
+    // Answers POST /v1/command and GET /v1/burn.
     HttpResponse answer(const HttpRequest&);
 
     // Counts a finished request for the reports. Safe to call from any thread.
     void count(const RequestRecord&);
 
+    // Answers the peer call "activity": what this VM knows and has counted.
+    Result<json::object> reportActivity(const json::object&);
+
+    // Answers the peer call "stopVm".
+    Result<json::object> acceptStop(const json::object&);
+
     // The metrics of this VM in the text format of Prometheus.
     std::string exposition();
 
     bool isStopRequested() const { return this->stopRequested; }
 
 private:
+    // The activity of the whole fleet with the burn counts, as far as the VMs answered.
+    struct FleetActivity {
+        FleetSnapshot fleet;
+        BurnSnapshot burn;
+    };
+
+    Result<json::object> execute(std::string_view text);
+    Result<json::object> show(const Query&);
+    Result<json::object> change(const ChangeCommand&);
+    Result<json::object> stopVm(const StopVmCommand&);
+    FleetActivity gather();
+    std::vector<ServiceObjective> objectives() const;
+
     OperatorServiceSettings settings;
     const SnapshotBoard& board;
     ControlLoop& control;
-    FiberThread& controlThread;
     Metrics& metrics;
+    std::string secret;
+    std::mutex countMutex;
+    std::map<OrganisationId, OrganisationActivity> counted;
+    BurnRecorder burn;
+    uint64_t changeCount = 0;
     std::atomic<bool> stopRequested { false };
 };
 
--- a/foxtailtrail/server/TrafficWorker.cpp
+++ b/foxtailtrail/server/TrafficWorker.cpp
@@ -120,7 +120,7 @@
     const AnswerFilter answer;
     RequestRecord record = answer.record(request, result);
     this->context.metrics.countRequest(record);
-    this->context.onRequest(record);
+    this->context.operators.count(record);
     return answer.response(request, result);
 }
 
@@ -153,28 +153,27 @@
         return toOutcome(run());
     });
 
-    // Calls about control state run on the control thread.
-    struct ControlMethod {
-        const char* name;
-        Result<json::object> (ControlLoop::*method)(const json::object&);
-    };
-    constexpr std::array<ControlMethod, 6> controlMethods { {
-        { "ping", &ControlLoop::answerPing },
-        { "configurationVersion", &ControlLoop::reportVersion },
-        { "configurationDocument", &ControlLoop::reportDocument },
-        { "borrow", &ControlLoop::borrow },
-        { "giveBack", &ControlLoop::takeBack },
-        { "probe", &ControlLoop::probe },
-    } };
-    for (const ControlMethod& row : controlMethods) {
-        this->dispatcher.addMethod(row.name, [this, method = row.method](const std::string& text) {
-            const auto run = [&]() -> Result<json::object> {
-                BOOST_OUTCOME_TRY(const json::object parameters, parseJsonObject(text));
-                return this->context.controlThread.call([&] { return (this->context.control.*method)(parameters); });
-            };
-            return toOutcome(run());
-        });
-    }
+    ControlLoop& control = this->context.control;
+    this->addControlMethod("ping", control, &ControlLoop::answerPing);
+    this->addControlMethod("configurationVersion", control, &ControlLoop::reportVersion);
+    this->addControlMethod("configurationDocument", control, &ControlLoop::reportDocument);
+    this->addControlMethod("borrow", control, &ControlLoop::borrow);
+    this->addControlMethod("giveBack", control, &ControlLoop::takeBack);
+    this->addControlMethod("probe", control, &ControlLoop::probe);
+    this->addControlMethod("activity", this->context.operators, &OperatorService::reportActivity);
+    this->addControlMethod("stopVm", this->context.operators, &OperatorService::acceptStop);
+}
+
+template <typename Target>
+void TrafficWorker::addControlMethod(const char* name, Target& target, Result<json::object> (Target::*method)(const json::object&))
+{
+    this->dispatcher.addMethod(name, [this, &target, method](const std::string& text) {
+        const auto run = [&]() -> Result<json::object> {
+            BOOST_OUTCOME_TRY(const json::object parameters, parseJsonObject(text));
+            return this->context.controlThread.call([&] { return (target.*method)(parameters); });
+        };
+        return toOutcome(run());
+    });
 }
 
 DatabaseHome& TrafficWorker::homeOf(const DatabaseId& database)
--- a/foxtailtrail/server/TrafficWorker.h
+++ b/foxtailtrail/server/TrafficWorker.h
@@ -6,6 +6,7 @@
 #include "foxtailtrail/server/ControlLoop.h"
 #include "foxtailtrail/server/DatabaseHome.h"
 #include "foxtailtrail/server/LimitGate.h"
+#include "foxtailtrail/server/OperatorService.h"
 
 #include <memory>
 #include <vector>
@@ -24,7 +25,7 @@
     ControlLoop& control;
     // Finds the worker that holds the home of a database.
     std::function<class TrafficWorker&(const DatabaseId&)> workerOf;
-    std::function<void(const RequestRecord&)> onRequest;
+    OperatorService& operators;
 };
 
 // One traffic thread: takes requests of callers and calls of other VMs, and holds the homes of its share of the databases.
@@ -56,6 +57,9 @@
     HttpResponse answerCaller(const HttpRequest&);
     HttpResponse answerPeer(const HttpRequest&);
     void addPeerMethods();
+    // Adds a peer call that runs on the control thread, where all control state lives.
+    template <typename Target>
+    void addControlMethod(const char* name, Target&, Result<json::object> (Target::*method)(const json::object&));
     DatabaseHome& homeOf(const DatabaseId&);
     template <typename Function> auto onOwnThread(Function);
 
--- a/foxtailtrail/server/Vm.cpp
+++ b/foxtailtrail/server/Vm.cpp
@@ -36,15 +36,21 @@
     self.dataCentre = DataCentre(settings.vmDataCentre);
     this->control
         = std::make_unique<ControlLoop>(ControlLoopSettings { this->settings, self, incarnation, processName }, this->board, this->metrics);
+    const auto loads = [this] {
+        std::map<BackendServerId, LaneLoad> all;
+        for (const auto& worker : this->workers)
+            all.merge(worker->loads());
+        return all;
+    };
     this->operators = std::make_unique<OperatorService>(
-        OperatorServiceSettings { this->settings, self.id, processName }, this->board, *this->control, *this->controlThread, this->metrics);
+        OperatorServiceSettings { this->settings, self.id, processName, loads }, this->board, *this->control, this->metrics);
 
     const auto workerOf = [this](const DatabaseId& database) -> TrafficWorker& {
         return *this->workers[stableHash(database.value) % this->workers.size()];
     };
     for (size_t index = 0; index < settings.trafficThreads; ++index) {
         TrafficContext context { this->settings, self, processName, incarnation, this->board, this->metrics, *this->controlThread,
-            *this->control, workerOf, [this](const RequestRecord& record) { this->operators->count(record); } };
+            *this->control, workerOf, *this->operators };
         this->workers.push_back(std::make_unique<TrafficWorker>(std::move(context), index));
     }
 }
