--- a/tests/failover/FaultMatrixTest.cpp
+++ b/tests/failover/FaultMatrixTest.cpp
@@ -290,6 +290,14 @@
     EXPECT_FALSE(scenario.vms[0]->causes.contains(PromotionCause::PrimarySilent));
 }
 
+// Guards against writes that wait in vain while the primary answers VMs but reaches no replica.
+TEST(FaultMatrixTest, CutOffPrimaryIsReplaced)
+{
+    Scenario scenario({});
+    scenario.simulation().at(firstFaultAt, [&] { scenario.inject(Fault::CutOff, 0, std::chrono::seconds(8)); });
+    expectCorrect(scenario, silentGap);
+}
+
 // Guards against one VM's broken link replacing a healthy primary.
 TEST(FaultMatrixTest, OneBrokenLinkPromotesNobody)
 {
