--- a/foxtailtrail/failover/GroupMonitor.cpp
+++ b/foxtailtrail/failover/GroupMonitor.cpp
@@ -129,9 +129,13 @@
 
 std::optional<PromotionDue> GroupMonitor::promotionDue(TimePoint now) const
 {
-    if (const auto cause = this->causeOfUnplanned(now))
-        return PromotionDue { *cause, this->highestTerm, std::nullopt, std::nullopt };
     const Server* leaving = this->primary();
+    if (const auto cause = this->causeOfUnplanned(now)) {
+        PromotionDue due { *cause, this->highestTerm, std::nullopt, std::nullopt };
+        if (cause == PromotionCause::ReplicasCutOff)
+            due.leavingPrimary = leaving->member.server;
+        return due;
+    }
     if (!leaving || !this->isDraining(*leaving) || !this->answersProbes(*leaving, now))
         return std::nullopt;
     const Server* next = this->successor(*leaving, now);
--- a/foxtailtrail/failover/GroupMonitor.h
+++ b/foxtailtrail/failover/GroupMonitor.h
@@ -87,8 +87,9 @@
 struct PromotionDue {
     PromotionCause cause = PromotionCause::PrimarySilent;
     Term highestTerm;
-    // Set for a planned promotion only.
+    // Set for ReplicasCutOff and Planned; see PromotionRequest.
     std::optional<BackendServerId> leavingPrimary;
+    // Set for Planned.
     std::optional<BackendServerId> successor;
 };
 
--- a/foxtailtrail/failover/Promotion.cpp
+++ b/foxtailtrail/failover/Promotion.cpp
@@ -50,7 +50,7 @@
         this->askedSince = now;
     }
     this->askedLast = now;
-    const Duration step = asked.leavingPrimary ? this->settings.plannedStep : this->settings.backoffStep;
+    const Duration step = asked.successor ? this->settings.plannedStep : this->settings.backoffStep;
     return this->askedSince + step * asked.place <= now;
 }
 
--- a/foxtailtrail/failover/Promotion.h
+++ b/foxtailtrail/failover/Promotion.h
@@ -45,10 +45,10 @@
     std::vector<PromotionMember> members;
     // The highest term seen in the group.
     Term highestTerm;
-    // Set for a planned promotion: the primary to replace, and the replica that has caught up. The others are fenced
-    // without the leaving primary, because a fenced server hands out no more log: it alone could hold the newest, not yet
-    // acknowledged writes and would have to become primary again.
+    // Set when the primary still runs but has to be replaced: the others are fenced without it. A fenced server hands out
+    // no more log, so it alone could hold the newest, not yet acknowledged writes and would become primary again.
     std::optional<BackendServerId> leavingPrimary;
+    // Set for a planned promotion: the replica that has caught up.
     std::optional<BackendServerId> successor;
     // This VM's place in the rendezvous order of the database, from 0.
     unsigned place = 0;
