Lend ahead of demand only from a well-filled bucket and report spent tokens

Cause of wrongful refusals near the rate: tokens lent ahead lay unused at some VMs while requests waited at others, and spent tokens took up the depth of the bucket until their loan lapsed. Now waiting requests come first, tokens ahead are lent only above half of the burst, borrowers report what they have spent, and loans for waiting requests live 50 ms, as they are used on arrival. An organisation counts as over its rate from 1.5 times on; random arrivals at 95% exceeded the rate for moments and were refused without waiting.

The codec of the server folder carries the two new members, ahead and held.

--- a/foxtailtrail/limits/ShareBorrower.cpp
+++ b/foxtailtrail/limits/ShareBorrower.cpp
@@ -50,6 +50,7 @@
         account.answeredAt.reset();
         account.closed.clear();
         account.askFrom = {};
+        account.aheadFrom = {};
         account.exhaustedUntil = {};
         account.notReadyUntil = {};
     }
@@ -78,15 +79,31 @@
     return target >= this->settings.minimumAhead ? std::ceil(target) : 0;
 }
 
+// The tokens for requests that wait. An organisation whose requests are refused at once still needs one for the next.
 uint32_t ShareBorrower::wantedTokens(const Account& account, TimePoint now) const
 {
+    const uint32_t atLeast = account.wasRefused && heldTokens(account.loans, now) == 0 ? 1 : 0;
+    return std::max(static_cast<uint32_t>(account.waiting.size()), atLeast);
+}
+
+uint32_t ShareBorrower::aheadTokens(const Account& account, TimePoint now) const
+{
+    if (now < account.aheadFrom)
+        return 0;
     const double held = heldTokens(account.loans, now);
     const double target = this->aheadTarget(account, now);
-    const double ahead = held <= target / 2 ? target - held : 0;
-    // An organisation whose requests are refused at once still needs tokens for the next ones.
-    const double atLeast = account.wasRefused && held == 0 ? 1 : 0;
-    const double wanted = static_cast<double>(account.waiting.size()) + std::max(ahead, atLeast);
-    return static_cast<uint32_t>(std::min(wanted, static_cast<double>(maximumTokensPerLoan)));
+    return held <= target / 2 ? static_cast<uint32_t>(std::min(target - held, static_cast<double>(maximumTokensPerLoan))) : 0;
+}
+
+// The loans of the shard's present owner that still have tokens.
+std::vector<ClosedLoan> ShareBorrower::heldLoans(const Account& account, TimePoint now) const
+{
+    std::vector<ClosedLoan> held;
+    for (const HeldLoan& loan : account.loans) {
+        if (now < loan.lapsesAt && this->isLentByOwner(account, loan) && held.size() < maximumClosedLoansPerItem)
+            held.push_back({ loan.id, loan.tokens });
+    }
+    return held;
 }
 
 uint32_t ShareBorrower::tokensHeld(const OrganisationId& organisation, TimePoint now) const
@@ -162,7 +179,7 @@
 
     // Requests that came earlier go first.
     if (account.waiting.empty() && this->useToken(account, now)) {
-        if (this->wantedTokens(account, now) > 0)
+        if (this->aheadTokens(account, now) > 0)
             this->active.insert(organisation);
         return { AdmissionState::Admitted, {}, {} };
     }
@@ -184,10 +201,10 @@
         Account& account = this->accounts.at(*entry);
         if (account.inFlight && now >= account.resendAt)
             account.inFlight.reset();
-        const uint32_t wanted = this->wantedTokens(account, now);
-        if (!account.inFlight && wanted > 0 && now >= account.askFrom)
-            this->ask(*entry, account, wanted, now, batches);
-        entry = wanted == 0 && !account.inFlight ? this->active.erase(entry) : std::next(entry);
+        const bool needsTokens = this->wantedTokens(account, now) + this->aheadTokens(account, now) > 0;
+        if (!account.inFlight && needsTokens && now >= account.askFrom)
+            this->ask(*entry, account, now, batches);
+        entry = !needsTokens && !account.inFlight ? this->active.erase(entry) : std::next(entry);
     }
     std::vector<AddressedBorrow> messages;
     for (auto& [owner, request] : batches) {
@@ -201,8 +218,7 @@
 }
 
 // Adds one organisation to its owner's message, unless that is full: then the organisation has its turn at the next call.
-void ShareBorrower::ask(
-    const OrganisationId& organisation, Account& account, uint32_t wanted, TimePoint now, std::map<VmId, BorrowRequest>& batches)
+void ShareBorrower::ask(const OrganisationId& organisation, Account& account, TimePoint now, std::map<VmId, BorrowRequest>& batches)
 {
     const auto owner = this->owners.find(account.shard);
     if (owner == this->owners.end())
@@ -215,7 +231,8 @@
         request.borrowerIncarnation = this->incarnation;
         request.sequence = ++this->lastSequence;
     }
-    request.items.push_back({ organisation, owner->second.epoch, wanted, this->demandNow(account, now), std::move(account.closed) });
+    request.items.push_back({ organisation, owner->second.epoch, this->wantedTokens(account, now), this->aheadTokens(account, now),
+        this->demandNow(account, now), std::move(account.closed), this->heldLoans(account, now) });
     account.closed.clear();
     account.inFlight = request.sequence;
     account.resendAt = now + this->settings.resendAfter;
@@ -266,6 +283,8 @@
         if (item != reply.items.end())
             this->takeGrant(account, owner, *item, request.sentAt, now);
         this->settle(account, now, settled);
+        if (this->aheadTokens(account, now) > 0)
+            account.aheadFrom = now + this->settings.aheadPause;
         this->active.insert(organisation);
     }
     return settled;
--- a/foxtailtrail/limits/ShareBorrower.h
+++ b/foxtailtrail/limits/ShareBorrower.h
@@ -25,6 +25,8 @@
     Duration silenceLimit = std::chrono::seconds(1);
     // How long the answer that an organisation's bucket is empty counts.
     Duration exhaustedLife = std::chrono::milliseconds(250);
+    // How long to wait before tokens are wanted ahead of demand again, when the owner had none to spare.
+    Duration aheadPause = std::chrono::milliseconds(50);
     // How long to wait after an owner's refusal to lend before it is asked again.
     Duration refusalPause = std::chrono::milliseconds(20);
     // How long an owner's answer that it may not lend yet counts.
@@ -84,6 +86,8 @@
         std::optional<uint64_t> inFlight;
         TimePoint resendAt;
         TimePoint askFrom;
+        // The owner had nothing to lend ahead of demand.
+        TimePoint aheadFrom;
         // The last time that the owner answered with an Answered item.
         std::optional<TimePoint> answeredAt;
         // The owner has left requests unanswered since then. Counts only while requests are still being sent.
@@ -111,11 +115,13 @@
     double demandNow(const Account&, TimePoint now) const;
     double aheadTarget(const Account&, TimePoint now) const;
     uint32_t wantedTokens(const Account&, TimePoint now) const;
+    uint32_t aheadTokens(const Account&, TimePoint now) const;
+    std::vector<ClosedLoan> heldLoans(const Account&, TimePoint now) const;
     bool useToken(Account&, TimePoint now);
     Admission refuse(const OrganisationId&, Account&, ErrorKind);
     bool exceedsExpectedRate(const Account&, size_t ahead, TimePoint deadline, TimePoint now) const;
     std::optional<ErrorKind> immediateRefusal(const Account&, TimePoint deadline, TimePoint now) const;
-    void ask(const OrganisationId&, Account&, uint32_t wanted, TimePoint now, std::map<VmId, BorrowRequest>&);
+    void ask(const OrganisationId&, Account&, TimePoint now, std::map<VmId, BorrowRequest>&);
     void takeGrant(Account&, const VmId& owner, const GrantItem&, TimePoint sentAt, TimePoint now);
     void settle(Account&, TimePoint now, std::vector<SettledAdmission>&);
     ErrorKind reasonAfterWait(const Account&, const Waiter&) const;
--- a/foxtailtrail/limits/ShareLender.cpp
+++ b/foxtailtrail/limits/ShareLender.cpp
@@ -63,7 +63,7 @@
 ShareLender::Account ShareLender::makeAccount(const Organisation& limit, TimePoint lendFrom) const
 {
     const TokenBucket empty(this->fillRate(limit), limit.burst, 0, lendFrom);
-    return { limit, this->lifeFor(limit), empty, {}, 0, {} };
+    return { limit, this->lifeFor(limit), empty, {}, {}, 0, {} };
 }
 
 void ShareLender::setLimits(const std::map<OrganisationId, Organisation>& newLimits, TimePoint now)
@@ -118,26 +118,42 @@
 // Passes time step by step, as every loan that lapses makes room in the bucket from that moment on and not earlier.
 void ShareLender::advance(Account& account, TimePoint now) const
 {
-    while (!account.loans.empty() && account.loans.begin()->second.lapsesAt <= now) {
-        const Loan lapsed = account.loans.begin()->second;
-        account.loans.erase(account.loans.begin());
-        account.bucket.advance(lapsed.lapsesAt);
-        account.outstanding -= lapsed.tokens;
-        this->resize(account, lapsed.lapsesAt);
+    while (!account.lapses.empty() && account.lapses.begin()->first <= now) {
+        const auto [lapsesAt, number] = *account.lapses.begin();
+        account.bucket.advance(lapsesAt);
+        this->removeLoan(account, number, lapsesAt);
     }
     account.bucket.advance(now);
 }
 
+void ShareLender::removeLoan(Account& account, uint64_t number, TimePoint now) const
+{
+    const auto found = account.loans.find(number);
+    account.outstanding -= found->second.tokens;
+    account.lapses.erase({ found->second.lapsesAt, number });
+    account.loans.erase(found);
+    this->resize(account, now);
+}
+
+// Takes the tokens out of the bucket. The loan lapses here only after it has lapsed at the borrower by any clock.
+void ShareLender::recordLoan(Account& account, const GrantItem& answer, TimePoint now) const
+{
+    const TimePoint lapsesAt = now + this->stretched(answer.life);
+    account.loans.emplace(answer.loan.number, Loan { answer.tokens, lapsesAt });
+    account.lapses.emplace(lapsesAt, answer.loan.number);
+    account.bucket.adjust(-static_cast<double>(answer.tokens));
+    account.outstanding += answer.tokens;
+    this->resize(account, now);
+}
+
 void ShareLender::close(Account& account, const ClosedLoan& closed, TimePoint now) const
 {
     const auto found = account.loans.find(closed.loan.number);
     if (closed.loan.lenderIncarnation != this->incarnation || found == account.loans.end())
         return;
-    const uint32_t tokens = found->second.tokens;
-    account.loans.erase(found);
-    account.outstanding -= tokens;
-    this->resize(account, now);
-    account.bucket.adjust(std::min(tokens, closed.unused));
+    const uint32_t returned = std::min(found->second.tokens, closed.unused);
+    this->removeLoan(account, closed.loan.number, now);
+    account.bucket.adjust(returned);
 }
 
 void ShareLender::giveBack(const GiveBack& message, TimePoint now)
@@ -172,7 +188,24 @@
     const double rate = account.bucket.rate();
     const double total = std::accumulate(demands.begin(), demands.end(), 0.0);
     const double share = maxMinShares(rate, demands)[own];
-    return { total > rate, share, total > rate ? share : rate - (total - demands[own]) };
+    const bool overloaded = total > rate * this->settings.overloadFactor;
+    return { overloaded, share, overloaded ? share : rate };
+}
+
+// Takes in what the borrower has spent. Repeated and overtaken reports are harmless, as a loan's tokens only become fewer.
+void ShareLender::takeReports(Account& account, const BorrowItem& item, TimePoint now) const
+{
+    for (size_t index = 0; index < std::min(item.closed.size(), maximumClosedLoansPerItem); ++index)
+        this->close(account, item.closed[index], now);
+    for (size_t index = 0; index < std::min(item.held.size(), maximumClosedLoansPerItem); ++index) {
+        const ClosedLoan& report = item.held[index];
+        const auto found = account.loans.find(report.loan.number);
+        if (report.loan.lenderIncarnation != this->incarnation || found == account.loans.end() || report.unused >= found->second.tokens)
+            continue;
+        account.outstanding -= found->second.tokens - report.unused;
+        found->second.tokens = report.unused;
+    }
+    this->resize(account, now);
 }
 
 // A borrower repeats no sequence, so a repeated or overtaken request is a late copy whose answer nobody would use.
@@ -216,30 +249,36 @@
     return answer;
 }
 
+uint32_t ShareLender::tokensFor(const Account& account, const Borrower& borrower, const Prospect& prospect, const BorrowItem& item) const
+{
+    const double level = account.bucket.level();
+    // When the organisation exceeds its rate, a loan is at most the borrower's part of the bucket and what its share has
+    // earned. One token is always lent if there is one: parts below a token would leave small rates unused.
+    double limit = level;
+    if (prospect.overloaded) {
+        const double part = level * prospect.share / account.bucket.rate();
+        limit = std::min(limit, std::max(1.0, part + borrower.earned.level()));
+    }
+    const uint32_t needed = std::min(item.wanted, wholeTokens(limit));
+    const double spare = std::min(limit, level - this->settings.aheadReserve * account.limit.burst) - needed;
+    return std::min(needed + std::min(item.ahead, wholeTokens(spare)), maximumTokensPerLoan);
+}
+
 void ShareLender::grant(Account& account, const VmId& vm, const BorrowItem& item, GrantItem& answer, TimePoint now)
 {
     // Pass time and take in the loans that the borrower has closed.
     this->advance(account, now);
-    for (size_t index = 0; index < std::min(item.closed.size(), maximumClosedLoansPerItem); ++index)
-        this->close(account, item.closed[index], now);
+    this->takeReports(account, item, now);
 
     // Work out the borrower's share of the rate.
     Borrower& borrower = this->recordDemand(account, vm, item.demand, now);
     const Prospect prospect = this->prospectOf(account, vm);
     borrower.earned.configure(prospect.share, std::max(1.0, prospect.share * seconds(account.life)), now);
 
-    // When the organisation exceeds its rate, a loan is at most the borrower's part of the bucket and what its share has
-    // earned. One token is always lent if there is one: parts below a token would leave small rates unused.
-    double limit = account.bucket.level();
-    if (prospect.overloaded) {
-        const double part = account.bucket.level() * prospect.share / account.bucket.rate();
-        limit = std::min(limit, std::max(1.0, part + borrower.earned.level()));
-    }
-    const uint32_t tokens = std::min({ item.wanted, wholeTokens(limit), maximumTokensPerLoan });
+    const uint32_t tokens = this->tokensFor(account, borrower, prospect, item);
 
-    // Record the loan. It lapses here only after it has lapsed at the borrower by any clock.
-    answer.life = account.life;
     answer.tokens = tokens;
+    answer.life = tokens <= item.wanted && !prospect.overloaded ? std::min(account.life, this->settings.minimumLoanLife) : account.life;
     answer.exhausted = tokens < item.wanted;
     answer.expectedRate = prospect.expectedRate;
     const double pause = 1e6 / std::max(1.0, prospect.expectedRate);
@@ -247,14 +286,8 @@
     if (tokens == 0)
         return;
     answer.loan = { this->incarnation, ++this->lastLoan };
-    TimePoint lapsesAt = now + this->stretched(account.life);
-    if (!account.loans.empty())
-        lapsesAt = std::max(lapsesAt, account.loans.rbegin()->second.lapsesAt);
-    account.loans.emplace(answer.loan.number, Loan { tokens, lapsesAt });
     borrower.earned.adjust(-static_cast<double>(tokens));
-    account.bucket.adjust(-static_cast<double>(tokens));
-    account.outstanding += tokens;
-    this->resize(account, now);
+    this->recordLoan(account, answer, now);
 }
 
 }
--- a/foxtailtrail/limits/ShareLender.h
+++ b/foxtailtrail/limits/ShareLender.h
@@ -4,18 +4,27 @@
 #include "foxtailtrail/limits/ShareMessages.h"
 #include "foxtailtrail/limits/TokenBucket.h"
 
+#include <optional>
+#include <set>
+
 namespace foxtail {
 
 // Settings of ShareLender. All VMs of a fleet use the same values.
 struct ShareLenderSettings {
     // The longest life of a loan.
     Duration loanLife = std::chrono::milliseconds(200);
-    // The shortest life of a loan: twice the round trip to the other region is 32 ms.
+    // The shortest life of a loan, and the life of loans for requests that wait already, as these are used when they arrive. A
+    // round trip to the other region takes 16 ms.
     Duration minimumLoanLife = std::chrono::milliseconds(50);
     // How long an owner may lend after the last check that confirmed its configuration.
     Duration freshnessTime = std::chrono::seconds(3);
     // How long a reported demand counts without a new report.
     Duration demandLife = std::chrono::seconds(1);
+    // Tokens are lent ahead of demand only from the part of the bucket above this part of the burst. Below it they would be
+    // missing where requests wait.
+    double aheadReserve = 0.5;
+    // An organisation exceeds its rate when its demand does by this factor. Random arrivals within the rate stay below it.
+    double overloadFactor = 1.5;
     // Limits of askAgainAfter in answers.
     Duration shortestPause = std::chrono::milliseconds(10);
     Duration longestPause = std::chrono::milliseconds(50);
@@ -79,8 +88,9 @@
         Organisation limit;
         Duration life { 0 };
         TokenBucket bucket;
-        // By loan number, which is also the order of lapsing.
         std::map<uint64_t, Loan> loans;
+        // The loans in the order in which they lapse.
+        std::set<std::pair<TimePoint, uint64_t>> lapses;
         double outstanding = 0;
         std::map<VmId, Borrower> borrowers;
     };
@@ -97,8 +107,12 @@
     Duration lifeFor(const Organisation&) const;
     Account makeAccount(const Organisation&, TimePoint lendFrom) const;
     void advance(Account&, TimePoint now) const;
+    void removeLoan(Account&, uint64_t number, TimePoint now) const;
+    void recordLoan(Account&, const GrantItem&, TimePoint now) const;
     void close(Account&, const ClosedLoan&, TimePoint now) const;
+    void takeReports(Account&, const BorrowItem&, TimePoint now) const;
     void resize(Account&, TimePoint now) const;
+    uint32_t tokensFor(const Account&, const Borrower&, const Prospect&, const BorrowItem&) const;
     Borrower& recordDemand(Account&, const VmId&, double demand, TimePoint now) const;
     Prospect prospectOf(const Account&, const VmId&) const;
     GrantItem lendItem(const VmId&, const BorrowItem&, TimePoint servingDeadline, TimePoint now);
--- a/foxtailtrail/limits/ShareMessages.h
+++ b/foxtailtrail/limits/ShareMessages.h
@@ -11,7 +11,7 @@
 // The most organisations that one message names. A borrower with more sends several messages.
 constexpr size_t maximumItemsPerBorrowMessage = 64;
 
-// The most closed loans that one item reports. Older ones lapse at the lender without a report.
+// The most closed loans, and the most loans in use, that one item reports. Others lapse at the lender without a report.
 constexpr size_t maximumClosedLoansPerItem = 16;
 
 // The most tokens that one loan may hold.
@@ -35,10 +35,15 @@
     OrganisationId organisation;
     // The epoch of the shard's owner as the borrower knows it.
     uint64_t ownerEpoch = 0;
+    // Tokens for requests that wait.
     uint32_t wanted = 0;
+    // Tokens for requests that are expected soon. They are lent only while the bucket is well filled.
+    uint32_t ahead = 0;
     // Requests per second that arrive at the borrower, refused ones included.
     double demand = 0;
     std::vector<ClosedLoan> closed;
+    // Loans still in use, with the tokens left of each. The spent tokens no longer count as outstanding.
+    std::vector<ClosedLoan> held;
 };
 
 // A request for tokens of all organisations that need some from the same owner.
--- a/foxtailtrail/server/ShareCodec.cpp
+++ b/foxtailtrail/server/ShareCodec.cpp
@@ -80,14 +80,17 @@
         item.ownerEpoch = reader.takeUnsigned();
         item.wanted = static_cast<uint32_t>(reader.takeUnsigned());
         item.demand = reader.takeNumber();
-        const json::value* closed = reader.next();
-        if (!closed || !closed->is_array() || closed->as_array().size() > maximumClosedLoansPerItem)
-            return malformed();
-        for (const json::value& entry : closed->as_array()) {
-            ArrayReader closedReader(entry);
-            item.closed.push_back(takeClosed(closedReader));
-            if (!closedReader.isGood())
+        item.ahead = static_cast<uint32_t>(reader.takeUnsigned());
+        for (std::vector<ClosedLoan>* loans : { &item.closed, &item.held }) {
+            const json::value* list = reader.next();
+            if (!list || !list->is_array() || list->as_array().size() > maximumClosedLoansPerItem)
                 return malformed();
+            for (const json::value& entry : list->as_array()) {
+                ArrayReader loanReader(entry);
+                loans->push_back(takeClosed(loanReader));
+                if (!loanReader.isGood())
+                    return malformed();
+            }
         }
         return item;
     }
@@ -145,7 +148,11 @@
         json::array closed;
         for (const ClosedLoan& loan : item.closed)
             closed.push_back(encodeClosed(loan));
-        items.push_back(json::array { item.organisation.value, item.ownerEpoch, item.wanted, item.demand, std::move(closed) });
+        json::array held;
+        for (const ClosedLoan& loan : item.held)
+            held.push_back(encodeClosed(loan));
+        items.push_back(json::array {
+            item.organisation.value, item.ownerEpoch, item.wanted, item.demand, item.ahead, std::move(closed), std::move(held) });
     }
     return { { "borrower", request.borrower.value }, { "incarnation", request.borrowerIncarnation }, { "sequence", request.sequence },
         { "items", std::move(items) } };
