--- a/foxtailtrail/scheduling/HomePlacement.cpp
+++ b/foxtailtrail/scheduling/HomePlacement.cpp
@@ -7,7 +7,7 @@
 
 namespace foxtail {
 
-HomePlacement::HomePlacement(HomePlacementSettings chosen)
+HomePlacement::HomePlacement(HomePlacementSettings chosen, VmId)
     : settings(chosen)
 {
 }
--- a/foxtailtrail/scheduling/HomePlacement.h
+++ b/foxtailtrail/scheduling/HomePlacement.h
@@ -30,7 +30,7 @@
 // All VMs compute it for themselves. Disagreement costs a hop, never correctness, as the backend server accepts one claim.
 class HomePlacement {
 public:
-    explicit HomePlacement(HomePlacementSettings);
+    explicit HomePlacement(HomePlacementSettings, VmId self = {});
 
     // Takes over what this VM believes of all VMs, itself included. The first call makes every live VM eligible at once.
     void update(const std::vector<PlacementCandidate>&, TimePoint now);
