Name no home before a VM that starts has heard the others

A VM now names no home for one second after its start (four pings), and ranks itself behind the other VMs for two seconds like any VM that comes back. The change of the control loop is the one argument that says which VM it is.

Ruled out: more time in the peer table before a VM counts as alive. It would delay answers to lost VMs as well, and the starting VM hears the others late in any case. Tests of homes start a second VM with an id of its own now; two processes under one id were not meant by that fault.

--- a/foxtailtrail/scheduling/HomePlacement.cpp
+++ b/foxtailtrail/scheduling/HomePlacement.cpp
@@ -7,23 +7,31 @@
 
 namespace foxtail {
 
-HomePlacement::HomePlacement(HomePlacementSettings chosen, VmId)
+HomePlacement::HomePlacement(HomePlacementSettings chosen, VmId ownId)
     : settings(chosen)
+    , self(std::move(ownId))
 {
 }
 
+// When a VM that was not alive before may get homes.
+TimePoint HomePlacement::eligibleFrom(const VmId& vm, TimePoint now) const
+{
+    const bool wasThereBefore = vm != this->self && now < *this->startedAt + this->settings.settleTime;
+    return wasThereBefore ? now : now + this->settings.returnDelay;
+}
+
 void HomePlacement::update(const std::vector<PlacementCandidate>& candidates, TimePoint now)
 {
+    if (!this->startedAt)
+        this->startedAt = now;
     std::map<VmId, Member> updated;
     for (const PlacementCandidate& candidate : candidates) {
         const auto known = this->members.find(candidate.vm);
         const bool wasAlive = known != this->members.end() && known->second.alive;
-        const TimePoint newlyEligible = this->isFirstUpdate ? now : now + this->settings.returnDelay;
-        updated[candidate.vm]
-            = { candidate.region, candidate.alive, candidate.leaving, wasAlive ? known->second.eligibleFrom : newlyEligible };
+        const TimePoint from = wasAlive ? known->second.eligibleFrom : this->eligibleFrom(candidate.vm, now);
+        updated[candidate.vm] = { candidate.region, candidate.alive, candidate.leaving, from };
     }
     this->members = std::move(updated);
-    this->isFirstUpdate = this->isFirstUpdate && candidates.empty();
     this->updatedAt = now;
     std::erase_if(this->passedOver, [&](const PassedOver& entry) { return entry.until <= now; });
 }
@@ -58,7 +66,8 @@
 
 std::optional<VmId> HomePlacement::home(const DatabaseId& database, const Region& region) const
 {
-    const std::vector<VmId> vms = this->order(database, region);
+    const bool isSettled = this->startedAt && this->updatedAt >= *this->startedAt + this->settings.settleTime;
+    const std::vector<VmId> vms = isSettled ? this->order(database, region) : std::vector<VmId> {};
     return vms.empty() ? std::nullopt : std::optional(vms.front());
 }
 
--- a/foxtailtrail/scheduling/HomePlacement.h
+++ b/foxtailtrail/scheduling/HomePlacement.h
@@ -22,6 +22,9 @@
     // A VM that comes back has to stay for this time before it gets homes. Each move of a home ends all its connections, so a
     // VM that comes and goes must not move homes every time.
     Duration returnDelay = std::chrono::seconds(2);
+    // How long after the first update no home is named: four pings, in which a VM that has just started hears the others.
+    // Without this it would take itself for the only one and claim every home.
+    Duration settleTime = std::chrono::seconds(1);
     // How long a VM that handed a home over is passed over for it.
     Duration handoverLife = std::chrono::seconds(30);
 };
@@ -30,15 +33,17 @@
 // All VMs compute it for themselves. Disagreement costs a hop, never correctness, as the backend server accepts one claim.
 class HomePlacement {
 public:
+    // Self is this VM, which starts as a VM that has just come back.
     explicit HomePlacement(HomePlacementSettings, VmId self = {});
 
-    // Takes over what this VM believes of all VMs, itself included. The first call makes every live VM eligible at once.
+    // Takes over what this VM believes of all VMs, itself included. Call it every 100 ms or less. The others that are heard
+    // within the settle time count as having been there before.
     void update(const std::vector<PlacementCandidate>&, TimePoint now);
 
-    // The eligible VMs in the order in which they become home. VMs of other regions stand in when the region has none.
+    // The VMs that live and stay, in the order in which they become home. VMs of other regions stand in when the region has none.
     std::vector<VmId> order(const DatabaseId&, const Region&) const;
 
-    // The home, or nothing when no VM lives.
+    // The home, or nothing when no VM lives or the settle time has not passed.
     std::optional<VmId> home(const DatabaseId&, const Region&) const;
 
     // The VM that takes over from the given one.
@@ -62,13 +67,15 @@
         TimePoint until;
     };
 
+    TimePoint eligibleFrom(const VmId&, TimePoint now) const;
     bool isPassedOver(const DatabaseId&, const Region&, const VmId&) const;
 
     HomePlacementSettings settings;
+    VmId self;
     std::map<VmId, Member> members;
     std::vector<PassedOver> passedOver;
     TimePoint updatedAt;
-    bool isFirstUpdate = true;
+    std::optional<TimePoint> startedAt;
 };
 
 }
--- a/foxtailtrail/server/ControlLoop.cpp
+++ b/foxtailtrail/server/ControlLoop.cpp
@@ -91,7 +91,7 @@
     , membership(membershipSettings(this->settings), this->store, this->peers,
           [this] { return this->configuration.document() ? this->configuration.document()->version : 0; })
     , lender(lenderSettings(this->settings.vm), this->settings.incarnation)
-    , placement(HomePlacementSettings {})
+    , placement(HomePlacementSettings {}, this->settings.self.id)
     , startedAt(now())
 {
 }
--- a/tests/scheduling/HomeTest.cpp
+++ b/tests/scheduling/HomeTest.cpp
@@ -104,7 +104,7 @@
                 this->answersLostUntil = this->now + milliseconds(700);
                 break;
             case HomeFault::AnotherStarts:
-                this->startProcess(vmCount);
+                this->startProcess(vmCount + this->added++);
                 break;
             }
         }
@@ -167,7 +167,7 @@
         void tick(uint32_t index, Process& process)
         {
             std::vector<PeerHint> hints;
-            for (uint32_t vm = 0; vm <= vmCount; ++vm)
+            for (uint32_t vm = 0; vm < vmCount + 2; ++vm)
                 hints.push_back({ idOf(vm), Region("seq"), {}, false });
             process.peers.setPeers(hints, {}, this->local(process));
             for (const VmId& vm : process.peers.duePings(this->local(process)))
@@ -256,6 +256,7 @@
         uint64_t lastEvent = 0;
         Duration now { 0 };
         Duration answersLostUntil { 0 };
+        uint32_t added = 0;
         HomeFault fault = HomeFault::Dies;
         HomeStep step = HomeStep::Settled;
     };
