--- a/foxtailtrail/limits/ShardOwnership.cpp
+++ b/foxtailtrail/limits/ShardOwnership.cpp
@@ -42,7 +42,8 @@
     for (uint32_t shard = 0; shard < limitShardCount; ++shard) {
         const auto owner = owners.find(shard);
         const bool isOwned = owner != owners.end();
-        if (isOwned && !needsReplacement(find(vms, owner->second.vm), runningSince))
+        const bool isDue = isOwned ? needsReplacement(find(vms, owner->second.vm), runningSince) : runningSince >= ownerlessShardDelay;
+        if (!isDue)
             continue;
         const OwnerCandidate* next = firstInOrder(shard, vms);
         const bool isOwnShard = isOwned && owner->second.vm == self;
--- a/foxtailtrail/limits/ShardOwnership.h
+++ b/foxtailtrail/limits/ShardOwnership.h
@@ -26,6 +26,9 @@
 // An owner is replaced after this silence.
 constexpr Duration ownerSilenceLimit = std::chrono::seconds(3);
 
+// A VM that has listened for less than this may not have heard the others, so it takes over no shard that has no owner.
+constexpr Duration ownerlessShardDelay = std::chrono::seconds(1);
+
 // The shards that this VM should take over or hand on: shards without an owner, with an owner that has been silent for 3 s or
 // is leaving, and of which this VM is the first in the rendezvous order of the VMs that live and stay. A VM that leaves proposes
 // the first in the order for each shard of its own. An owner that lives is never replaced, so shards do not move back.
--- /dev/null
+++ b/tests/scheduling/PlacementTest.cpp
@@ -0,0 +1,97 @@
+#include "foxtailtrail/scheduling/ConnectionBudget.h"
+#include "foxtailtrail/scheduling/HomePlacement.h"
+
+#include <gtest/gtest.h>
+#include <map>
+
+namespace foxtail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    TimePoint at(int time) { return TimePoint(milliseconds(10000 + time)); }
+
+    std::vector<PlacementCandidate> nineVms()
+    {
+        std::vector<PlacementCandidate> vms;
+        for (int index = 0; index < 9; ++index)
+            vms.push_back({ VmId("vm" + std::to_string(index)), Region(index < 6 ? "seq" : "fnq"), true, false });
+        return vms;
+    }
+
+    DatabaseId database(int index) { return DatabaseId("db" + std::to_string(index)); }
+
+}
+
+// Guards against homes in another region, homes that move although their VM stays, and regions without a stand-in.
+TEST(HomePlacementTest, OnlyHomesOfTheLostVmMove)
+{
+    HomePlacement placement({}, VmId("vm0"));
+    std::vector<PlacementCandidate> vms = nineVms();
+    placement.update(vms, at(0));
+    EXPECT_EQ(placement.home(database(0), Region("fnq")), std::nullopt);
+    placement.update(vms, at(2500));
+    std::map<int, VmId> before;
+    std::map<VmId, int> homes;
+    for (int index = 0; index < 300; ++index) {
+        before[index] = *placement.home(database(index), Region("fnq"));
+        ++homes[before[index]];
+    }
+    EXPECT_EQ(homes.size(), 3U);
+    for (const auto& [vm, count] : homes)
+        EXPECT_NEAR(count, 100, 35) << vm;
+
+    vms[7].alive = false;
+    placement.update(vms, at(3000));
+    for (int index = 0; index < 300; ++index) {
+        const VmId home = *placement.home(database(index), Region("fnq"));
+        EXPECT_TRUE(before[index] == VmId("vm7") ? home != VmId("vm7") : home == before[index]);
+    }
+    vms[6].leaving = true;
+    vms[8].alive = false;
+    placement.update(vms, at(4000));
+    const VmId standIn = *placement.home(database(0), Region("fnq"));
+    EXPECT_LT(standIn, VmId("vm6"));
+    placement.passOver(database(0), Region("fnq"), standIn, at(4000));
+    EXPECT_EQ(placement.home(database(0), Region("fnq")), placement.order(database(0), Region("fnq")).front());
+    EXPECT_NE(placement.home(database(0), Region("fnq")), standIn);
+    placement.update(vms, at(40000));
+    EXPECT_EQ(placement.home(database(0), Region("fnq")), standIn);
+}
+
+// Guards against a split that exceeds the cap or leaves fewer connections than slots, at the sizes of both users.
+TEST(ConnectionBudgetTest, TheSplitFitsTheCap)
+{
+    EXPECT_EQ(splitConnections(20, 3, 3).value(), (ConnectionSplit { 3, 1, 2 }));
+    EXPECT_EQ(splitConnections(35, 3, 2).value(), (ConnectionSplit { 8, 1, 2 }));
+    EXPECT_EQ(splitConnections(17, 3, 3).error().kind, ErrorKind::CommandInvalid);
+    EXPECT_EQ(splitConnections(20, 0, 3).error().kind, ErrorKind::CommandInvalid);
+}
+
+// Guards against a pool that opens all its connections at once on a primary that has just taken over.
+TEST(ConnectionBudgetTest, AtMostTwoOpenInTenMilliseconds)
+{
+    ConnectionBudget first({ 8, 1, 2 });
+    ConnectionBudget second({ 8, 1, 2 });
+    ConnectionPacer pacer;
+    std::vector<int> openings;
+    for (int time = 0; time < 200; ++time) {
+        for (ConnectionBudget* budget : { &first, &second }) {
+            if (budget->tryOpen(ConnectionPurpose::Pooled, pacer, at(time)))
+                openings.push_back(time);
+        }
+    }
+    EXPECT_EQ(openings.size(), 16U);
+    for (size_t index = 2; index < openings.size(); ++index)
+        EXPECT_GE(openings[index] - openings[index - 2], 10);
+    EXPECT_EQ(openings.back(), 70);
+    // A failover does not wait for the pace, but for the cap.
+    EXPECT_TRUE(first.tryOpen(ConnectionPurpose::Reserved, pacer, at(70)));
+    EXPECT_TRUE(first.tryOpen(ConnectionPurpose::Reserved, pacer, at(70)));
+    EXPECT_FALSE(first.tryOpen(ConnectionPurpose::Reserved, pacer, at(70)));
+    first.setSplit({ 3, 1, 2 });
+    EXPECT_EQ(first.excess(ConnectionPurpose::Pooled), 5U);
+}
+
+}
