Do not read past the end of a command that stops after a column

With an empty rest, rest.size() - 1 wrapped around and a character beyond the text was compared. The ordinary build did not notice; a trial build with -fsanitize=address,undefined reported a heap-buffer-overflow in the test of random and damaged texts. The sign is now compared first, and the character after it is read only if there is one.

Before: the sanitizer build of tests/commands stops in that test. After: its 48 tests pass there and in the ordinary build; tests/config (247) and tests/burn (12) passed in the sanitizer build before.

--- a/foxtailtrail/commands/CommandGrammar.cpp
+++ b/foxtailtrail/commands/CommandGrammar.cpp
@@ -308,9 +308,10 @@
         {
             const std::string_view rest(place, last);
             for (const ComparisonSign& sign : comparisonSigns) {
-                const bool ends = !sign.isWord || rest.size() == sign.text.size()
-                    || !isWordCharacter(rest[std::min(sign.text.size(), rest.size() - 1)]);
-                if (!this->allows(sign) || !rest.starts_with(sign.text) || !ends)
+                if (!this->allows(sign) || !rest.starts_with(sign.text))
+                    continue;
+                const bool isCutShort = sign.isWord && rest.size() > sign.text.size() && isWordCharacter(rest[sign.text.size()]);
+                if (isCutShort)
                     continue;
                 place += static_cast<std::ptrdiff_t>(sign.text.size());
                 value = sign.comparison;
