Show that a replaced primary serves a token of a later term

A home with a stale view reads at the old primary in the old term. The term check passes there, and ReadExecution checks the token's point at replicas only:

FaultMatrixTest.AReplacedPrimaryDoesNotServeATokenOfALaterTerm Value of: answer.outcome.has_value() Actual: true Expected: false

A session would miss its own write.

--- a/tests/execution/FaultMatrixTest.cpp
+++ b/tests/execution/FaultMatrixTest.cpp
@@ -185,4 +185,28 @@
     EXPECT_EQ(effectsOf(empty, "first"), 0U);
 }
 
+// Guards against a stale view: a home that missed the change of primary asks the old one in its old term, which still
+// answers. The caller's token is from the new term.
+TEST(FaultMatrixTest, AReplacedPrimaryDoesNotServeATokenOfALaterTerm)
+{
+    FakeServer replaced;
+    replaced.primary = true;
+    TransactionRequest read = bookingRequest("reader", { lookUpStatement("9:00") }, TimePoint { callTime });
+    read.kind = TransactionKind::Read;
+    read.token = LogPoint { Term { 2 }, Position { 0 } };
+    ReadExecution execution(read, { AnswerSource::Primary, read.token, false }, {});
+    execution.start();
+    ExecutionEffects effects = execution.handle(ConnectionReady { BackendServerId("old"), Term { 1 } });
+    while (const auto* step = std::get_if<RunStep>(&effects.back())) {
+        const Reply reply = replaced.run(1, step->statement);
+        if (reply.sqlState.empty())
+            effects = execution.handle(StepSucceeded { step->step, reply.result, reply.tag });
+        else
+            effects = execution.handle(StepFailed { step->step, reply.sqlState, "refused" });
+    }
+    const auto& answer = std::get<Answer>(effects.back());
+    ASSERT_FALSE(answer.outcome.has_value());
+    EXPECT_EQ(answer.outcome.error().kind, ErrorKind::ReadNotCurrent);
+}
+
 }
