--- /dev/null
+++ b/tests/session/SessionTest.cpp
@@ -0,0 +1,169 @@
+#include "foxtailtrail/session/ConsistencyToken.h"
+#include "foxtailtrail/session/ReadRouter.h"
+#include "foxtailtrail/session/ReplicaAge.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+namespace foxtail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::string_view secret = "a secret of the fleet";
+
+    TimePoint at(int64_t count) { return TimePoint(milliseconds(count)); }
+
+    LogPoint point(uint64_t term, uint64_t position) { return { Term { term }, Position { position } }; }
+
+    // A reachable server whose data is as of 900 ms.
+    ServerView server(const char* id, const char* region, LogPoint logPoint)
+    {
+        ServerView view { BackendServerId(id), Region(region), {}, at(1000), at(900), true, false };
+        view.status = { logPoint.term, logPoint.term, logPoint.position };
+        return view;
+    }
+
+    // The primary p and the replicas near1, near2 and far in term 2. The replicas lag at position 3.
+    GroupView laggingGroup()
+    {
+        GroupView view { DatabaseId("db"), Term { 2 }, BackendServerId("p"), at(1000), {} };
+        view.servers = { server("p", "far", point(2, 9)), server("near1", "near", point(2, 3)), server("near2", "near", point(2, 3)),
+            server("far", "far", point(2, 3)) };
+        return view;
+    }
+
+    ReadNeed need(std::optional<LogPoint> token, std::optional<Duration> age) { return { token, age, at(1000), at(2000), Region("near") }; }
+
+    // The kinds and servers of a plan in one line.
+    std::string summary(const ReadNeed& need, const GroupView& view, TimePoint now = at(1000), uint64_t salt = 0)
+    {
+        const auto plan = ReadRouter().route(need, view, now, salt);
+        if (!plan)
+            return std::string(errorKindRow(plan.error().kind).name);
+        constexpr const char* names[] = { "replica", "waitReplica", "primary", "confirmed", "waitPrimary" };
+        std::string text;
+        for (const auto& attempt : plan.value().attempts)
+            text += (text.empty() ? "" : " ") + std::string(names[static_cast<size_t>(attempt.kind)]) + ":" + attempt.server.value;
+        return text;
+    }
+
+}
+
+// Guards against a token that loses its content on the way, or is taken although it was forged, cut or signed elsewhere.
+TEST(ConsistencyTokenTest, OnlyItsOwnTextDecodes)
+{
+    const ConsistencyToken token { DatabaseId("bookings"), point(7, 123456789012345ULL) };
+    const std::string text = token.encode(secret);
+    ASSERT_TRUE(ConsistencyToken::decode(text, secret).has_value());
+    EXPECT_EQ(ConsistencyToken::decode(text, secret).value(), token);
+    EXPECT_FALSE(ConsistencyToken::decode(text, "another secret").has_value());
+    for (size_t index = 0; index < text.size(); ++index) {
+        std::string changed = text;
+        changed[index] = changed[index] == 'A' ? 'B' : 'A';
+        for (const auto& wrong : { changed, text.substr(0, index) }) {
+            const auto result = ConsistencyToken::decode(wrong, secret);
+            ASSERT_FALSE(result.has_value()) << wrong;
+            EXPECT_EQ(result.error().kind, ErrorKind::TokenInvalid);
+        }
+    }
+}
+
+// Guards against a read with a token at a server that lacks the session's own write. A lagging replica of a later term
+// orders after the token's log point and still lacks the write.
+TEST(ReadRouterTest, TokenNeedsTermAndPosition)
+{
+    const GroupView view = laggingGroup();
+    EXPECT_EQ(summary(need(point(2, 3), {}), view), "replica:near1 replica:near2 replica:far primary:p waitPrimary:");
+    EXPECT_EQ(summary(need(point(1, 3), {}), view), "replica:near1 replica:near2 replica:far primary:p waitPrimary:");
+    EXPECT_EQ(summary(need(point(2, 5), {}), view), "waitReplica: primary:p waitPrimary:");
+    EXPECT_EQ(summary(need(point(1, 5), {}), view), "waitReplica: primary:p waitPrimary:");
+}
+
+// Guards against a wait for replicas that eats the deadline, starts over when the read is routed again, or is made when
+// no replica can end it.
+TEST(ReadRouterTest, WaitForReplicaIsBounded)
+{
+    GroupView view = laggingGroup();
+    auto waiting = need(point(2, 5), {});
+    EXPECT_EQ(ReadRouter().route(waiting, view, at(1000), 0).value().attempts[0].notAfter, at(1050));
+    EXPECT_EQ(summary(waiting, view, at(1050)), "primary:p waitPrimary:");
+    waiting.deadline = at(1040);
+    EXPECT_EQ(ReadRouter().route(waiting, view, at(1000), 0).value().attempts[0].notAfter, at(1010));
+    EXPECT_EQ(summary(waiting, view, at(1040)), "DeadlineExceeded");
+    view.servers[1].reachable = view.servers[2].reachable = false;
+    view.servers[3].draining = true;
+    EXPECT_EQ(summary(waiting, view), "primary:p waitPrimary:");
+}
+
+// Guards against a lost token being served with old data: without token and age only a primary that a majority
+// confirmed after the read's arrival will do.
+TEST(ReadRouterTest, ReadWithoutTokenNeedsConfirmedPrimary)
+{
+    GroupView view = laggingGroup();
+    const auto plan = ReadRouter().route(need({}, {}), view, at(1001), 5).value();
+    EXPECT_EQ(plan.attempts[0], (ReadAttempt { ReadAttemptKind::ConfirmedPrimary, BackendServerId("p"), point(2, 0), at(1000), at(2000) }));
+    view.primary.reset();
+    EXPECT_EQ(summary(need({}, {}), view), "waitPrimary:");
+    EXPECT_EQ(ReadRouter().route(need({}, {}), view, at(1001), 0).value().exhausted, ErrorKind::NoPrimary);
+    view.servers.clear();
+    EXPECT_EQ(summary(need({}, {}), view), "NoPrimary");
+}
+
+// Guards against data older than the caller accepts, from a replica or from a primary that was replaced meanwhile.
+TEST(ReadRouterTest, StatedAgeBoundsReplicaAndPrimary)
+{
+    GroupView view = laggingGroup();
+    view.servers[1].freshAsOf = at(600);
+    view.servers[2].freshAsOf.reset();
+    EXPECT_EQ(summary(need({}, milliseconds(100)), view), "replica:far confirmed:p waitPrimary:");
+    EXPECT_EQ(summary(need({}, milliseconds(100)), view, at(1001)), "confirmed:p waitPrimary:");
+    EXPECT_EQ(summary(need({}, milliseconds(400)), view), "replica:near1 replica:far confirmed:p waitPrimary:");
+    EXPECT_EQ(summary(need(point(2, 4), milliseconds(400)), view), "confirmed:p waitPrimary:");
+    const auto plan = ReadRouter().route(need(point(1, 1), milliseconds(400)), view, at(1000), 0).value();
+    EXPECT_EQ(plan.attempts[0], (ReadAttempt { ReadAttemptKind::Replica, BackendServerId("near1"), point(2, 3), {}, at(1000) }));
+    EXPECT_EQ(plan.attempts[2].confirmedSince, at(600));
+}
+
+// Guards against all reads going to one of several equally good replicas, and against the other region coming first.
+TEST(ReadRouterTest, ReadsSpreadOverNearReplicas)
+{
+    std::set<std::string> first;
+    for (uint64_t salt = 0; salt < 4; ++salt)
+        first.insert(ReadRouter().route(need(point(2, 3), {}), laggingGroup(), at(1000), salt).value().attempts[0].server.value);
+    EXPECT_EQ(first, (std::set<std::string> { "near1", "near2" }));
+}
+
+// Guards against a baseline that is not one: every read at the confirmed primary.
+TEST(ReadRouterTest, BaselineUsesThePrimaryOnly)
+{
+    const auto plan = PrimaryOnlyReadRouter().route(need(point(2, 3), milliseconds(5)), laggingGroup(), at(1000), 1).value();
+    EXPECT_EQ(plan.attempts[0].kind, ReadAttemptKind::ConfirmedPrimary);
+    EXPECT_EQ(plan.attempts[0].required, point(2, 3));
+}
+
+// Guards against an age that is too young: samples of an unconfirmed or replaced primary, and later terms that lag.
+TEST(ReplicaAgeTest, OnlyConfirmedSamplesCount)
+{
+    ReplicaAge age({ 3, milliseconds(10) });
+    age.record(at(100), point(1, 5));
+    EXPECT_EQ(age.freshAsOf(point(1, 5)), std::nullopt);
+    age.confirm(Term { 1 }, at(100));
+    age.record(at(105), point(1, 6));
+    age.record(at(110), point(1, 7));
+    EXPECT_EQ(age.freshAsOf(point(1, 9)), at(100));
+    age.record(at(120), point(2, 6));
+    age.confirm(Term { 1 }, at(130));
+    EXPECT_EQ(age.freshAsOf(point(1, 9)), at(100));
+    age.confirm(Term { 2 }, at(119));
+    EXPECT_EQ(age.freshAsOf(point(2, 6)), at(100));
+    age.confirm(Term { 2 }, at(120));
+    EXPECT_EQ(age.freshAsOf(point(2, 6)), at(120));
+    EXPECT_EQ(age.freshAsOf(point(3, 4)), std::nullopt);
+    for (int64_t time = 130; time <= 150; time += 10)
+        age.record(at(time), point(2, 8));
+    EXPECT_EQ(age.freshAsOf(point(2, 6)), std::nullopt);
+}
+
+}
