--- /dev/null
+++ b/experiments/ExperimentsMain.cpp
@@ -0,0 +1,81 @@
+#include "experiments/Experiments.h"
+
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace foxtail {
+
+namespace {
+
+    struct Experiment {
+        const char* name;
+        void (*run)(const Deployment&, uint64_t seed, Report&);
+    };
+
+    constexpr Experiment experiments[] = {
+        { "limits", &runLimitsExperiment },
+        { "queueing", &runQueueingExperiment },
+    };
+
+    struct Options {
+        std::string deployment = "both";
+        std::string only;
+        uint64_t seeds = 5;
+        bool json = false;
+    };
+
+    int runAll(const Options& options)
+    {
+        Report report;
+        bool ranAny = false;
+        for (const Experiment& experiment : experiments) {
+            for (const Deployment& deployment : { wattle(), wislomar() }) {
+                const bool isChosen = (options.only.empty() || options.only == experiment.name)
+                    && (options.deployment == "both" || options.deployment == deployment.name);
+                for (uint64_t seed = 1; isChosen && seed <= options.seeds; ++seed)
+                    experiment.run(deployment, seed, report);
+                ranAny = ranAny || isChosen;
+            }
+        }
+        if (!ranAny) {
+            std::cerr << "no experiment matches: --deployment takes wattle, wislomar or both; --only takes";
+            for (const Experiment& experiment : experiments)
+                std::cerr << " " << experiment.name;
+            std::cerr << "\n";
+            return 2;
+        }
+        if (options.json) {
+            report.printJson(std::cout);
+        } else {
+            report.printTable(std::cout);
+        }
+        return 0;
+    }
+
+}
+
+}
+
+int main(int count, char** arguments)
+{
+    namespace options = boost::program_options;
+    foxtail::Options chosen;
+    options::options_description description("Runs the policies of the decision library in virtual time, each beside its baseline");
+    description.add_options()("help", "print this text")("deployment", options::value(&chosen.deployment)->default_value(chosen.deployment),
+        "wattle, wislomar or both")("seeds", options::value(&chosen.seeds)->default_value(chosen.seeds), "run with the seeds 1 to N")(
+        "json", options::bool_switch(&chosen.json), "print one JSON object per figure instead of a table")(
+        "only", options::value(&chosen.only), "run one experiment");
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(count, arguments, description), values);
+        options::notify(values);
+        if (values.count("help") > 0) {
+            std::cout << description;
+            return 0;
+        }
+    } catch (const options::error& error) {
+        std::cerr << error.what() << "\n";
+        return 2;
+    }
+    return foxtail::runAll(chosen);
+}
--- /dev/null
+++ b/experiments/Simulation.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "foxtailtrail/base/Time.h"
+
+#include <cmath>
+#include <functional>
+#include <queue>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace foxtail {
+
+// Virtual time and random numbers of one run. Events run in the order of their time, then of their insertion, and the figures
+// depend on the seed only.
+class Simulation {
+public:
+    explicit Simulation(uint64_t seed)
+        : generator(seed)
+    {
+    }
+
+    TimePoint now() const { return this->time; }
+
+    void at(TimePoint when, std::function<void()> action)
+    {
+        this->events.push({ std::max(when, this->time), ++this->order, std::move(action) });
+    }
+
+    void after(Duration delay, std::function<void()> action) { this->at(this->time + delay, std::move(action)); }
+
+    // Runs the action now and then at every period until the end of the run.
+    void every(Duration period, const std::function<void()>& action)
+    {
+        action();
+        this->after(period, [this, period, action] { this->every(period, action); });
+    }
+
+    void runUntil(TimePoint end)
+    {
+        while (!this->events.empty() && this->events.top().when <= end) {
+            const Event event = this->events.top();
+            this->events.pop();
+            this->time = event.when;
+            event.action();
+        }
+        this->time = end;
+    }
+
+    // A number below the bound.
+    uint64_t below(uint64_t bound) { return this->generator() % bound; }
+
+    // A number from 0 to below 1.
+    double uniform()
+    {
+        constexpr double mantissaRange = 9007199254740992.0;
+        return static_cast<double>(this->generator() >> 11) / mantissaRange;
+    }
+
+    // An exponentially distributed time with the given mean.
+    Duration exponential(Duration mean)
+    {
+        return Duration(static_cast<int64_t>(-std::log(1 - this->uniform()) * static_cast<double>(mean.count())));
+    }
+
+    // The mean with a symmetric jitter of a fifth.
+    Duration jittered(Duration mean)
+    {
+        return mean * 4 / 5 + Duration(static_cast<int64_t>(this->uniform() * 0.4 * static_cast<double>(mean.count())));
+    }
+
+    // The place of a random weight in a list of weights.
+    size_t weighted(const std::vector<double>& weights)
+    {
+        double total = 0;
+        for (const double weight : weights)
+            total += weight;
+        double place = this->uniform() * total;
+        size_t index = 0;
+        while (index + 1 < weights.size() && place >= weights[index])
+            place -= weights[index++];
+        return index;
+    }
+
+private:
+    struct Event {
+        TimePoint when;
+        uint64_t order = 0;
+        std::function<void()> action;
+        bool operator<(const Event& other) const { return std::pair(other.when, other.order) < std::pair(this->when, this->order); }
+    };
+
+    std::mt19937_64 generator;
+    TimePoint time;
+    uint64_t order = 0;
+    std::priority_queue<Event> events;
+};
+
+// The interval of a rate per second.
+inline Duration intervalOf(double rate) { return Duration(static_cast<int64_t>(1e6 / rate)); }
+
+inline double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+inline double toFractionalMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+
+}
