Add experiments for reads, failover and acknowledgement

A small fake of one database group with asynchronous replication, and a watcher that probes it at the daemon's intervals, serve all three.

--- /dev/null
+++ b/experiments/AcknowledgementExperiment.cpp
@@ -0,0 +1,103 @@
+#include "experiments/Experiments.h"
+#include "experiments/GroupWatcher.h"
+
+#include <algorithm>
+
+namespace foxtail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+    using std::chrono::seconds;
+
+    // Choices of the experiment.
+    constexpr double writesPerSecond = 100;
+    constexpr Duration writeDeadline = seconds(5);
+    constexpr TimePoint earliestLoss { seconds(5) };
+    constexpr Duration lossSpread = seconds(1);
+    constexpr Duration runLength = seconds(8);
+
+    const Measure lostWrites { "acknowledged writes lost with the primary", "writes", TargetKind::AtMost, 0, true };
+    const Measure meanLatency { "added latency, mean", "ms" };
+    const Measure latencyQuantile { "added latency, p99", "ms" };
+
+    // Writes to one group until its primary dies. The promotion then takes the longest log of the two that are left.
+    class AcknowledgementRun {
+    public:
+        AcknowledgementRun(
+            const Deployment& deployment, std::shared_ptr<const AcknowledgementStrategy> strategy, Duration lag, uint64_t seed)
+            : simulation(seed)
+            , group(this->simulation, deployment, lag)
+            , home(this->simulation, this->group, deployment, 0, std::move(strategy))
+        {
+            this->home.start({});
+            this->write();
+            this->simulation.at(earliestLoss + Duration(this->simulation.below(lossSpread.count())), [this] { this->losePrimary(); });
+            this->simulation.runUntil(TimePoint(runLength));
+        }
+
+        void report(const Run& run, Report& report) const
+        {
+            double total = 0;
+            for (const double latency : this->latencies)
+                total += latency;
+            report.add(run, lostWrites, this->lost);
+            report.add(run, meanLatency, total / static_cast<double>(this->latencies.size()));
+            report.add(run, latencyQuantile, quantile(this->latencies, 0.99));
+        }
+
+    private:
+        void write()
+        {
+            this->simulation.after(this->simulation.exponential(intervalOf(writesPerSecond)), [this] {
+                const TimePoint committedAt = this->simulation.now();
+                const auto commit = this->group.commit(this->group.servers[0], Term { 1 });
+                if (!commit)
+                    return;
+                this->home.awaitDurability(*commit, committedAt + writeDeadline, [this, commit, committedAt](Durability durability) {
+                    if (durability == Durability::Durable)
+                        this->acknowledge(*commit, committedAt);
+                });
+                this->write();
+            });
+        }
+
+        void acknowledge(LogPoint commit, TimePoint committedAt)
+        {
+            this->acknowledged.push_back(commit.position);
+            this->latencies.push_back(toFractionalMilliseconds(this->simulation.now() - committedAt));
+            // An acknowledgement after the loss is wrong if the write is not in the surviving log.
+            this->lost += this->survivingEnd && commit.position > *this->survivingEnd ? 1 : 0;
+        }
+
+        void losePrimary()
+        {
+            this->group.servers[0].isDown = true;
+            this->survivingEnd = Position { std::max(this->group.servers[1].position, this->group.servers[2].position) };
+            this->lost = static_cast<double>(std::count_if(this->acknowledged.begin(), this->acknowledged.end(),
+                [this](Position position) { return position > *this->survivingEnd; }));
+        }
+
+        Simulation simulation;
+        BackendGroup group;
+        GroupWatcher home;
+        std::vector<Position> acknowledged;
+        std::optional<Position> survivingEnd;
+        std::vector<double> latencies;
+        double lost = 0;
+    };
+
+}
+
+void runAcknowledgementExperiment(const Deployment& deployment, uint64_t seed, Report& report)
+{
+    for (const Duration lag : { milliseconds(5), milliseconds(20), milliseconds(200) }) {
+        const std::string scenario = std::to_string(toMilliseconds(lag)) + " ms lag";
+        AcknowledgementRun(deployment, std::make_shared<PrimaryAloneAcknowledgement>(), lag, seed)
+            .report({ "acknowledgement", deployment.name, scenario, "PrimaryAloneAcknowledgement" }, report);
+        AcknowledgementRun(deployment, std::make_shared<MajorityAcknowledgement>(), lag, seed)
+            .report({ "acknowledgement", deployment.name, scenario, "MajorityAcknowledgement" }, report);
+    }
+}
+
+}
--- /dev/null
+++ b/experiments/BackendGroup.cpp
@@ -0,0 +1,114 @@
+#include "experiments/BackendGroup.h"
+
+namespace foxtail {
+
+namespace {
+
+    // The primary sends something to its replicas at least this often.
+    constexpr Duration heartbeatInterval = std::chrono::milliseconds(100);
+
+}
+
+BackendGroup::BackendGroup(Simulation& run, const Deployment& chosen, Duration replicationLag)
+    : simulation(run)
+    , deployment(chosen)
+    , lag(replicationLag)
+{
+    for (size_t index = 0; index < size; ++index) {
+        this->servers[index].index = index;
+        this->simulation.every(heartbeatInterval, [this, index] { this->heartbeat(index); });
+    }
+    this->servers[0].role = ServerRole::Primary;
+}
+
+void BackendGroup::call(
+    size_t fromDataCentre, size_t server, Duration timeout, const std::function<bool(FakeBackend&)>& operation, const Reply& done)
+{
+    const Duration oneWay = this->simulation.jittered(this->deployment.latency(fromDataCentre, server));
+    this->simulation.after(oneWay, [this, server, timeout, oneWay, operation, done] {
+        FakeBackend& target = this->servers[server];
+        if (target.isDown || target.isCutOff) {
+            const Duration rest = target.isDown ? oneWay : timeout - oneWay;
+            this->simulation.after(rest, [done] { done(CommandOutcome::NoReply, std::nullopt); });
+            return;
+        }
+        const CommandOutcome outcome = operation(target) ? CommandOutcome::Done : CommandOutcome::Refused;
+        this->simulation.after(oneWay, [done, outcome, status = this->status(target)] { done(outcome, status); });
+    });
+}
+
+bool BackendGroup::fence(FakeBackend& server, Term term, const std::string& promoter) const
+{
+    if (term > server.promisedTerm) {
+        server.promisedTerm = term;
+        server.promoter = promoter;
+        server.role = ServerRole::Fenced;
+        return true;
+    }
+    return term == server.promisedTerm && promoter == server.promoter;
+}
+
+bool BackendGroup::promote(FakeBackend& server, Term term, const std::string& promoter) const
+{
+    if (term != server.promisedTerm || promoter != server.promoter || server.role == ServerRole::Replica)
+        return false;
+    server.role = ServerRole::Primary;
+    server.logTerm = term;
+    return true;
+}
+
+bool BackendGroup::follow(FakeBackend& server, Term term, size_t primary)
+{
+    if (term < server.promisedTerm || (server.role == ServerRole::Primary && server.logTerm == term))
+        return false;
+    server.promisedTerm = term;
+    server.role = ServerRole::Replica;
+    server.heardAt = this->simulation.now();
+    this->replicate(primary, server.index, term, this->servers[primary].position, this->lag);
+    return true;
+}
+
+std::optional<LogPoint> BackendGroup::commit(FakeBackend& server, Term term)
+{
+    if (server.isDown || server.role != ServerRole::Primary || server.logTerm != term)
+        return std::nullopt;
+    ++server.position;
+    for (size_t replica = 0; replica < size; ++replica) {
+        if (replica != server.index)
+            this->replicate(server.index, replica, term, server.position, this->simulation.jittered(this->lag));
+    }
+    return LogPoint { term, Position { server.position } };
+}
+
+void BackendGroup::replicate(size_t primary, size_t replica, Term term, uint64_t position, Duration delay)
+{
+    // What the primary has not sent before it fails is lost.
+    this->simulation.after(delay, [this, primary, replica, term, position] {
+        const FakeBackend& source = this->servers[primary];
+        FakeBackend& target = this->servers[replica];
+        if (source.isDown || source.isCutOff || target.isDown || target.role != ServerRole::Replica || target.promisedTerm != term)
+            return;
+        target.position = std::max(target.position, position);
+        target.logTerm = term;
+        target.heardAt = this->simulation.now();
+    });
+}
+
+void BackendGroup::heartbeat(size_t server)
+{
+    const FakeBackend& source = this->servers[server];
+    if (source.isDown || source.isCutOff || source.role != ServerRole::Primary)
+        return;
+    for (FakeBackend& target : this->servers) {
+        if (target.role == ServerRole::Replica && target.promisedTerm == source.logTerm)
+            target.heardAt = this->simulation.now();
+    }
+}
+
+ServerStatus BackendGroup::status(const FakeBackend& server) const
+{
+    return { server.promisedTerm, server.logTerm, Position { server.position }, server.role, this->simulation.now() - server.heardAt,
+        false };
+}
+
+}
--- a/experiments/ExperimentsMain.cpp
+++ b/experiments/ExperimentsMain.cpp
@@ -15,6 +15,9 @@
     constexpr Experiment experiments[] = {
         { "limits", &runLimitsExperiment },
         { "queueing", &runQueueingExperiment },
+        { "reads", &runReadsExperiment },
+        { "failover", &runFailoverExperiment },
+        { "acknowledgement", &runAcknowledgementExperiment },
     };
 
     struct Options {
