Lend each limit in two halves by two owners

Cause: when the owner of a limit shard died, its organisations were refused until the change of owner was over: 3 s of silence, the change itself, the freshness time of 3 s and the life of a loan.

Ruled out: a shorter freshness time (it bounds how late a withdrawn key works, and a store that is slow for 1 s would then stop all service), and shares that outlive the owner (two owners could lend at once).

Change: each organisation's rate and burst are lent in two halves by different VMs, and a VM that gets nothing from one asks the other. The halves add up to the limit, so the bound over all VMs stays.

--- a/foxtailtrail/config/Configuration.cpp
+++ b/foxtailtrail/config/Configuration.cpp
@@ -263,6 +263,12 @@
 
 uint32_t limitShardOf(const OrganisationId& organisation)
 {
+    // The second half of a limit lies half the number of shards away from the first.
+    const size_t separator = organisation.value.find('/');
+    if (separator != std::string::npos) {
+        const uint32_t first = limitShardOf(OrganisationId(organisation.value.substr(0, separator)));
+        return organisation.value.ends_with("/1") ? (first + limitShardCount / 2) % limitShardCount : first;
+    }
     return static_cast<uint32_t>(stableHash(organisation.value) % limitShardCount);
 }
 
--- a/foxtailtrail/config/Configuration.h
+++ b/foxtailtrail/config/Configuration.h
@@ -98,7 +98,7 @@
     std::vector<VmAddress> previousWitnesses;
 };
 
-// The limit shard of an organisation.
+// The limit shard of an organisation, or of one half of its limit.
 uint32_t limitShardOf(const OrganisationId&);
 
 // The document's JSON text, with members in a fixed order.
--- a/foxtailtrail/server/ControlLoop.cpp
+++ b/foxtailtrail/server/ControlLoop.cpp
@@ -1,5 +1,6 @@
 #include "foxtailtrail/server/ControlLoop.h"
 
+#include "foxtailtrail/limits/LimitHalves.h"
 #include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/net/FiberThread.h"
 #include "foxtailtrail/server/Log.h"
@@ -135,7 +136,7 @@
     if (document && document->version != this->appliedVersion) {
         this->appliedVersion = document->version;
         this->keys = std::make_shared<const KeyTable>(*document);
-        this->lender.setLimits(document->organisations, now());
+        this->lender.setLimits(limitsOfHalves(document->organisations), now());
         this->ownShards.clear();
         std::set<VmId> required;
         for (const auto& [shard, owner] : document->limitShards) {
--- a/foxtailtrail/server/LimitGate.cpp
+++ b/foxtailtrail/server/LimitGate.cpp
@@ -1,5 +1,6 @@
 #include "foxtailtrail/server/LimitGate.h"
 
+#include "foxtailtrail/limits/LimitHalves.h"
 #include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/net/FiberThread.h"
 #include "foxtailtrail/server/ShareCodec.h"
@@ -35,7 +36,20 @@
 Result<void> LimitGate::admit(const OrganisationId& organisation, TimePoint deadline)
 {
     this->takeOwners();
-    const Admission admission = this->borrower.admit(organisation, deadline, now());
+    const std::array<OrganisationId, limitHalfCount> halves = limitHalvesOf(organisation);
+    const TimePoint start = now();
+    const bool swap = this->borrower.tokensHeld(halves[1], start) > this->borrower.tokensHeld(halves[0], start);
+    const Result<void> first = this->admitHalf(halves[swap ? 1 : 0], deadline);
+    if (first || now() >= deadline)
+        return first;
+    const Result<void> second = this->admitHalf(halves[swap ? 0 : 1], deadline);
+    // Over the rate says more than not available: the caller should slow down.
+    return second || second.error().kind == ErrorKind::RateLimited ? second : first;
+}
+
+Result<void> LimitGate::admitHalf(const OrganisationId& half, TimePoint deadline)
+{
+    const Admission admission = this->borrower.admit(half, deadline, now());
     if (admission.state != AdmissionState::Waiting) {
         this->sendDueRequests();
         return outcomeOf(admission);
--- a/foxtailtrail/server/LimitGate.h
+++ b/foxtailtrail/server/LimitGate.h
@@ -32,6 +32,7 @@
     void stop();
 
 private:
+    Result<void> admitHalf(const OrganisationId& half, TimePoint deadline);
     void takeOwners();
     void sendDueRequests();
     void exchange(const AddressedBorrow&);
--- a/foxtailtrail/server/Upkeep.cpp
+++ b/foxtailtrail/server/Upkeep.cpp
@@ -39,15 +39,34 @@
         return change;
     }
 
+    // The shard that holds the other halves of the limits of a shard.
+    uint32_t partnerShard(uint32_t shard) { return (shard + limitShardCount / 2) % limitShardCount; }
+
+    // The live VMs without the owner of the partner shard, so that one VM's death never takes both halves of a limit.
+    std::vector<LiveVm> candidatesFor(uint32_t shard, const std::map<uint32_t, VmId>& owners, const std::vector<LiveVm>& live)
+    {
+        const auto partner = owners.find(partnerShard(shard));
+        std::vector<LiveVm> candidates = live;
+        if (partner != owners.end() && live.size() > 1)
+            std::erase_if(candidates, [&](const LiveVm& vm) { return vm.id == partner->second; });
+        return candidates;
+    }
+
     std::optional<ChangeAction> shardMoves(const UpkeepView& view, const UpkeepSettings& settings)
     {
         MoveLimitShards change;
+        std::map<uint32_t, VmId> owners;
+        for (const auto& [shard, owner] : view.configuration->limitShards) {
+            if (isLive(view, owner.vm))
+                owners[shard] = owner.vm;
+        }
         for (uint32_t shard = 0; shard < limitShardCount; ++shard) {
             const auto owner = view.configuration->limitShards.find(shard);
             const bool hasOwner = owner != view.configuration->limitShards.end();
             if (hasOwner && (isLive(view, owner->second.vm) || view.silence(owner->second.vm) < settings.limitOwnerSilence))
                 continue;
-            const LiveVm& next = firstFor(view.liveVms, "limit shard " + std::to_string(shard));
+            const LiveVm next = firstFor(candidatesFor(shard, owners, view.liveVms), "limit shard " + std::to_string(shard));
+            owners[shard] = next.id;
             change.moves.push_back({ shard, next.id, hasOwner ? owner->second.epoch : 0 });
         }
         if (change.moves.empty())
