--- a/foxtailtrail/base/Ids.h
+++ b/foxtailtrail/base/Ids.h
@@ -39,12 +39,14 @@
 // The number that fences a primary: a database group has at most one primary per term.
 struct Term {
     uint64_t value = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above.
     auto operator<=>(const Term&) const = default;
 };
 
 // The number of committed transactions in a database group's log.
 struct Position {
     uint64_t value = 0;
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above.
     auto operator<=>(const Position&) const = default;
 };
 
@@ -52,6 +54,7 @@
 struct LogPoint {
     Term term;
     Position position;
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above.
     auto operator<=>(const LogPoint&) const = default;
 };
 
