--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -146,6 +146,43 @@
     EXPECT_EQ(late.borrower.tokensHeld(late.limit.id, after(50)), 0U);
 }
 
+// Guards against requests that each wait the whole time for an owner that is dead, and against an owner that is never asked again.
+TEST(ShareBorrowerTest, ASilentOwnerIsNotWaitedFor)
+{
+    LendingPair pair;
+    for (int time = 0; time < 1000; time += 5) {
+        EXPECT_EQ(pair.admit(after(time)).state, AdmissionState::Waiting);
+        for (const SettledAdmission& settled : pair.borrower.expire(after(time)))
+            EXPECT_EQ(settled.admission.refusal, ErrorKind::LimitUnavailable);
+        pair.borrower.takeRequests(after(time));
+    }
+    const Admission refused = pair.admit(after(1001));
+    EXPECT_EQ(refused.state, AdmissionState::Refused);
+    EXPECT_EQ(refused.refusal, ErrorKind::LimitUnavailable);
+    const auto asked = pair.borrower.takeRequests(after(1040));
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_GT(pair.borrower.receive(VmId("a"), pair.lender.lend(asked[0].request, farAway, after(1041)), after(1042)).size(), 0U);
+    EXPECT_NE(pair.admit(after(1043)).state, AdmissionState::Refused);
+}
+
+// Guards against one message per organisation, and against messages without a bound.
+TEST(ShareBorrowerTest, OrganisationsOfOneOwnerShareMessages)
+{
+    ShareBorrower borrower({}, VmId("b"), 1);
+    std::map<uint32_t, LimitShardOwner> owners;
+    for (uint32_t shard = 0; shard < limitShardCount; ++shard)
+        owners[shard] = { VmId("a"), 1 };
+    borrower.setOwners(owners);
+    for (int index = 0; index < 100; ++index)
+        borrower.admit(OrganisationId("organisation" + std::to_string(index)), farAway, start);
+    const auto first = borrower.takeRequests(start);
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].request.items.size(), maximumItemsPerBorrowMessage);
+    const auto second = borrower.takeRequests(start);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].request.items.size(), 100 - maximumItemsPerBorrowMessage);
+}
+
 // Guards against returned tokens that count twice, that come back although their loan has lapsed, or that were never lent.
 TEST(ShareLenderTest, ALoanIsReturnedOnceAndInItsTime)
 {
--- a/tests/scheduling/PlacementTest.cpp
+++ b/tests/scheduling/PlacementTest.cpp
@@ -15,6 +15,7 @@
     std::vector<PlacementCandidate> nineVms()
     {
         std::vector<PlacementCandidate> vms;
+        vms.reserve(9);
         for (int index = 0; index < 9; ++index)
             vms.push_back({ VmId("vm" + std::to_string(index)), Region(index < 6 ? "seq" : "fnq"), true, false });
         return vms;
