Answer borrow requests that overtake each other

A VM sends requests for different organisations on several connections, so a lower sequence may arrive after a higher one. The lender took it for a copy and left it unanswered, and its requests waited for the next question. It now remembers the last 64 sequences of each VM and refuses only true copies.

Before: the new test fails at sequence 71 after 72 ("Which is: 0", expected 1).

--- a/foxtailtrail/limits/ShareLender.cpp
+++ b/foxtailtrail/limits/ShareLender.cpp
@@ -208,17 +208,30 @@
     this->resize(account, now);
 }
 
-// A borrower repeats no sequence, so a repeated or overtaken request is a late copy whose answer nobody would use.
+// A borrower repeats no sequence, so a repeated one is a late copy whose answer nobody would use. Requests on several connections
+// may overtake each other, so a lower sequence alone is no copy.
 bool ShareLender::isRepeated(const BorrowRequest& request, TimePoint now)
 {
     if (now >= this->nextCleaning) {
-        std::erase_if(this->lastRequests, [&](const auto& entry) { return entry.second.keptUntil <= now; });
+        std::erase_if(this->answeredRequests, [&](const auto& entry) { return entry.second.keptUntil <= now; });
         this->nextCleaning = now + this->settings.sequenceLife;
     }
-    LastRequest& last = this->lastRequests[request.borrower];
-    if (last.incarnation == request.borrowerIncarnation && request.sequence <= last.sequence)
+    constexpr uint64_t remembered = 64;
+    AnsweredRequests& known = this->answeredRequests[request.borrower];
+    if (request.borrowerIncarnation < known.incarnation)
         return true;
-    last = { request.borrowerIncarnation, request.sequence, now + this->settings.sequenceLife };
+    if (request.borrowerIncarnation > known.incarnation)
+        known = { request.borrowerIncarnation, 0, 0, {} };
+    known.keptUntil = now + this->settings.sequenceLife;
+    if (request.sequence > known.highest) {
+        const uint64_t step = request.sequence - known.highest;
+        known.answered = step < remembered ? known.answered << step : 0;
+        known.highest = request.sequence;
+    }
+    const uint64_t age = known.highest - request.sequence;
+    if (age >= remembered || (known.answered >> age & 1) != 0)
+        return true;
+    known.answered |= uint64_t { 1 } << age;
     return false;
 }
 
--- a/foxtailtrail/limits/ShareLender.h
+++ b/foxtailtrail/limits/ShareLender.h
@@ -30,7 +30,7 @@
     Duration longestPause = std::chrono::milliseconds(50);
     // The largest relative error of a clock's speed.
     double clockDrift = 0.01;
-    // How long the last sequence of a VM is kept to recognise repeated requests.
+    // How long the sequences of a VM are kept to recognise repeated requests.
     Duration sequenceLife = std::chrono::seconds(10);
 };
 
@@ -126,12 +126,14 @@
     std::map<uint32_t, OwnedShard> shards;
     std::map<OrganisationId, Account> accounts;
 
-    struct LastRequest {
+    // The requests of a VM that were answered: the highest sequence, and one bit for each of the 64 up to it.
+    struct AnsweredRequests {
         uint64_t incarnation = 0;
-        uint64_t sequence = 0;
+        uint64_t highest = 0;
+        uint64_t answered = 0;
         TimePoint keptUntil;
     };
-    std::map<VmId, LastRequest> lastRequests;
+    std::map<VmId, AnsweredRequests> answeredRequests;
     TimePoint nextCleaning;
 };
 
--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -201,6 +201,25 @@
     EXPECT_EQ(pair.lender.lend(pair.request(6, 100), farAway, after(1000)).items[0].tokens, 0U);
 }
 
+// Guards against a VM that asks for much and takes what VMs that ask for little are due.
+TEST(ShareLenderTest, SharesAreMaxMinFair)
+{
+    EXPECT_EQ(maxMinShares(100, { 10, 200, 50 }), (std::vector<double> { 10, 45, 45 }));
+    EXPECT_EQ(maxMinShares(100, { 10, 30, 20 }), (std::vector<double> { 10, 30, 20 }));
+    EXPECT_EQ(maxMinShares(0, { 10, 30 }), (std::vector<double> { 0, 0 }));
+}
+
+// Guards against requests on several connections that overtake each other, and against a copy that takes tokens a second time.
+TEST(ShareLenderTest, OvertakenRequestsAreAnsweredOnce)
+{
+    LendingPair pair;
+    for (const uint64_t sequence : { 70, 72, 71, 100 })
+        EXPECT_EQ(pair.lender.lend(pair.request(sequence, 1), farAway, start).items.size(), 1U) << sequence;
+    for (const uint64_t sequence : { 70, 72, 71, 100, 37 })
+        EXPECT_EQ(pair.lender.lend(pair.request(sequence, 1), farAway, start).items.size(), sequence == 37 ? 1U : 0U) << sequence;
+    EXPECT_EQ(pair.lender.lend(pair.request(36, 1), farAway, start).items.size(), 0U);
+}
+
 // Guards against room in the bucket before a slow clock has let the loan lapse: 50 ms * 1.01 / 0.99 = 51.01 ms.
 TEST(ShareLenderTest, ALoanLapsesAfterItHasLapsedByAnyClock)
 {
