--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -146,6 +146,43 @@
     EXPECT_EQ(late.borrower.tokensHeld(late.limit.id, after(50)), 0U);
 }
 
+// Guards against requests that each wait the whole time for an owner that is dead, and against an owner that is never asked again.
+TEST(ShareBorrowerTest, ASilentOwnerIsNotWaitedFor)
+{
+    LendingPair pair;
+    for (int time = 0; time < 1000; time += 5) {
+        EXPECT_EQ(pair.admit(after(time)).state, AdmissionState::Waiting);
+        for (const SettledAdmission& settled : pair.borrower.expire(after(time)))
+            EXPECT_EQ(settled.admission.refusal, ErrorKind::LimitUnavailable);
+        pair.borrower.takeRequests(after(time));
+    }
+    const Admission refused = pair.admit(after(1001));
+    EXPECT_EQ(refused.state, AdmissionState::Refused);
+    EXPECT_EQ(refused.refusal, ErrorKind::LimitUnavailable);
+    const auto asked = pair.borrower.takeRequests(after(1040));
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_GT(pair.borrower.receive(VmId("a"), pair.lender.lend(asked[0].request, farAway, after(1041)), after(1042)).size(), 0U);
+    EXPECT_NE(pair.admit(after(1043)).state, AdmissionState::Refused);
+}
+
+// Guards against one message per organisation, and against messages without a bound.
+TEST(ShareBorrowerTest, OrganisationsOfOneOwnerShareMessages)
+{
+    ShareBorrower borrower({}, VmId("b"), 1);
+    std::map<uint32_t, LimitShardOwner> owners;
+    for (uint32_t shard = 0; shard < limitShardCount; ++shard)
+        owners[shard] = { VmId("a"), 1 };
+    borrower.setOwners(owners);
+    for (int index = 0; index < 100; ++index)
+        borrower.admit(OrganisationId("organisation" + std::to_string(index)), farAway, start);
+    const auto first = borrower.takeRequests(start);
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first[0].request.items.size(), maximumItemsPerBorrowMessage);
+    const auto second = borrower.takeRequests(start);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].request.items.size(), 100 - maximumItemsPerBorrowMessage);
+}
+
 // Guards against returned tokens that count twice, that come back although their loan has lapsed, or that were never lent.
 TEST(ShareLenderTest, ALoanIsReturnedOnceAndInItsTime)
 {
@@ -164,6 +201,25 @@
     EXPECT_EQ(pair.lender.lend(pair.request(6, 100), farAway, after(1000)).items[0].tokens, 0U);
 }
 
+// Guards against a VM that asks for much and takes what VMs that ask for little are due.
+TEST(ShareLenderTest, SharesAreMaxMinFair)
+{
+    EXPECT_EQ(maxMinShares(100, { 10, 200, 50 }), (std::vector<double> { 10, 45, 45 }));
+    EXPECT_EQ(maxMinShares(100, { 10, 30, 20 }), (std::vector<double> { 10, 30, 20 }));
+    EXPECT_EQ(maxMinShares(0, { 10, 30 }), (std::vector<double> { 0, 0 }));
+}
+
+// Guards against requests on several connections that overtake each other, and against a copy that takes tokens a second time.
+TEST(ShareLenderTest, OvertakenRequestsAreAnsweredOnce)
+{
+    LendingPair pair;
+    for (const uint64_t sequence : { 70, 72, 71, 100 })
+        EXPECT_EQ(pair.lender.lend(pair.request(sequence, 1), farAway, start).items.size(), 1U) << sequence;
+    for (const uint64_t sequence : { 70, 72, 71, 100, 37 })
+        EXPECT_EQ(pair.lender.lend(pair.request(sequence, 1), farAway, start).items.size(), sequence == 37 ? 1U : 0U) << sequence;
+    EXPECT_EQ(pair.lender.lend(pair.request(36, 1), farAway, start).items.size(), 0U);
+}
+
 // Guards against room in the bucket before a slow clock has let the loan lapse: 50 ms * 1.01 / 0.99 = 51.01 ms.
 TEST(ShareLenderTest, ALoanLapsesAfterItHasLapsedByAnyClock)
 {
