Test the outcomes of a proposal one by one

The matrix checks that what an operator is told is true, but not the text that a loser gets, nor which outcome each fault ends in. These tests name them: the loser of a race gets VersionConflict with the winner's version and author, a lost reply is read back, and the deadline gives Unknown after a compare-and-set and StoreUnavailable before one.

--- /dev/null
+++ b/tests/config/ChangeProposalTest.cpp
@@ -0,0 +1,88 @@
+#include "tests/config/FakeFleet.h"
+
+namespace foxtail {
+
+class ChangeProposalTest : public testing::Test {
+protected:
+    ChangeProposalTest() { this->fleet.runUntil(TimePoint(2s)); }
+
+    const ProposalOutcome& outcomeAt(TimePoint end, size_t index = 0)
+    {
+        this->fleet.runUntil(end);
+        EXPECT_TRUE(this->fleet.operators[index].proposal->outcome().has_value());
+        return *this->fleet.operators[index].proposal->outcome();
+    }
+
+    FakeFleet fleet;
+};
+
+// Guards against a loser of a race who is not told what won, or whose change replaces the winner's.
+TEST_F(ChangeProposalTest, TheLoserOfARaceLearnsTheWinner)
+{
+    this->fleet.propose(1, "first", WithdrawKey { KeyId("k1") });
+    this->fleet.propose(2, "second", DrainServer { BackendServerId("b1"), true });
+    EXPECT_EQ(this->outcomeAt(TimePoint(4s), 0).verdict, ProposalVerdict::Accepted);
+    const ProposalOutcome& lost = this->outcomeAt(TimePoint(4s), 1);
+    EXPECT_EQ(lost.verdict, ProposalVerdict::Refused);
+    EXPECT_EQ(lost.error, (Error { ErrorKind::VersionConflict, "version 2 was made by operator-of-vm2" }));
+    EXPECT_EQ(this->fleet.store.row.version(), 2U);
+}
+
+// Guards against a change that is stored twice, or told as failed, when its reply was lost for a while.
+TEST_F(ChangeProposalTest, ALostReplyIsReadBack)
+{
+    this->fleet.propose(1, "change", WithdrawKey { KeyId("k1") });
+    // The compare-and-set arrives 35 ms after the start.
+    this->fleet.runUntil(TimePoint(2030ms));
+    this->fleet.store.losesReplies = true;
+    this->fleet.runUntil(TimePoint(3s));
+    EXPECT_FALSE(this->fleet.operators[0].proposal->outcome().has_value());
+    EXPECT_EQ(this->fleet.store.row.version(), 2U);
+    this->fleet.store.losesReplies = false;
+    EXPECT_EQ(this->outcomeAt(TimePoint(6s)).verdict, ProposalVerdict::Accepted);
+    EXPECT_EQ(this->fleet.store.row.version(), 2U);
+}
+
+// Guards against a proposal that says "refused" although its compare-and-set may still arrive, or that never ends.
+TEST_F(ChangeProposalTest, TheDeadlineEndsInUnknownOnlyAfterACompareAndSet)
+{
+    this->fleet.propose(1, "change", WithdrawKey { KeyId("k1") });
+    this->fleet.runUntil(TimePoint(2030ms));
+    this->fleet.store.losesReplies = true;
+    EXPECT_EQ(this->outcomeAt(TimePoint(6100ms)).verdict, ProposalVerdict::Unknown);
+    EXPECT_EQ(this->outcomeAt(TimePoint(6100ms)).error.kind, ErrorKind::StoreOutcomeUnknown);
+    this->fleet.store.down = true;
+    this->fleet.propose(1, "later", DrainServer { BackendServerId("b1"), true });
+    EXPECT_EQ(this->outcomeAt(TimePoint(11s), 1).verdict, ProposalVerdict::Refused);
+    EXPECT_EQ(this->outcomeAt(TimePoint(11s), 1).error.kind, ErrorKind::StoreUnavailable);
+}
+
+// Guards against a change that takes effect a second time when it is proposed again under its id.
+TEST_F(ChangeProposalTest, TheSameChangeIsNotStoredTwice)
+{
+    this->fleet.propose(1, "change", WithdrawKey { KeyId("k1") });
+    this->fleet.runUntil(TimePoint(3s));
+    ChangeProposal again({}, { "change-0", "ada", std::nullopt, DrainServer { BackendServerId("b1"), true } }, TimePoint(9s));
+    const auto effects = again.start(TimePoint(3s));
+    ASSERT_EQ(effects.size(), 1U);
+    again.storeAnswered(this->fleet.store.run(std::get<StoreCall>(effects.front())), TimePoint(3s));
+    ASSERT_TRUE(again.outcome().has_value());
+    EXPECT_EQ(again.outcome()->verdict, ProposalVerdict::StoredNotConfirmed);
+    EXPECT_EQ(again.outcome()->version, 2U);
+}
+
+// Guards against a row that grows with every change or that does not survive the store.
+TEST(ConfigurationRowTest, KeepsTheLatestChanges)
+{
+    ConfigurationRow row;
+    for (uint64_t version = 1; version <= 50; ++version)
+        row = rowFor(sampleConfiguration(version), row);
+    const ConfigurationRow parsed = parseConfigurationRow(serializeConfigurationRow(row)).value();
+    EXPECT_EQ(parsed.version(), 50U);
+    EXPECT_EQ(parsed.recent.size(), recentChangeCount);
+    EXPECT_EQ(parsed.recent.back().changeId, "change-19");
+    for (const char* text : { "", "{}", R"({"digest":"d","recent":[]})", R"({"digest":"d","recent":[1]})" })
+        EXPECT_TRUE(parseConfigurationRow(text).has_error()) << text;
+}
+
+}
