--- a/foxtailtrail/base/Ids.h
+++ b/foxtailtrail/base/Ids.h
@@ -39,20 +39,20 @@
 // The number that fences a primary: a database group has at most one primary per term.
 struct Term {
     uint64_t value = 0;
-    auto operator<=>(const Term&) const = default;
+    auto operator<=>(const Term&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // The number of committed transactions in a database group's log.
 struct Position {
     uint64_t value = 0;
-    auto operator<=>(const Position&) const = default;
+    auto operator<=>(const Position&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 // A place in a group's log. Ordered by term, then by position.
 struct LogPoint {
     Term term;
     Position position;
-    auto operator<=>(const LogPoint&) const = default;
+    auto operator<=>(const LogPoint&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 }
