Let the fake group ignore a repeated command to follow

The platform keeps the silence of a replica that is told again to follow the same primary. The cause was the fake, not the library.

--- a/experiments/BackendGroup.cpp
+++ b/experiments/BackendGroup.cpp
@@ -61,9 +61,11 @@
 {
     if (term < server.promisedTerm || (server.role == ServerRole::Primary && server.logTerm == term))
         return false;
+    // A repeated command changes nothing: a replica that is told to follow a dead primary still reports its silence.
+    if (term == server.promisedTerm && server.role == ServerRole::Replica)
+        return true;
     server.promisedTerm = term;
     server.role = ServerRole::Replica;
-    server.heardAt = this->simulation.now();
     this->replicate(primary, server.index, term, this->servers[primary].position, this->lag);
     return true;
 }
