Shorten the loans of small organisations

A used loan counts against the burst until it lapses after 200 ms, and at low rates no further request reports it earlier, so up to two of five tokens were missing. Loans of organisations of at most 40/s now live 50 ms. The new test fails without the change: 0 tokens instead of 1 after 153 ms. The price: replies to small organisations that come later than 50 ms bring no tokens.

--- a/foxtailtrail/limits/ShareLender.cpp
+++ b/foxtailtrail/limits/ShareLender.cpp
@@ -55,6 +55,8 @@
 {
     if (limit.rate <= 0)
         return this->settings.loanLife;
+    if (limit.rate <= this->settings.smallRate)
+        return this->settings.minimumLoanLife;
     const Duration half
         = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(1000.0, limit.burst / (2 * limit.rate))));
     return std::clamp(half, this->settings.minimumLoanLife, this->settings.loanLife);
--- a/foxtailtrail/limits/ShareLender.h
+++ b/foxtailtrail/limits/ShareLender.h
@@ -12,6 +12,9 @@
     Duration loanLife = std::chrono::milliseconds(200);
     // The shortest life of a loan: twice the round trip to the other region is 32 ms.
     Duration minimumLoanLife = std::chrono::milliseconds(50);
+    // Loans of an organisation with at most this rate per second have the shortest life. Its VMs borrow for requests that
+    // already wait and use the tokens as they arrive, but until a used loan lapses its tokens are missing from the burst.
+    double smallRate = 40;
     // How long an owner may lend after the last check that confirmed its configuration.
     Duration freshnessTime = std::chrono::seconds(3);
     // How long a reported demand counts without a new report.
--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -76,11 +76,12 @@
 
 // One lender with a full bucket and one borrower, without a network.
 struct LendingPair {
-    Organisation limit { OrganisationId("north"), 100, 50 };
+    Organisation limit;
     ShareLender lender { ShareLenderSettings {}, 1 };
     ShareBorrower borrower { ShareBorrowerSettings {}, VmId("b"), 1 };
 
-    LendingPair()
+    explicit LendingPair(double rate = 100, double burst = 50)
+        : limit { OrganisationId("north"), rate, burst }
     {
         const uint32_t shard = limitShardOf(this->limit.id);
         this->lender.setLimits({ { this->limit.id, this->limit } }, start - std::chrono::seconds(20));
@@ -143,4 +144,13 @@
     EXPECT_EQ(pair.lender.lend(pair.request(3, 50), farAway, after(231)).items[0].tokens, 2U);
 }
 
+// Guards against used loans that keep a small burst short for 200 ms: the life here is 50 ms * 1.01 / 0.99 = 51.02 ms.
+TEST(ShareLenderTest, ALoanOfASmallOrganisationLapsesSoon)
+{
+    LendingPair pair(10, 5);
+    EXPECT_EQ(pair.lender.lend(pair.request(1, 5), farAway, start).items[0].tokens, 5U);
+    EXPECT_EQ(pair.lender.lend(pair.request(2, 5), farAway, after(51)).items[0].tokens, 0U);
+    EXPECT_EQ(pair.lender.lend(pair.request(3, 5), farAway, after(153)).items[0].tokens, 1U);
+}
+
 }
