Lend what is left of the burst to a batch at one VM

The owner took a batch for overload, because demand is averaged over 0.5 s, and cut the loan to the VM's share of the rate; the VM then refused the rest of the batch at once. Tokens above an eighth of the burst are now lent to whoever asks. What remains is mostly the organisation of 10/s with a burst of 5, whose bucket is empty or nearly so. The new test fails without the change: 5 tokens instead of 40.

--- a/foxtailtrail/limits/ShareLender.cpp
+++ b/foxtailtrail/limits/ShareLender.cpp
@@ -235,7 +235,9 @@
     double limit = account.bucket.level();
     if (prospect.overloaded) {
         const double part = account.bucket.level() * prospect.share / account.bucket.rate();
-        limit = std::min(limit, std::max(1.0, part + borrower.earned.level()));
+        // Tokens above an eighth of the burst are not scarce yet: a batch within the burst may have them all at one VM.
+        const double plenty = account.bucket.level() - account.limit.burst / 8;
+        limit = std::min(limit, std::max({ 1.0, part + borrower.earned.level(), plenty }));
     }
     const uint32_t tokens = std::min({ item.wanted, wholeTokens(limit), maximumTokensPerLoan });
 
--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -153,4 +153,14 @@
     EXPECT_EQ(pair.lender.lend(pair.request(3, 5), farAway, after(153)).items[0].tokens, 1U);
 }
 
+// Guards against a batch that is cut down to its VM's share of the rate although most of the burst is left: 50 tokens less the
+// eighth of 6.25 that is kept for shares.
+TEST(ShareLenderTest, ABatchMayTakeTheBurstThatIsLeft)
+{
+    LendingPair pair;
+    pair.lender.lend({ VmId("c"), 1, 1, { { pair.limit.id, 1, 1, 500, {} } } }, farAway, start);
+    EXPECT_EQ(pair.lender.lend(pair.request(1, 40), farAway, start).items[0].tokens, 40U);
+    EXPECT_EQ(pair.lender.lend(pair.request(2, 40), farAway, start).items[0].tokens, 2U);
+}
+
 }
