Count a statement as slow once it runs long

Cause: an organisation that mixes a few statements of 1 s with many of 5 ms has a recent average under 25 ms most of the time, and the daemon gives no estimate, so FairQueue took its slow statements for fast ones and let them hold every slot. A running statement now counts as slow after 25 ms, and further ones of its organisation are expected to be slow until it ends. Ruled out: starvation by the round itself; with all within their rates and beside one at five times its rate nothing changes.

--- a/foxtailtrail/scheduling/FairQueue.cpp
+++ b/foxtailtrail/scheduling/FairQueue.cpp
@@ -102,8 +102,22 @@
 
 bool FairQueue::isSlowAllowed() const { return this->settings.slots < 2 || this->slowRunning + 1 < this->settings.slots; }
 
+// Marks the running statements that have taken longer than expected.
+void FairQueue::findSlow(TimePoint now)
+{
+    for (auto& [id, running] : this->runningEntries) {
+        if (running.isSlow || running.slowFrom > now)
+            continue;
+        running.isSlow = true;
+        ++this->slowRunning;
+        ++this->tenants.at(running.organisation).slowHeld;
+    }
+}
+
 bool FairQueue::mayRun(const Tenant& tenant) const
 {
+    if (tenant.slowHeld > 0)
+        return this->isSlowAllowed();
     return this->expectedCost(tenant, tenant.entries.front()) <= this->settings.slowCost || this->isSlowAllowed();
 }
 
@@ -139,15 +153,17 @@
         candidates.begin(), candidates.end(), [&](const auto& turn) { return this->tenants.at(*turn).credit > Duration(0); });
 }
 
-QueueEntry FairQueue::start(std::list<OrganisationId>::iterator turn)
+QueueEntry FairQueue::start(std::list<OrganisationId>::iterator turn, TimePoint now)
 {
     const OrganisationId organisation = *turn;
     Tenant& tenant = this->tenants.at(organisation);
     const Duration cost = this->expectedCost(tenant, tenant.entries.front());
-    const RunningEntry running { organisation, cost > Duration(0) ? cost : this->settings.quantum, cost > this->settings.slowCost };
+    const RunningEntry running { organisation, cost > Duration(0) ? cost : this->settings.quantum, cost > this->settings.slowCost,
+        now + this->settings.slowCost };
     tenant.credit -= running.charged;
     ++tenant.slotsHeld;
     this->slowRunning += running.isSlow ? 1 : 0;
+    tenant.slowHeld += running.isSlow ? 1 : 0;
     // An organisation without credit waits for its next round.
     if (tenant.credit <= Duration(0))
         this->round.splice(this->round.end(), this->round, turn);
@@ -162,9 +178,10 @@
     this->shedExpired(now, turn.shed);
     if (this->runningEntries.size() >= this->settings.slots)
         return turn;
+    this->findSlow(now);
     const auto chosen = this->choose();
     if (chosen != this->round.end())
-        turn.run = this->start(chosen);
+        turn.run = this->start(chosen, now);
     return turn;
 }
 
@@ -178,6 +195,7 @@
     this->slowRunning -= running.isSlow ? 1 : 0;
     Tenant& tenant = this->tenants.at(running.organisation);
     --tenant.slotsHeld;
+    tenant.slowHeld -= running.isSlow ? 1 : 0;
     // The charge was an estimate until now.
     tenant.credit += running.charged - used;
     tenant.recentCost += (used - tenant.recentCost) / (tenant.recentCost > Duration(0) ? averageWeight : 1);
--- a/foxtailtrail/scheduling/FairQueue.h
+++ b/foxtailtrail/scheduling/FairQueue.h
@@ -25,7 +25,8 @@
 // An organisation holds at most half of the slots, rounded up, while another one with room below that limit waits; without
 // others it may hold all. Statements expected to be slow, of all organisations together, never hold the last slot, as nothing
 // can take a slot back from a running statement. So the queue is work-conserving but for slow statements. The expected cost is
-// the larger of the entry's estimate and the organisation's recent average.
+// the larger of the entry's estimate and the organisation's recent average. While a statement of an organisation turns out to be
+// slow, its next ones are expected to be slow too.
 class FairQueue final : public QueueStrategy {
 public:
     explicit FairQueue(FairQueueSettings);
@@ -42,6 +43,8 @@
     struct Tenant {
         std::deque<QueueEntry> entries;
         uint32_t slotsHeld = 0;
+        // The statements that hold a slot and count as slow.
+        uint32_t slowHeld = 0;
         // Slot time that the organisation may still use in this round. Negative after it used more.
         Duration credit { 0 };
         // The exponential average of the slot time of recent statements.
@@ -55,6 +58,8 @@
         OrganisationId organisation;
         Duration charged { 0 };
         bool isSlow = false;
+        // The statement counts as slow from here on, whatever was expected of it.
+        TimePoint slowFrom;
     };
 
     using DeadlineKey = std::pair<TimePoint, QueueEntryId>;
@@ -66,9 +71,10 @@
     std::optional<QueueEntry> takeOut(QueueEntryId);
     bool mayRun(const Tenant&) const;
     bool isSlowAllowed() const;
+    void findSlow(TimePoint now);
     uint32_t fairSlots() const { return (this->settings.slots + 1) / 2; }
     std::list<OrganisationId>::iterator choose();
-    QueueEntry start(std::list<OrganisationId>::iterator);
+    QueueEntry start(std::list<OrganisationId>::iterator, TimePoint now);
     void forgetIdle(TimePoint now);
 
     FairQueueSettings settings;
--- a/tests/scheduling/FairQueueTest.cpp
+++ b/tests/scheduling/FairQueueTest.cpp
@@ -156,6 +156,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Slots, NeighbourTest, testing::Values(2, 3));
 
+// Guards against a statement of unknown cost that takes the last slot while another one of its organisation runs long.
+TEST(FairQueueTest, ALongRunningStatementMakesTheNextOnesSlow)
+{
+    FairQueue queue({ .slots = 2 });
+    const TimePoint deadline = start + std::chrono::seconds(5);
+    const TimePoint later = start + milliseconds(25);
+    ASSERT_TRUE(queue.push({ QueueEntryId { 1 }, OrganisationId("south"), deadline, {} }, start));
+    ASSERT_TRUE(queue.next(start).run);
+    ASSERT_TRUE(queue.push({ QueueEntryId { 2 }, OrganisationId("south"), deadline, {} }, later));
+    EXPECT_FALSE(queue.next(later).run);
+    ASSERT_TRUE(queue.push({ QueueEntryId { 3 }, OrganisationId("north"), deadline, {} }, later));
+    EXPECT_EQ(queue.next(later).run->id.value, 3U);
+    queue.finished({ 3 }, milliseconds(5), later);
+    queue.finished({ 1 }, milliseconds(30), later);
+    EXPECT_TRUE(queue.next(later).run);
+}
+
 // Guards against the baseline passing the same check, which would mean that the check measures nothing.
 TEST(FifoQueueTest, LetsOneOrganisationStarveAnother)
 {
