--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -103,11 +103,12 @@
 
 // One lender with a full bucket and one borrower, without a network.
 struct LendingPair {
-    Organisation limit { OrganisationId("north"), 100, 50 };
+    Organisation limit;
     ShareLender lender { ShareLenderSettings {}, 1 };
     ShareBorrower borrower { ShareBorrowerSettings {}, VmId("b"), 1 };
 
-    LendingPair()
+    explicit LendingPair(double rate = 100, double burst = 50)
+        : limit { OrganisationId("north"), rate, burst }
     {
         const uint32_t shard = limitShardOf(this->limit.id);
         this->lender.setLimits({ { this->limit.id, this->limit } }, start - std::chrono::seconds(20));
@@ -229,4 +230,23 @@
     EXPECT_EQ(pair.lender.lend(pair.request(3, 50), farAway, after(81)).items[0].tokens, 2U);
 }
 
+// Guards against used loans that keep a small burst short for 200 ms: the life here is 50 ms * 1.01 / 0.99 = 51.02 ms.
+TEST(ShareLenderTest, ALoanOfASmallOrganisationLapsesSoon)
+{
+    LendingPair pair(10, 5);
+    EXPECT_EQ(pair.lender.lend(pair.request(1, 5), farAway, start).items[0].tokens, 5U);
+    EXPECT_EQ(pair.lender.lend(pair.request(2, 5), farAway, after(51)).items[0].tokens, 0U);
+    EXPECT_EQ(pair.lender.lend(pair.request(3, 5), farAway, after(153)).items[0].tokens, 1U);
+}
+
+// Guards against a batch that is cut down to its VM's share of the rate although most of the burst is left: 50 tokens less the
+// eighth of 6.25 that is kept for shares.
+TEST(ShareLenderTest, ABatchMayTakeTheBurstThatIsLeft)
+{
+    LendingPair pair;
+    pair.lender.lend({ VmId("c"), 1, 1, { { pair.limit.id, 1, 1, 500, {} } } }, farAway, start);
+    EXPECT_EQ(pair.lender.lend(pair.request(1, 40), farAway, start).items[0].tokens, 40U);
+    EXPECT_EQ(pair.lender.lend(pair.request(2, 40), farAway, start).items[0].tokens, 2U);
+}
+
 }
