Let the test of the settings page write the page anew

The page of settings is the output of settingsReference(), and a test compares the two, but nothing said how to write the page after a change of the table. The test now does so when FOXTAIL_UPDATE_PAGES is set; a subcommand was ruled out, since only developers need it. The page also says what the sample is.

--- a/foxtailtrail/server/Settings.cpp
+++ b/foxtailtrail/server/Settings.cpp
@@ -520,6 +520,16 @@
 
 `objectives` is a list of service-level objectives for the burn report, each with `service` (a name),
 `availabilityPercent` (number from 50 to 99.999) and `latencyMs` (whole number from 1 to 60000 ms). Default: empty.
+
+## Sample
+
+`samples/vm.yaml` holds the settings of one entry VM of a fleet of three on one machine, with its ports, the store's
+port and the peer ports of the two others. `foxtailtrail check samples/vm.yaml` checks it.
+
+## Updating this page
+
+The test `SettingsTest.TheSampleAndTheReferencePageAreCurrent` fails when this page differs from the table. Write it anew
+with `FOXTAIL_UPDATE_PAGES=1 ctest --test-dir build -R TheSampleAndTheReferencePageAreCurrent`.
 )";
 
 }
--- a/tests/server/SettingsTest.cpp
+++ b/tests/server/SettingsTest.cpp
@@ -98,9 +98,12 @@
     const auto sample = readSettings(root + "/samples/vm.yaml");
     ASSERT_TRUE(sample.has_value()) << sample.error().front().text();
     EXPECT_EQ(sample.value().peers.size(), 2U);
-    std::ifstream stream(root + "/docs/settings.md");
+    const std::string file = root + "/docs/settings.md";
+    if (std::getenv("FOXTAIL_UPDATE_PAGES"))
+        std::ofstream(file) << settingsReference();
+    std::ifstream stream(file);
     const std::string page { std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>() };
-    EXPECT_EQ(page, settingsReference());
+    EXPECT_EQ(page, settingsReference()) << "run this test with FOXTAIL_UPDATE_PAGES=1 in the environment to write the page anew";
 }
 
 }
