Let slow statements hold at most half of the slots

Cause: with three slots two could be slow at once, and the one that was left (200 statements/s) could not carry the others' 323/s, so their queue grew for as long as the slow statements ran. The limit was all slots but one and is now half of the slots, rounded down but at least one.

--- a/foxtailtrail/scheduling/FairQueue.cpp
+++ b/foxtailtrail/scheduling/FairQueue.cpp
@@ -100,7 +100,7 @@
         shed.push_back(*this->takeOut(this->deadlines.begin()->first.second));
 }
 
-bool FairQueue::isSlowAllowed() const { return this->settings.slots < 2 || this->slowRunning + 1 < this->settings.slots; }
+bool FairQueue::isSlowAllowed() const { return this->slowRunning < std::max(1U, this->settings.slots / 2); }
 
 // Marks the running statements that have taken longer than expected.
 void FairQueue::findSlow(TimePoint now)
--- a/foxtailtrail/scheduling/FairQueue.h
+++ b/foxtailtrail/scheduling/FairQueue.h
@@ -16,17 +16,18 @@
     size_t maximumLength = 256;
     // The slot time that an organisation receives per round.
     Duration quantum = std::chrono::milliseconds(5);
-    // Statements expected to take longer leave a slot free: nobody else's statement should have to wait for them to end.
+    // Statements expected to take longer hold at most half of the slots, as nobody else's should have to wait for their end.
     Duration slowCost = std::chrono::milliseconds(25);
 };
 
 // Deficit round robin over the organisations by the slot time they use.
 //
 // An organisation holds at most half of the slots, rounded up, while another one with room below that limit waits; without
-// others it may hold all. Statements expected to be slow, of all organisations together, never hold the last slot, as nothing
-// can take a slot back from a running statement. So the queue is work-conserving but for slow statements. The expected cost is
-// the larger of the entry's estimate and the organisation's recent average. While a statement of an organisation turns out to be
-// slow, its next ones are expected to be slow too.
+// others it may hold all. Statements expected to be slow, of all organisations together, hold at most half of the slots, rounded
+// down but at least one: nothing can take a slot back from a running statement, and the others' load must fit into what is left. So the
+// queue is work-conserving but for slow statements. The expected cost is the larger of the entry's estimate and the
+// organisation's recent average. While a statement of an organisation turns out to be slow, its next ones are expected to be slow
+// too.
 class FairQueue final : public QueueStrategy {
 public:
     explicit FairQueue(FairQueueSettings);
--- a/tests/scheduling/FairQueueTest.cpp
+++ b/tests/scheduling/FairQueueTest.cpp
@@ -173,6 +173,20 @@
     EXPECT_TRUE(queue.next(later).run);
 }
 
+// Guards against slow statements of several organisations that together leave too few slots for the load of the others.
+TEST(FairQueueTest, SlowStatementsHoldAtMostHalfOfTheSlots)
+{
+    for (const auto& [slots, allowed] : { std::pair(1U, 1U), std::pair(2U, 1U), std::pair(3U, 1U), std::pair(6U, 3U) }) {
+        FairQueue queue({ .slots = slots });
+        for (uint64_t id = 1; id <= slots; ++id) {
+            const OrganisationId organisation("slow" + std::to_string(id));
+            ASSERT_TRUE(queue.push({ QueueEntryId { id }, organisation, start + std::chrono::seconds(5), milliseconds(26) }, start));
+        }
+        while (queue.next(start).run) { }
+        EXPECT_EQ(queue.running(), allowed) << slots;
+    }
+}
+
 // Guards against the baseline passing the same check, which would mean that the check measures nothing.
 TEST(FifoQueueTest, LetsOneOrganisationStarveAnother)
 {
