--- a/experiments/LimitsExperiment.cpp
+++ b/experiments/LimitsExperiment.cpp
@@ -141,8 +141,7 @@
         // The first configuration is old, so that its owners lend from the start.
         void assignOwners()
         {
-            for (uint32_t index = 0; index < Deployment::vmCount; ++index)
-                this->take(proposeShardOwners({}, this->candidates(), idOf(index), runLength));
+            this->take(proposeShardOwners({}, this->candidates(), runLength));
             this->install(TimePoint() - seconds(10));
         }
 
@@ -172,7 +171,7 @@
         {
             if (this->vms[index].isDead || this->isStoreDown)
                 return;
-            const auto proposals = proposeShardOwners(this->owners, this->candidates(), idOf(index), runLength);
+            const auto proposals = proposeShardOwners(this->owners, this->candidates(), runLength);
             if (proposals.empty())
                 return;
             this->take(proposals);
--- a/tests/limits/LimitsTest.cpp
+++ b/tests/limits/LimitsTest.cpp
@@ -244,7 +244,7 @@
 TEST(ShareLenderTest, ABatchMayTakeTheBurstThatIsLeft)
 {
     LendingPair pair;
-    pair.lender.lend({ VmId("c"), 1, 1, { { pair.limit.id, 1, 1, 500, {} } } }, farAway, start);
+    pair.lender.lend({ VmId("c"), 1, 1, { { pair.limit.id, 1, 1, 0, 500, {}, {} } } }, farAway, start);
     EXPECT_EQ(pair.lender.lend(pair.request(1, 40), farAway, start).items[0].tokens, 40U);
     EXPECT_EQ(pair.lender.lend(pair.request(2, 40), farAway, start).items[0].tokens, 2U);
 }
