--- /dev/null
+++ b/tests/processes/Deployment.cpp
@@ -0,0 +1,362 @@
+#include "tests/processes/Deployment.h"
+
+#include "foxtailtrail/base/Json.h"
+#include "foxtailtrail/net/Clock.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+
+extern char** environ;
+
+namespace foxtail::processes {
+
+namespace {
+
+    constexpr const char* operatorSecret = "sample-secret-change-me";
+    constexpr const char* schema = "CREATE TABLE bookings(id integer primary key, slot text not null, child text not null)";
+    constexpr Duration requestDeadline = std::chrono::seconds(30);
+    constexpr Duration startDeadline = std::chrono::seconds(60);
+    constexpr std::chrono::milliseconds pollInterval { 20 };
+    // A session gives up repeating a write after so many attempts.
+    constexpr int maximumAttempts = 20;
+
+    std::string contentsOf(const std::string& path)
+    {
+        std::ifstream stream(path);
+        return { std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>() };
+    }
+
+    // Calls the condition until it holds.
+    template <typename Condition> void waitFor(const std::string& what, Condition condition)
+    {
+        const TimePoint deadline = now() + startDeadline;
+        while (!condition()) {
+            if (now() >= deadline)
+                throw std::runtime_error("no " + what + " in time");
+            std::this_thread::sleep_for(pollInterval);
+        }
+    }
+
+}
+
+std::string bookingBody(const std::string& slot)
+{
+    return R"_({"statements":[{"sql":"INSERT INTO bookings(slot, child) VALUES($1, 'Ann')","params":[")_" + slot
+        + R"_("],"expectRows":1}]})_";
+}
+
+std::string listBody() { return R"({"statements":[{"sql":"SELECT slot FROM bookings ORDER BY slot"}]})"; }
+
+std::multiset<std::string> slotsOf(const Answer& answer)
+{
+    std::multiset<std::string> slots;
+    const json::value value = json::parse(answer.body);
+    for (const json::value& row : value.at("results").at(0).at("rows").as_array())
+        slots.emplace(row.at(0).as_string());
+    return slots;
+}
+
+Deployment::Deployment()
+    : callerThread(FiberThread::start("callers"))
+{
+    std::string pattern = std::filesystem::temp_directory_path().string() + "/foxtail-XXXXXX";
+    this->folder = mkdtemp(pattern.data());
+    try {
+        this->storePort = this->startStandin("platform", { FOXTAIL_BINARY_FOLDER "/platform-standin" });
+        std::vector<std::string> server { FOXTAIL_BINARY_FOLDER "/backend-standin", "--schema-sql", schema, "--server-id", "b1" };
+        const std::string primaryAddress = "127.0.0.1:" + std::to_string(this->startStandin("b1", server));
+        server.insert(server.end(), { "--role", "replica", "--primary", primaryAddress });
+        for (const char* name : { "b2", "b3" }) {
+            server[4] = name;
+            this->startStandin(name, server);
+        }
+        this->pickPorts();
+        for (size_t vm = 0; vm < vmCount; ++vm)
+            this->startVm(vm);
+        this->declare();
+        this->waitUntilServing();
+    } catch (...) {
+        for (const auto& [name, pid] : this->running)
+            kill(pid, SIGKILL);
+        throw;
+    }
+}
+
+Deployment::~Deployment()
+{
+    for (const auto& [name, pid] : this->running)
+        kill(pid, SIGKILL);
+    for (const auto& [name, pid] : this->running)
+        waitpid(pid, nullptr, 0);
+    std::filesystem::remove_all(this->folder);
+}
+
+void Deployment::start(const std::string& name, std::vector<std::string> arguments)
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    constexpr int flags = O_WRONLY | O_CREAT | O_APPEND;
+    posix_spawn_file_actions_addopen(&actions, 1, this->file(name + ".out").c_str(), flags, 0600);
+    posix_spawn_file_actions_addopen(&actions, 2, this->file(name + ".log").c_str(), flags, 0600);
+    std::vector<char*> words;
+    for (std::string& argument : arguments)
+        words.push_back(argument.data());
+    words.push_back(nullptr);
+    pid_t pid = 0;
+    const int failure = posix_spawn(&pid, words[0], &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0)
+        throw std::runtime_error("cannot start " + name);
+    this->running[name] = pid;
+}
+
+uint16_t Deployment::startStandin(const std::string& name, std::vector<std::string> arguments)
+{
+    this->start(name, std::move(arguments));
+    const std::string prefix = "listening on ";
+    std::string line;
+    waitFor("port of " + name, [&] {
+        line = contentsOf(this->file(name + ".out"));
+        return line.starts_with(prefix) && line.ends_with("\n");
+    });
+    const auto port = static_cast<uint16_t>(std::stoul(line.substr(prefix.size())));
+    std::ofstream(this->file(name + ".port")) << port;
+    return port;
+}
+
+void Deployment::pickPorts()
+{
+    // The VMs name each other before they start, so all ports are held together and then freed.
+    boost::asio::io_context context;
+    std::vector<boost::asio::ip::tcp::acceptor> held;
+    const auto pick = [&] {
+        held.emplace_back(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        return held.back().local_endpoint().port();
+    };
+    for (VmPorts& vm : this->ports)
+        vm = { pick(), pick(), pick(), pick() };
+    constexpr std::array<const char*, vmCount> places { "region: seq, dataCentre: brisbane", "region: seq, dataCentre: toowoomba",
+        "region: fnq, dataCentre: cairns" };
+    for (size_t index = 0; index < vmCount; ++index) {
+        const VmPorts& vm = this->ports[index];
+        std::ofstream settings(this->file("vm" + std::to_string(index + 1) + ".yaml"));
+        settings << "vm: {id: vm" << index + 1 << ", " << places[index] << "}\nlisten: {address: 127.0.0.1, callerPort: " << vm.caller
+                 << ", peerPort: " << vm.peer << ", operatorPort: " << vm.operators << ", metricsPort: " << vm.metrics
+                 << "}\nstore: {address: 127.0.0.1, port: " << this->storePort << "}\noperator: {secret: " << operatorSecret << "}\npeers:\n";
+        for (const VmPorts& peer : this->ports)
+            settings << "  - \"127.0.0.1:" << peer.peer << "\"\n";
+    }
+}
+
+void Deployment::startVm(size_t vm)
+{
+    const std::string name = "vm" + std::to_string(vm + 1);
+    this->start(name, { FOXTAIL_BINARY_FOLDER "/foxtailtrail", "serve", this->file(name + ".yaml") });
+}
+
+Result<OperatorAnswer> Deployment::command(size_t vm, const std::string& text)
+{
+    return OperatorClient({ "127.0.0.1", this->ports[vm].operators }, operatorSecret).command(text);
+}
+
+void Deployment::declare()
+{
+    waitFor("witnesses", [this] {
+        const auto answer = this->command(0, "show witnesses");
+        return answer && answer.value().table && answer.value().table->rows.size() == vmCount;
+    });
+    const auto run = [this](const std::string& text) {
+        // A declaration may race with the VMs' own first changes and is then repeated; it is the same declaration.
+        std::string key;
+        waitFor("answer to " + text, [&] {
+            const auto answer = this->command(0, text);
+            if (answer)
+                key = answer.value().key;
+            else if (answer.error().kind != ErrorKind::VersionConflict && answer.error().kind != ErrorKind::ConfigurationStale)
+                throw std::runtime_error(text + ": " + answer.error().detail);
+            return answer.has_value();
+        });
+        return key;
+    };
+    run("declare database bookings slots 3 connections 20");
+    const auto server = [&](const std::string& name, const std::string& place) {
+        run("declare server " + name + " in bookings at 127.0.0.1:" + contentsOf(this->file(name + ".port")) + place);
+    };
+    server("b1", " region seq data centre brisbane");
+    server("b2", " region seq data centre toowoomba");
+    server("b3", " region fnq data centre cairns");
+    run("declare organisation wattle rate 5000 burst 3000");
+    run("declare service booking on bookings keyed for wattle");
+    this->key = run("issue key for wattle");
+}
+
+void Deployment::waitUntilServing()
+{
+    for (size_t vm = 0; vm < vmCount; ++vm)
+        waitFor("service of vm" + std::to_string(vm + 1), [&] { return this->send(vm, { "read", listBody(), {}, {} }).status == 200; });
+}
+
+HttpResponse Deployment::sendRaw(Endpoint endpoint, const HttpRequest& request)
+{
+    const auto exchange = [&] {
+        const Result<HttpResponse> response = HttpClient(endpoint).send(request, now() + requestDeadline);
+        return response ? response.value() : HttpResponse { 0, {}, {}, {} };
+    };
+    return FiberThread::current() ? exchange() : this->callerThread->call(exchange);
+}
+
+Answer Deployment::send(size_t vm, const Call& call)
+{
+    HttpRequest request { "POST", "/v1/services/booking/" + call.operation,
+        { { "Authorization", this->authorization() }, { "Foxtail-Deadline", "20000" } }, call.body };
+    if (!call.token.empty())
+        request.headers.push_back({ "Foxtail-Token", call.token });
+    if (!call.requestId.empty())
+        request.headers.push_back({ "Foxtail-Request-Id", call.requestId });
+    const HttpResponse response = this->sendRaw(this->callerEndpoint(vm), request);
+    Answer answer { response.status, {}, {}, {}, response.body };
+    const auto object = parseJsonObject(response.body);
+    if (!object)
+        return answer;
+    answer.token = stringMember(object.value(), "token") ? stringMember(object.value(), "token").value() : "";
+    if (const auto error = objectMember(object.value(), "error")) {
+        answer.kind = stringMember(error.value(), "kind").value();
+        answer.ran = stringMember(error.value(), "ran").value();
+    }
+    return answer;
+}
+
+void Deployment::signal(const std::string& name, int number) { kill(this->running.at(name), number); }
+
+int Deployment::waitForExit(const std::string& name)
+{
+    int status = 0;
+    waitpid(this->running.at(name), &status, 0);
+    this->running.erase(name);
+    return status;
+}
+
+void Deployment::changeStoreFaults(const std::string& faults)
+{
+    if (this->sendRaw({ "127.0.0.1", this->storePort }, { "POST", "/standin/faults", {}, faults }).status != 200)
+        throw std::runtime_error("the platform stand-in refused " + faults);
+}
+
+std::string Deployment::primary()
+{
+    const auto answer = this->command(0, "show databases");
+    if (!answer)
+        throw std::runtime_error("show databases: " + answer.error().detail);
+    return std::get<std::string>(answer.value().table->rows.at(0).at(2));
+}
+
+std::string Deployment::logsAndMetrics()
+{
+    std::string text;
+    for (const auto& entry : std::filesystem::directory_iterator(this->folder))
+        text += contentsOf(entry.path());
+    for (const VmPorts& vm : this->ports)
+        text += this->sendRaw({ "127.0.0.1", vm.metrics }, { "GET", "/metrics", {}, {} }).body;
+    return text;
+}
+
+Load::Load(Deployment& deployment, size_t sessions, size_t writesPerSession)
+    : deployment(deployment)
+    , runningSessions(sessions)
+{
+    for (size_t session = 0; session < sessions; ++session)
+        deployment.callers().post([this, session, writesPerSession] { this->runSession(session, writesPerSession); });
+}
+
+void Load::runSession(size_t session, size_t writes)
+{
+    std::mt19937_64 random(session + 1);
+    std::vector<WriteRecord> own;
+    std::string token;
+    for (size_t index = 0; index < writes; ++index) {
+        own.push_back(this->write(random, "s" + std::to_string(session) + "-" + std::to_string(index), token));
+        this->acknowledgedCount += own.back().acknowledged ? 1 : 0;
+        this->readBack(random, token, own);
+    }
+    this->history.insert(this->history.end(), own.begin(), own.end());
+    --this->runningSessions;
+}
+
+WriteRecord Load::write(std::mt19937_64& random, const std::string& slot, std::string& token)
+{
+    WriteRecord record { slot, false, true };
+    for (int attempt = 0; attempt < maximumAttempts; ++attempt) {
+        const Answer answer = this->deployment.send(random() % Deployment::vmCount, { "write", bookingBody(slot), token, slot });
+        if (answer.status == 200) {
+            record.acknowledged = true;
+            record.refused = false;
+            token = answer.token;
+            return record;
+        }
+        this->failureLines += slot + " write: " + std::to_string(answer.status) + " " + answer.body + "\n";
+        if (answer.ran == "no")
+            return record;
+        record.refused = false;
+    }
+    return record;
+}
+
+void Load::readBack(std::mt19937_64& random, const std::string& token, const std::vector<WriteRecord>& own)
+{
+    if (token.empty())
+        return;
+    const Answer answer = this->deployment.send(random() % Deployment::vmCount, { "read", listBody(), token, {} });
+    if (answer.status != 200) {
+        this->failureLines += "read: " + std::to_string(answer.status) + " " + answer.body + "\n";
+        return;
+    }
+    const auto slots = slotsOf(answer);
+    for (const WriteRecord& record : own) {
+        if (record.acknowledged && slots.count(record.slot) == 0)
+            this->sessionFaults += "a read with its token lacks the session's own write " + record.slot + "\n";
+    }
+}
+
+bool Load::waitForAcknowledged(size_t count)
+{
+    while (this->acknowledgedCount < count && this->runningSessions > 0)
+        std::this_thread::sleep_for(pollInterval);
+    return this->acknowledgedCount >= count;
+}
+
+void Load::join()
+{
+    while (this->runningSessions > 0)
+        std::this_thread::sleep_for(pollInterval);
+}
+
+std::string Load::failures()
+{
+    return this->deployment.callers().call([this] { return this->failureLines; });
+}
+
+std::string Load::faults()
+{
+    std::string faults = this->deployment.callers().call([this] { return this->sessionFaults; });
+    const Answer answer = this->deployment.send(0, { "read", listBody(), {}, {} });
+    if (answer.status != 200)
+        return faults + "the last read failed: " + answer.body + "\n";
+    const auto slots = slotsOf(answer);
+    for (const WriteRecord& record : this->history) {
+        const size_t found = slots.count(record.slot);
+        if (found > 1 || (record.acknowledged && found != 1) || (record.refused && found != 0))
+            faults += record.slot + (record.acknowledged ? " (acknowledged)" : record.refused ? " (refused)" : " (unknown)") + " is there "
+                + std::to_string(found) + " times\n";
+    }
+    return faults;
+}
+
+}
