Confirm a read without a token by what a majority reports after it arrived

Cause: the wait for durability ended at once when the newest reports already held the read's point, however old they were.

Ruled out: the router and the execution, which ask for the confirmation.

Writes now also wait for one round of reports, which the position of a fresh commit needs anyway.

--- a/foxtailtrail/server/GroupWatch.cpp
+++ b/foxtailtrail/server/GroupWatch.cpp
@@ -120,8 +120,11 @@
     this->stopping = true;
     this->wake.notify_all();
     for (auto& [ticket, wait] : this->waits)
-        wait.set_value(Durability::Expired);
+        wait.promise.set_value(Durability::Expired);
     this->waits.clear();
+    for (Wait& wait : this->confirmations)
+        wait.promise.set_value(Durability::Expired);
+    this->confirmations.clear();
     constexpr Duration checkInterval = std::chrono::milliseconds(2);
     while (this->workers > 0)
         sleepFor(checkInterval);
@@ -176,7 +179,7 @@
         while (!this->stopping && std::find(this->servers.begin(), this->servers.end(), server) != this->servers.end()) {
             const TimePoint sentAt = now();
             this->takeReport(*server, sentAt, server->control.status(sentAt + probeTimeout));
-            if (this->durability.isWaiting()) {
+            if (this->isAnyWaiting()) {
                 sleepFor(durabilityProbeInterval);
                 continue;
             }
@@ -239,7 +242,11 @@
 Durability GroupWatch::awaitDurability(LogPoint commit, TimePoint deadline)
 {
     const DurabilityTicket ticket = this->durability.track(commit, deadline);
-    auto future = this->waits[ticket].get_future();
+    Wait& wait = this->waits[ticket];
+    wait.commit = commit;
+    wait.since = now();
+    wait.deadline = deadline;
+    auto future = wait.promise.get_future();
     this->wake.notify_all();
     return future.get();
 }
@@ -250,9 +257,31 @@
         const auto wait = this->waits.find(outcome.ticket);
         if (wait == this->waits.end())
             continue;
-        wait->second.set_value(outcome.durability);
+        // A read has nothing to become durable, so what was reported before it arrived must not end its wait.
+        if (outcome.durability == Durability::Durable)
+            this->confirmations.push_back(std::move(wait->second));
+        else
+            wait->second.promise.set_value(outcome.durability);
         this->waits.erase(wait);
     }
+    this->settleConfirmations();
+}
+
+void GroupWatch::settleConfirmations()
+{
+    const TimePoint time = now();
+    std::erase_if(this->confirmations, [&](Wait& wait) {
+        Durability outcome = Durability::Pending;
+        if (this->durability.isTermConfirmed(wait.commit.term, wait.since))
+            outcome = Durability::Durable;
+        else if (this->currentView->term > wait.commit.term)
+            outcome = Durability::Superseded;
+        else if (time >= wait.deadline)
+            outcome = Durability::Expired;
+        if (outcome != Durability::Pending)
+            wait.promise.set_value(outcome);
+        return outcome != Durability::Pending;
+    });
 }
 
 bool GroupWatch::probe(const BackendServerId& id, TimePoint deadline)
--- a/foxtailtrail/server/GroupWatch.h
+++ b/foxtailtrail/server/GroupWatch.h
@@ -58,7 +58,8 @@
     // Names the servers whose home is to be held by this VM. Others are given up.
     void placeHomes(const std::vector<BackendServerId>&);
 
-    // Blocks the calling fiber until the commit is durable, superseded or the deadline has passed.
+    // Blocks the calling fiber until the commit is durable, superseded or the deadline has passed. Durable also says that a
+    // majority of the group reported the commit's term in answer to checks that were sent after this call.
     Durability awaitDurability(LogPoint, TimePoint deadline);
 
     // Reads the server's status on a fresh connection, for another VM that lost its own link.
@@ -80,6 +81,14 @@
         HomeClaim claim;
         bool homeWanted = false;
     };
+    // A fiber that waits for a commit.
+    struct Wait {
+        boost::fibers::promise<Durability> promise;
+        LogPoint commit;
+        TimePoint since;
+        TimePoint deadline;
+    };
+
     using ServerPointer = std::shared_ptr<WatchedServer>;
 
     GroupWatch(GroupWatchSettings, GroupWatchCallbacks, const Database&, GroupMonitor);
@@ -91,6 +100,8 @@
     void advanceClaims();
     void performClaim(const ServerPointer&, HomeClaimAction);
     void settleWaits();
+    void settleConfirmations();
+    bool isAnyWaiting() const { return this->durability.isWaiting() || !this->confirmations.empty(); }
     void publish(bool force);
     void decide();
     void askPeersIfDue();
@@ -114,7 +125,9 @@
     std::optional<PromotionDue> runningPromotion;
     TimePoint promotionStartedAt;
     bool askingPeers = false;
-    std::map<DurabilityTicket, boost::fibers::promise<Durability>> waits;
+    std::map<DurabilityTicket, Wait> waits;
+    // The commits that are durable and wait for a majority to confirm their term.
+    std::vector<Wait> confirmations;
     std::shared_ptr<const GroupView> currentView;
     TimePoint publishedAt;
     boost::fibers::mutex mutex;
--- a/tests/processes/Deployment.cpp
+++ b/tests/processes/Deployment.cpp
@@ -151,7 +151,8 @@
         std::ofstream settings(this->file("vm" + std::to_string(index + 1) + ".yaml"));
         settings << "vm: {id: vm" << index + 1 << ", " << places[index] << "}\nlisten: {address: 127.0.0.1, callerPort: " << vm.caller
                  << ", peerPort: " << vm.peer << ", operatorPort: " << vm.operators << ", metricsPort: " << vm.metrics
-                 << "}\nstore: {address: 127.0.0.1, port: " << this->storePort << "}\noperator: {secret: " << operatorSecret << "}\npeers:\n";
+                 << "}\nstore: {address: 127.0.0.1, port: " << this->storePort << "}\noperator: {secret: " << operatorSecret
+                 << "}\npeers:\n";
         for (const VmPorts& peer : this->ports)
             settings << "  - \"127.0.0.1:" << peer.peer << "\"\n";
     }
@@ -335,7 +336,7 @@
 
 bool Load::waitForAcknowledged(size_t count)
 {
-    while (this->acknowledgedCount < count && this->runningSessions > 0)
+    while (this->acknowledgedCount<count&& this->runningSessions> 0)
         std::this_thread::sleep_for(pollInterval);
     return this->acknowledgedCount >= count;
 }
@@ -365,8 +366,11 @@
     for (const WriteRecord& record : this->history) {
         const size_t found = slots.count(record.slot);
         if (found > 1 || (record.acknowledged && found != 1) || (record.refused && found != 0))
-            faults += record.slot + (record.acknowledged ? " (acknowledged)" : record.refused ? " (refused)" : " (unknown)") + " is there "
-                + std::to_string(found) + " times\n";
+            faults += record.slot
+                + (record.acknowledged   ? " (acknowledged)"
+                        : record.refused ? " (refused)"
+                                         : " (unknown)")
+                + " is there " + std::to_string(found) + " times\n";
     }
     return faults;
 }
--- a/tests/processes/ProcessesTest.cpp
+++ b/tests/processes/ProcessesTest.cpp
@@ -70,8 +70,8 @@
         { "GET", "/v1/services/booking/read", key, "", 405, "MethodNotAllowed" } };
     for (size_t vm = 0; vm < Deployment::vmCount; ++vm) {
         for (const BadRequest& bad : cases) {
-            const HttpResponse response = deployment.sendRaw(
-                deployment.callerEndpoint(vm), { bad.method, bad.target, { { "Authorization", bad.key } }, bad.body });
+            const HttpResponse response
+                = deployment.sendRaw(deployment.callerEndpoint(vm), { bad.method, bad.target, { { "Authorization", bad.key } }, bad.body });
             EXPECT_EQ(response.status, bad.status) << bad.kind << " " << response.body;
             EXPECT_NE(response.body.find(std::string("\"kind\":\"") + bad.kind), std::string::npos) << response.body;
             EXPECT_NE(response.body.find("\"ran\":\"no\""), std::string::npos) << response.body;
@@ -261,7 +261,8 @@
         ASSERT_TRUE(base.has_value()) << base.error().detail;
         const uint64_t version = json::parse(base.value().text).at("version").to_number<uint64_t>();
         const auto race = [&](size_t vm) {
-            return deployment.command(vm, "change organisation wattle burst " + std::to_string(2800 + vm) + " if version " + std::to_string(version));
+            return deployment.command(
+                vm, "change organisation wattle burst " + std::to_string(2800 + vm) + " if version " + std::to_string(version));
         };
         Result<OperatorAnswer> other = fail(ErrorKind::Internal, "not run");
         std::thread operator2([&] { other = race(1); });
