--- a/tests/processes/Deployment.cpp
+++ b/tests/processes/Deployment.cpp
@@ -14,12 +14,11 @@
 #include <sys/wait.h>
 #include <thread>
 
-extern char** environ;
-
 namespace foxtail::processes {
 
 namespace {
 
+    const std::string binaryFolder = FOXTAIL_BINARY_FOLDER;
     constexpr const char* operatorSecret = "sample-secret-change-me";
     constexpr const char* schema = "CREATE TABLE bookings(id integer primary key, slot text not null, child text not null)";
     constexpr Duration requestDeadline = std::chrono::seconds(30);
@@ -71,8 +70,8 @@
     std::string pattern = std::filesystem::temp_directory_path().string() + "/foxtail-XXXXXX";
     this->folder = mkdtemp(pattern.data());
     try {
-        this->storePort = this->startStandin("platform", { FOXTAIL_BINARY_FOLDER "/platform-standin" });
-        std::vector<std::string> server { FOXTAIL_BINARY_FOLDER "/backend-standin", "--schema-sql", schema, "--server-id", "b1" };
+        this->storePort = this->startStandin("platform", { binaryFolder + "/platform-standin" });
+        std::vector<std::string> server { binaryFolder + "/backend-standin", "--schema-sql", schema, "--server-id", "b1" };
         const std::string primaryAddress = "127.0.0.1:" + std::to_string(this->startStandin("b1", server));
         server.insert(server.end(), { "--role", "replica", "--primary", primaryAddress });
         for (const char* name : { "b2", "b3" }) {
@@ -108,6 +107,7 @@
     posix_spawn_file_actions_addopen(&actions, 1, this->file(name + ".out").c_str(), flags, 0600);
     posix_spawn_file_actions_addopen(&actions, 2, this->file(name + ".log").c_str(), flags, 0600);
     std::vector<char*> words;
+    words.reserve(arguments.size() + 1);
     for (std::string& argument : arguments)
         words.push_back(argument.data());
     words.push_back(nullptr);
@@ -151,7 +151,8 @@
         std::ofstream settings(this->file("vm" + std::to_string(index + 1) + ".yaml"));
         settings << "vm: {id: vm" << index + 1 << ", " << places[index] << "}\nlisten: {address: 127.0.0.1, callerPort: " << vm.caller
                  << ", peerPort: " << vm.peer << ", operatorPort: " << vm.operators << ", metricsPort: " << vm.metrics
-                 << "}\nstore: {address: 127.0.0.1, port: " << this->storePort << "}\noperator: {secret: " << operatorSecret << "}\npeers:\n";
+                 << "}\nstore: {address: 127.0.0.1, port: " << this->storePort << "}\noperator: {secret: " << operatorSecret
+                 << "}\npeers:\n";
         for (const VmPorts& peer : this->ports)
             settings << "  - \"127.0.0.1:" << peer.peer << "\"\n";
     }
@@ -160,7 +161,7 @@
 void Deployment::startVm(size_t vm)
 {
     const std::string name = "vm" + std::to_string(vm + 1);
-    this->start(name, { FOXTAIL_BINARY_FOLDER "/foxtailtrail", "serve", this->file(name + ".yaml") });
+    this->start(name, { binaryFolder + "/foxtailtrail", "serve", this->file(name + ".yaml") });
 }
 
 Result<OperatorAnswer> Deployment::command(size_t vm, const std::string& text)
@@ -335,7 +336,7 @@
 
 bool Load::waitForAcknowledged(size_t count)
 {
-    while (this->acknowledgedCount < count && this->runningSessions > 0)
+    while (this->acknowledgedCount<count&& this->runningSessions> 0)
         std::this_thread::sleep_for(pollInterval);
     return this->acknowledgedCount >= count;
 }
@@ -365,8 +366,11 @@
     for (const WriteRecord& record : this->history) {
         const size_t found = slots.count(record.slot);
         if (found > 1 || (record.acknowledged && found != 1) || (record.refused && found != 0))
-            faults += record.slot + (record.acknowledged ? " (acknowledged)" : record.refused ? " (refused)" : " (unknown)") + " is there "
-                + std::to_string(found) + " times\n";
+            faults += record.slot
+                + (record.acknowledged   ? " (acknowledged)"
+                        : record.refused ? " (refused)"
+                                         : " (unknown)")
+                + " is there " + std::to_string(found) + " times\n";
     }
     return faults;
 }
--- a/tests/processes/ProcessesTest.cpp
+++ b/tests/processes/ProcessesTest.cpp
@@ -70,8 +70,8 @@
         { "GET", "/v1/services/booking/read", key, "", 405, "MethodNotAllowed" } };
     for (size_t vm = 0; vm < Deployment::vmCount; ++vm) {
         for (const BadRequest& bad : cases) {
-            const HttpResponse response = deployment.sendRaw(
-                deployment.callerEndpoint(vm), { bad.method, bad.target, { { "Authorization", bad.key } }, bad.body });
+            const HttpResponse response
+                = deployment.sendRaw(deployment.callerEndpoint(vm), { bad.method, bad.target, { { "Authorization", bad.key } }, bad.body });
             EXPECT_EQ(response.status, bad.status) << bad.kind << " " << response.body;
             EXPECT_NE(response.body.find(std::string("\"kind\":\"") + bad.kind), std::string::npos) << response.body;
             EXPECT_NE(response.body.find("\"ran\":\"no\""), std::string::npos) << response.body;
@@ -183,10 +183,8 @@
         const auto shown = deployment.command(0, "show organisations where organisation = " + name);
         ASSERT_TRUE(shown.has_value() && shown.value().table);
         const size_t rows = shown.value().table->rows.size();
-        if (changed)
-            EXPECT_EQ(rows, 1U) << name;
-        else if (errorKindRow(changed.error().kind).ran == Ran::No)
-            EXPECT_EQ(rows, 0U) << name << " " << changed.error().detail;
+        const Ran ran = changed ? Ran::Yes : errorKindRow(changed.error().kind).ran;
+        EXPECT_TRUE(ran == Ran::Unknown || rows == (ran == Ran::Yes ? 1U : 0U)) << name << " is there " << rows << " times";
         EXPECT_TRUE(lost > 1 || changed) << changed.error().detail;
     }
 }
@@ -261,7 +259,8 @@
         ASSERT_TRUE(base.has_value()) << base.error().detail;
         const uint64_t version = json::parse(base.value().text).at("version").to_number<uint64_t>();
         const auto race = [&](size_t vm) {
-            return deployment.command(vm, "change organisation wattle burst " + std::to_string(2800 + vm) + " if version " + std::to_string(version));
+            return deployment.command(
+                vm, "change organisation wattle burst " + std::to_string(2800 + vm) + " if version " + std::to_string(version));
         };
         Result<OperatorAnswer> other = fail(ErrorKind::Internal, "not run");
         std::thread operator2([&] { other = race(1); });
