--- a/foxtailtrail/net/HttpServer.cpp
+++ b/foxtailtrail/net/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include "foxtailtrail/net/Await.h"
 #include "foxtailtrail/net/Clock.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -22,6 +23,10 @@
     // Header fields beyond this size are refused, so a connection's buffer stays small.
     constexpr uint32_t maxHeaderBytes = 16 * 1024;
 
+    // Bounds on what is still read of a request that was refused before its end.
+    constexpr uint64_t maxDiscardedBytes = uint64_t { 64 } << 20;
+    constexpr Duration discardTimeout = std::chrono::seconds(5);
+
     using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
     HttpRequest toRequest(http::request<http::string_body>&& message)
@@ -202,6 +207,7 @@
                 this->settings.errorResponse ? this->settings.errorResponse(readFault(read.code))
                                              : HttpResponse { 400, "text/plain", {}, "" },
                 11, false);
+            this->discardInput(connection);
             return false;
         }
 
@@ -214,6 +220,25 @@
         return this->send(connection, std::move(response), version, keep) && keep;
     }
 
+    // Reads and drops what the caller still sends. Closing with unread bytes would reset the connection, and the caller might
+    // lose the answer before it has read it.
+    void discardInput(Connection& connection)
+    {
+        beast::error_code ignored;
+        connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        std::array<char, 16384> buffer {};
+        uint64_t discarded = 0;
+        const TimePoint deadline = now() + discardTimeout;
+        while (discarded < maxDiscardedBytes && now() < deadline) {
+            connection.stream.expires_at(toSteady(deadline));
+            const IoOutcome read = awaitIo(
+                [&](auto callback) { connection.stream.async_read_some(boost::asio::buffer(buffer), std::move(callback)); });
+            if (read.code)
+                return;
+            discarded += read.bytes;
+        }
+    }
+
     bool send(Connection& connection, HttpResponse&& response, unsigned version, bool keepAlive)
     {
         http::response<http::string_body> message = toMessage(std::move(response), version, keepAlive);
--- a/tests/processes/Deployment.cpp
+++ b/tests/processes/Deployment.cpp
@@ -14,12 +14,11 @@
 #include <sys/wait.h>
 #include <thread>
 
-extern char** environ;
-
 namespace foxtail::processes {
 
 namespace {
 
+    const std::string binaryFolder = FOXTAIL_BINARY_FOLDER;
     constexpr const char* operatorSecret = "sample-secret-change-me";
     constexpr const char* schema = "CREATE TABLE bookings(id integer primary key, slot text not null, child text not null)";
     constexpr Duration requestDeadline = std::chrono::seconds(30);
@@ -71,8 +70,8 @@
     std::string pattern = std::filesystem::temp_directory_path().string() + "/foxtail-XXXXXX";
     this->folder = mkdtemp(pattern.data());
     try {
-        this->storePort = this->startStandin("platform", { FOXTAIL_BINARY_FOLDER "/platform-standin" });
-        std::vector<std::string> server { FOXTAIL_BINARY_FOLDER "/backend-standin", "--schema-sql", schema, "--server-id", "b1" };
+        this->storePort = this->startStandin("platform", { binaryFolder + "/platform-standin" });
+        std::vector<std::string> server { binaryFolder + "/backend-standin", "--schema-sql", schema, "--server-id", "b1" };
         const std::string primaryAddress = "127.0.0.1:" + std::to_string(this->startStandin("b1", server));
         server.insert(server.end(), { "--role", "replica", "--primary", primaryAddress });
         for (const char* name : { "b2", "b3" }) {
@@ -108,6 +107,7 @@
     posix_spawn_file_actions_addopen(&actions, 1, this->file(name + ".out").c_str(), flags, 0600);
     posix_spawn_file_actions_addopen(&actions, 2, this->file(name + ".log").c_str(), flags, 0600);
     std::vector<char*> words;
+    words.reserve(arguments.size() + 1);
     for (std::string& argument : arguments)
         words.push_back(argument.data());
     words.push_back(nullptr);
@@ -161,7 +161,7 @@
 void Deployment::startVm(size_t vm)
 {
     const std::string name = "vm" + std::to_string(vm + 1);
-    this->start(name, { FOXTAIL_BINARY_FOLDER "/foxtailtrail", "serve", this->file(name + ".yaml") });
+    this->start(name, { binaryFolder + "/foxtailtrail", "serve", this->file(name + ".yaml") });
 }
 
 Result<OperatorAnswer> Deployment::command(size_t vm, const std::string& text)
--- a/tests/processes/ProcessesTest.cpp
+++ b/tests/processes/ProcessesTest.cpp
@@ -183,10 +183,8 @@
         const auto shown = deployment.command(0, "show organisations where organisation = " + name);
         ASSERT_TRUE(shown.has_value() && shown.value().table);
         const size_t rows = shown.value().table->rows.size();
-        if (changed)
-            EXPECT_EQ(rows, 1U) << name;
-        else if (errorKindRow(changed.error().kind).ran == Ran::No)
-            EXPECT_EQ(rows, 0U) << name << " " << changed.error().detail;
+        const Ran ran = changed ? Ran::Yes : errorKindRow(changed.error().kind).ran;
+        EXPECT_TRUE(ran == Ran::Unknown || rows == (ran == Ran::Yes ? 1U : 0U)) << name << " is there " << rows << " times";
         EXPECT_TRUE(lost > 1 || changed) << changed.error().detail;
     }
 }
