--- a/foxtailtrail/config/ChangeProposal.cpp
+++ b/foxtailtrail/config/ChangeProposal.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/config/ChangeProposal.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 
 namespace foxtail {
@@ -14,6 +15,12 @@
 
 }
 
+std::string_view proposalVerdictName(ProposalVerdict verdict)
+{
+    constexpr std::array<std::string_view, 4> names { "accepted", "stored, not confirmed", "refused", "unknown" };
+    return names[static_cast<size_t>(verdict)];
+}
+
 ChangeProposal::ChangeProposal(ChangeProposalSettings settings, ConfigurationChange change, TimePoint deadline)
     : settings(settings)
     , change(std::move(change))
--- a/foxtailtrail/config/ChangeProposal.h
+++ b/foxtailtrail/config/ChangeProposal.h
@@ -78,6 +78,9 @@
     Unknown,
 };
 
+// The verdict as operators and logs read it.
+std::string_view proposalVerdictName(ProposalVerdict);
+
 struct ProposalOutcome {
     ProposalVerdict verdict = ProposalVerdict::Unknown;
     // The stored version, or 0.
--- a/foxtailtrail/net/HttpServer.cpp
+++ b/foxtailtrail/net/HttpServer.cpp
@@ -231,8 +231,8 @@
         const TimePoint deadline = now() + discardTimeout;
         while (discarded < maxDiscardedBytes && now() < deadline) {
             connection.stream.expires_at(toSteady(deadline));
-            const IoOutcome read = awaitIo(
-                [&](auto callback) { connection.stream.async_read_some(boost::asio::buffer(buffer), std::move(callback)); });
+            const IoOutcome read
+                = awaitIo([&](auto callback) { connection.stream.async_read_some(boost::asio::buffer(buffer), std::move(callback)); });
             if (read.code)
                 return;
             discarded += read.bytes;
--- a/foxtailtrail/server/ControlLoop.cpp
+++ b/foxtailtrail/server/ControlLoop.cpp
@@ -439,7 +439,7 @@
 {
     ProposalOutcome outcome = this->configuration.propose(std::move(change), deadline);
     logEvent(LogLevel::Info, "configuration change",
-        { { "verdict", static_cast<int>(outcome.verdict) }, { "version", outcome.version }, { "detail", outcome.error.detail } });
+        { { "verdict", proposalVerdictName(outcome.verdict) }, { "version", outcome.version }, { "detail", outcome.error.detail } });
     return outcome;
 }
 
--- a/foxtailtrail/server/HomeCaller.cpp
+++ b/foxtailtrail/server/HomeCaller.cpp
@@ -154,10 +154,13 @@
         return this->ownRegion;
     // A watched group tells where its primary is; else the last answer of a home did.
     const auto group = snapshot->groups.find(database);
-    if (group != snapshot->groups.end() && group->second->primary)
-        return group->second->find(*group->second->primary)->region;
+    const ServerView* primary
+        = group != snapshot->groups.end() && group->second->primary ? group->second->find(*group->second->primary) : nullptr;
+    if (primary && serverCounts.contains(primary->region))
+        return primary->region;
+    // What was learned may name a region whose last server has been removed since.
     const auto learned = this->primaryRegions.find(database);
-    if (learned != this->primaryRegions.end())
+    if (learned != this->primaryRegions.end() && serverCounts.contains(learned->second))
         return learned->second;
     const auto largest = std::max_element(
         serverCounts.begin(), serverCounts.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
--- a/foxtailtrail/server/MembershipService.cpp
+++ b/foxtailtrail/server/MembershipService.cpp
@@ -85,6 +85,7 @@
 
 void MembershipService::sendDuePings()
 {
+    this->logDeaths();
     for (const VmId& id : this->table.duePings(now())) {
         const auto found = this->known.find(id);
         if (found != this->known.end())
@@ -97,6 +98,18 @@
         this->ping(endpoint);
 }
 
+void MembershipService::logDeaths()
+{
+    std::set<VmId> alive;
+    for (const PeerState& state : this->table.snapshot(now())) {
+        if (state.alive)
+            alive.insert(state.vm);
+        else if (this->aliveBefore.contains(state.vm))
+            logEvent(LogLevel::Warning, "peer silent", { { "peer", state.vm.value } });
+    }
+    this->aliveBefore = std::move(alive);
+}
+
 void MembershipService::refreshList()
 {
     if (now() < this->nextList)
--- a/foxtailtrail/server/MembershipService.h
+++ b/foxtailtrail/server/MembershipService.h
@@ -59,6 +59,7 @@
     Result<void> hear(const json::object& report, TimePoint sentAt);
     void ping(const Endpoint&);
     void updateTable();
+    void logDeaths();
 
     MembershipServiceSettings settings;
     StoreClient& store;
@@ -66,6 +67,7 @@
     std::function<uint64_t()> configurationVersion;
     PeerTable table;
     std::map<VmId, LiveVm> known;
+    std::set<VmId> aliveBefore;
     std::vector<VmId> required;
     // Addresses of the settings that have not answered yet, so that their VM ids are not known.
     std::vector<Endpoint> unanswered;
--- a/foxtailtrail/server/Metrics.cpp
+++ b/foxtailtrail/server/Metrics.cpp
@@ -37,8 +37,8 @@
     prometheus::Family<prometheus::Counter>& promotions
         = prometheus::BuildCounter().Name("foxtail_promotions_total").Help("Promotions that this VM completed.").Register(this->registry);
     prometheus::Family<prometheus::Gauge>& promotionGap = prometheus::BuildGauge()
-                                                              .Name("foxtail_last_promotion_gap_seconds")
-                                                              .Help("Time without a primary at the last promotion.")
+                                                              .Name("foxtail_last_promotion_seconds")
+                                                              .Help("Duration of the last promotion from its start, without detection.")
                                                               .Register(this->registry);
     prometheus::Family<prometheus::Gauge>& traffic = prometheus::BuildGauge()
                                                          .Name("foxtail_peer_traffic_bytes")
--- a/foxtailtrail/server/OperatorService.cpp
+++ b/foxtailtrail/server/OperatorService.cpp
@@ -20,9 +20,7 @@
     constexpr Duration changeDeadline = std::chrono::seconds(5);
 
     constexpr std::array<std::string_view, 3> roleNames { "primary", "replica", "fenced" };
-    constexpr std::array<std::string_view, burnWindowCount> windowNames { "5m", "30m", "1h", "6h", "30d" };
-
-    constexpr std::array<std::string_view, 4> verdictNames { "accepted", "stored, not confirmed", "refused", "unknown" };
+    constexpr std::array<std::string_view, burnWindowCount> windowNames { "5min", "30min", "1h", "6h", "30d" };
 
     json::object tableToJson(const Table& table) { return parseJsonObject(renderJson(table)).value(); }
 
@@ -131,13 +129,19 @@
         }
     }
 
+    if (const auto* removal = std::get_if<RemoveServer>(&evaluated.change.action)) {
+        // Only the primary may hold writes that are acknowledged and not yet on the servers that stay.
+        for (const auto& [id, group] : snapshot->groups) {
+            if (group->primary == removal->id)
+                return fail(ErrorKind::CommandInvalid, "backend server " + removal->id.value + " is still the primary of " + id.value);
+        }
+    }
     const ProposalOutcome outcome = this->control.propose(std::move(evaluated.change), now() + changeDeadline);
     if (outcome.verdict == ProposalVerdict::Refused)
         return withSuggestion(outcome.error, command, configuration);
     if (outcome.verdict == ProposalVerdict::Unknown)
         return fail(ErrorKind::StoreOutcomeUnknown, outcome.error.detail);
-    std::string message
-        = std::string(verdictNames[static_cast<size_t>(outcome.verdict)]) + " as version " + std::to_string(outcome.version);
+    std::string message = std::string(proposalVerdictName(outcome.verdict)) + " as version " + std::to_string(outcome.version);
     if (outcome.verdict == ProposalVerdict::StoredNotConfirmed)
         message += ": a majority of the witnesses has not answered, so VMs that cannot reach the store may still serve the version before";
     json::object result { { "message", message }, { "version", outcome.version } };
--- a/foxtailtrail/server/Settings.h
+++ b/foxtailtrail/server/Settings.h
@@ -57,7 +57,6 @@
     Duration replicaSilence { 0 };
     Duration primaryUnansweredByPeers { 0 };
     Duration promotionBackoff { 0 };
-    Duration homeUnreachable { 0 };
     Duration replicaWait { 0 };
     Duration pingInterval { 0 };
     Duration peerDead { 0 };
@@ -65,7 +64,6 @@
     Duration freshness { 0 };
     Duration loanLifetime { 0 };
     Duration loanWait { 0 };
-    Duration limitOwnerSilence { 0 };
     Duration stopGrace { 0 };
     std::vector<PeerAddress> peers;
     std::vector<ObjectiveSettings> objectives;
--- a/foxtailtrail/server/SettingsTable.cpp
+++ b/foxtailtrail/server/SettingsTable.cpp
@@ -76,8 +76,6 @@
             "A promotion is due after this time although replicas hear the primary, when VMs of other data centres confirm."),
         duration("failover.promotionBackoffMs", &Settings::promotionBackoff, 50, 2000, 400,
             "The wait of a losing promoter for each place in the rendezvous order before it tries a higher term."),
-        duration("homes.unreachableMs", &Settings::homeUnreachable, 500, 10000, 2000,
-            "A home hands a backend server over that it cannot reach for this time although peers can."),
         duration("reads.replicaWaitMs", &Settings::replicaWait, 1, 1000, 50,
             "A read with a token waits at most this time for a replica before it goes to the primary."),
         duration("membership.pingIntervalMs", &Settings::pingInterval, 50, 1000, 250, "The time between two pings to a peer."),
@@ -88,8 +86,6 @@
             "Serving stops this long after the send time of the latest check that confirmed the version."),
         duration("limits.loanLifetimeMs", &Settings::loanLifetime, 20, 200, 200, "The lifetime of a lent share of a rate limit."),
         duration("limits.loanWaitMs", &Settings::loanWait, 1, 1000, 100, "A request waits at most this time for a share."),
-        duration("limits.ownerSilenceMs", &Settings::limitOwnerSilence, 1000, 30000, 3000,
-            "A new owner of a limit shard is proposed after the owner has not answered for this time."),
         duration("stop.graceMs", &Settings::stopGrace, 1000, 120000, 65000,
             "A stopping VM waits at most this time for its requests. The default exceeds the longest deadline."),
     };
