--- a/foxtailtrail/server/GroupWatch.cpp
+++ b/foxtailtrail/server/GroupWatch.cpp
@@ -72,7 +72,8 @@
 Result<std::shared_ptr<GroupWatch>> GroupWatch::create(
     GroupWatchSettings settings, GroupWatchCallbacks callbacks, const Database& database, std::vector<MonitorPeer> peers)
 {
-    BOOST_OUTCOME_TRY(GroupMonitor monitor, GroupMonitor::create(scopeOf(database, settings.dataCentre, std::move(peers)), settings.monitor));
+    BOOST_OUTCOME_TRY(
+        GroupMonitor monitor, GroupMonitor::create(scopeOf(database, settings.dataCentre, std::move(peers)), settings.monitor));
     return std::shared_ptr<GroupWatch>(new GroupWatch(std::move(settings), std::move(callbacks), database, std::move(monitor)));
 }
 
