--- a/foxtailtrail/filters/AuthenticateFilter.cpp
+++ b/foxtailtrail/filters/AuthenticateFilter.cpp
@@ -29,6 +29,9 @@
         context.request.organisation = service.openOrganisation;
     } else {
         BOOST_OUTCOME_TRY(context.request.organisation, context.snapshot->keys->check(context.headers.key));
+        const auto& permitted = service.organisations;
+        if (!permitted.empty() && std::find(permitted.begin(), permitted.end(), context.request.organisation) == permitted.end())
+            return fail(ErrorKind::NotPermitted);
     }
     // A key in a statement or parameter would reach a backend server. The decoded statements are searched as well, since
     // JSON can write the same text with escapes.
--- a/tests/filters/AuthenticateFilterTest.cpp
+++ b/tests/filters/AuthenticateFilterTest.cpp
@@ -51,7 +51,7 @@
             snapshot->keys = std::make_shared<const KeyTable>(this->configuration);
             snapshot->servingDeadline = this->servingDeadline;
             const HttpRequest http { "POST", "/v1/services/" + service + "/write", {}, body };
-            RequestContext context { http, now(), snapshot };
+            RequestContext context { http, now(), snapshot, {}, {}, {}, {}, nullptr, {}, {}, {} };
             context.serviceName = ServiceName(service);
             context.headers.key = key;
             context.headers.token = token;
