--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -124,9 +124,10 @@
 // Guards against calling a request "not run" after its bytes have left.
 TEST_F(NetTest, LostAnswerIsUnknown)
 {
-    std::atomic<bool> released { false };
-    this->start([&](const HttpRequest&) {
-        while (!released)
+    // The handler outlives the body of the test.
+    const auto released = std::make_shared<std::atomic<bool>>(false);
+    this->start([released](const HttpRequest&) {
+        while (!*released)
             sleepFor(std::chrono::milliseconds(1));
         return HttpResponse {};
     });
@@ -135,7 +136,7 @@
     const auto late = this->clientThread->call([&] {
         return HttpClient(endpoint).send({ "GET", "/", {}, "" }, now() + std::chrono::seconds(2));
     });
-    released = true;
+    *released = true;
     EXPECT_EQ(late.error().kind, ErrorKind::OutcomeUnknown);
 }
 
