Remove code that nothing calls

HttpServer counted running requests and offered two counts that no one read; drain() uses the number of open connections, which stays. GroupWatch::probe was a twin of ControlLoop::probe, which answers the peer call and needs no watch.

--- a/foxtailtrail/net/HttpServer.cpp
+++ b/foxtailtrail/net/HttpServer.cpp
@@ -125,7 +125,6 @@
     HttpServerSettings settings;
     Handler handler;
     uint16_t boundPort = 0;
-    std::atomic<size_t> active { 0 };
     std::atomic<size_t> openCount { 0 };
 
 private:
@@ -179,10 +178,8 @@
     void startRequests(Connection& connection)
     {
         connection.busy = true;
-        ++this->active;
         startFiber([self = this->shared_from_this(), &connection] {
             const bool keep = self->handleRequest(connection);
-            --self->active;
             if (keep)
                 self->awaitRequest(connection);
             else
@@ -291,8 +288,4 @@
     return true;
 }
 
-size_t HttpServer::activeRequests() const { return this->implementation->active; }
-
-size_t HttpServer::openConnections() const { return this->implementation->openCount; }
-
 }
--- a/foxtailtrail/net/HttpServer.h
+++ b/foxtailtrail/net/HttpServer.h
@@ -47,12 +47,6 @@
     // thread or fiber until all have ended or the deadline has passed. Returns true when none is left.
     bool drain(TimePoint deadline);
 
-    // The number of requests that are being handled.
-    size_t activeRequests() const;
-
-    // The number of open connections.
-    size_t openConnections() const;
-
 private:
     class Implementation;
     explicit HttpServer(std::shared_ptr<Implementation>);
--- a/foxtailtrail/server/GroupWatch.cpp
+++ b/foxtailtrail/server/GroupWatch.cpp
@@ -285,15 +285,6 @@
     });
 }
 
-bool GroupWatch::probe(const BackendServerId& id, TimePoint deadline)
-{
-    const ServerPointer server = this->find(id);
-    if (!server)
-        return false;
-    ControlConnection fresh({ server->server.address, server->server.port }, "foxtail-control/" + this->settings.processName);
-    return fresh.status(deadline).report.has_value();
-}
-
 void GroupWatch::publish(bool force)
 {
     auto changed = std::make_shared<const GroupView>(this->monitor.view(now()));
--- a/foxtailtrail/server/GroupWatch.h
+++ b/foxtailtrail/server/GroupWatch.h
@@ -62,9 +62,6 @@
     // majority of the group reported the commit's term in answer to checks that were sent after this call.
     Durability awaitDurability(LogPoint, TimePoint deadline);
 
-    // Reads the server's status on a fresh connection, for another VM that lost its own link.
-    bool probe(const BackendServerId&, TimePoint deadline);
-
     std::shared_ptr<const GroupView> view() const { return this->currentView; }
 
     // The epochs of the homes that this process holds, by server.
