--- a/foxtailtrail/Main.cpp
+++ b/foxtailtrail/Main.cpp
@@ -1,8 +1,12 @@
 #include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/proxy/ProxyVm.h"
 #include "foxtailtrail/server/Log.h"
 #include "foxtailtrail/server/OperatorClient.h"
 #include "foxtailtrail/server/Settings.h"
 #include "foxtailtrail/server/Vm.h"
+#include "platform/Declarations.h"
+#include "platform/LineProtocol.h"
+#include "platform/TableStore.h"
 
 #include <array>
 #include <boost/program_options.hpp>
@@ -79,6 +83,32 @@
     std::_Exit(exitSuccess);
 }
 
+// The environment variable that names the settings file on the platform.
+constexpr const char* settingsVariable = "FOXTAILTRAIL_CONFIG";
+
+int proxy(const std::vector<std::string>& arguments)
+{
+    const char* variable = std::getenv(settingsVariable);
+    if (arguments.size() > 1 || (arguments.empty() && !variable)) {
+        std::cerr << "usage: foxtailtrail proxy [SETTINGS-FILE]\nWithout a file, " << settingsVariable << " must name one.\n";
+        return exitUsage;
+    }
+    const auto settings = readProxySettings(arguments.empty() ? variable : arguments[0]);
+    if (!settings) {
+        for (const std::string& fault : settings.error())
+            std::cerr << fault << "\n";
+        return exitUsage;
+    }
+    startLogging(logLevelByName(settings.value().logLevel).value_or(LogLevel::Info), settings.value().vmId.value);
+    const platform::LineCallerCodec callers;
+    const platform::LineBackendCodec backends;
+    const platform::JsonDeclarations declarations;
+    const ProxyPlatform platform { callers, backends, declarations,
+        [](const ProxySettings& given) { return std::make_unique<platform::TableStore>(given.store); },
+        [](const ProxySettings& given) { return std::make_unique<platform::PromotionClient>(given.promotions); } };
+    return ProxyVm::run(settings.value(), platform);
+}
+
 // Where the command line finds the operators' port, and how it prints.
 struct OperatorOptions {
     Endpoint endpoint;
@@ -224,8 +254,9 @@
     int (*run)(const std::vector<std::string>&);
 };
 
-constexpr std::array<Subcommand, 5> subcommands { {
+constexpr std::array<Subcommand, 6> subcommands { {
     { "serve", "serve SETTINGS-FILE", "run a VM until SIGTERM, SIGINT or an operator stops it", serve },
+    { "proxy", "proxy [SETTINGS-FILE]", "run a VM on the platform until SIGTERM or SIGINT", proxy },
     { "check", "check SETTINGS-FILE", "check a settings file and print each fault with its line", check },
     { "command", "command [OPTIONS] [COMMAND]", "run a command of the operators' language on a VM; see command --help", command },
     { "report", "report [OPTIONS]", "show the burn of the service levels; see report --help", report },
--- a/foxtailtrail/base/ErrorKind.cpp
+++ b/foxtailtrail/base/ErrorKind.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::array<ErrorKindRow, 31> errorKindTable { {
+    constexpr std::array<ErrorKindRow, 35> errorKindTable { {
         { ErrorKind::MalformedRequest, "MalformedRequest", 400, Ran::No, false, "the request cannot be read" },
         { ErrorKind::BodyTooLarge, "BodyTooLarge", 413, Ran::No, false, "the request body is too large" },
         { ErrorKind::UnknownRoute, "UnknownRoute", 404, Ran::No, false, "there is no such route" },
@@ -39,6 +39,10 @@
         { ErrorKind::StoreUnavailable, "StoreUnavailable", 503, Ran::No, true, "the platform's store cannot be reached" },
         { ErrorKind::StoreOutcomeUnknown, "StoreOutcomeUnknown", 504, Ran::Unknown, true, "it is not known whether the change was stored" },
         { ErrorKind::Internal, "Internal", 500, Ran::Unknown, false, "internal error" },
+        { ErrorKind::TransactionAborted, "TransactionAborted", 409, Ran::No, true, "the transaction was rolled back" },
+        { ErrorKind::UnknownPrepared, "UnknownPrepared", 400, Ran::No, false, "the session has no prepared statement of that name" },
+        { ErrorKind::NotPrimary, "NotPrimary", 503, Ran::No, true, "the backend server does not lead its group any more" },
+        { ErrorKind::StatementTimedOut, "StatementTimedOut", 504, Ran::Unknown, true, "the statement had no answer within its limit" },
     } };
 
     constexpr bool tableIsInOrder()
--- a/foxtailtrail/base/ErrorKind.h
+++ b/foxtailtrail/base/ErrorKind.h
@@ -39,6 +39,10 @@
     StoreUnavailable,
     StoreOutcomeUnknown,
     Internal,
+    TransactionAborted,
+    UnknownPrepared,
+    NotPrimary,
+    StatementTimedOut,
 };
 
 // Whether the request that failed had any effect.
--- /dev/null
+++ b/foxtailtrail/config/RouteTable.cpp
@@ -0,0 +1,17 @@
+#include "foxtailtrail/config/RouteTable.h"
+
+namespace foxtail {
+
+const DatabaseRoute* RouteTable::findRoute(std::string_view database) const
+{
+    const auto found = this->routes.find(database);
+    return found == this->routes.end() ? nullptr : &found->second;
+}
+
+const OrganisationLimit* RouteTable::findOrganisation(std::string_view keyDigest) const
+{
+    const auto found = this->keys.find(keyDigest);
+    return found == this->keys.end() ? nullptr : &this->organisations[found->second];
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/config/RouteTable.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtail {
+
+// How fresh the reads of a route must be.
+enum class Consistency : uint8_t {
+    // Every acknowledged commit is visible.
+    Primary,
+    // Commits acknowledged longer ago than the staleness bound are visible.
+    BoundedStaleness,
+    // Like BoundedStaleness, and the session's own commits are visible.
+    ReadYourWrites,
+};
+
+// The route of callers to one group of backend servers.
+struct DatabaseRoute {
+    DatabaseId database;
+    ServiceName service;
+    Consistency consistency = Consistency::Primary;
+    // Limit of a single statement.
+    Duration statementTimeout { 0 };
+    // The response-time objective of a whole operation.
+    Duration objective { 0 };
+    Duration maxStaleness { 0 };
+    // 0 is the highest.
+    uint32_t priority = 0;
+    // Callers need no key.
+    bool open = false;
+};
+
+// A group of replicated backend servers.
+struct GroupSettings {
+    ServiceName service;
+    // Connections that each backend server accepts from all VMs together.
+    uint32_t maxConnections = 0;
+    // Replicas that hold a commit before it is acknowledged.
+    uint32_t synchronousReplicas = 0;
+};
+
+// An organisation with its fleet-wide limit of operations.
+struct OrganisationLimit {
+    OrganisationId organisation;
+    double ratePerSecond = 0;
+    double burst = 0;
+    bool operator==(const OrganisationLimit&) const = default;
+};
+
+// One version of the operators' declarations, as the session path uses them. Immutable once installed. Keys are held as digests.
+struct RouteTable {
+    uint64_t version = 0;
+    std::map<std::string, DatabaseRoute, std::less<>> routes;
+    std::map<std::string, GroupSettings, std::less<>> groups;
+    std::vector<OrganisationLimit> organisations;
+    // From the SHA-256 digest of a key to the index of its organisation.
+    std::map<std::string, size_t, std::less<>> keys;
+    // An open transaction that rests for longer may be ended.
+    Duration transactionIdle { 0 };
+
+    // The route of a database, or null.
+    const DatabaseRoute* findRoute(std::string_view database) const;
+    // The organisation that holds a key, or null.
+    const OrganisationLimit* findOrganisation(std::string_view keyDigest) const;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/failover/SuccessionPlan.cpp
@@ -0,0 +1,69 @@
+#include "foxtailtrail/failover/SuccessionPlan.h"
+
+#include <algorithm>
+#include <array>
+
+namespace foxtail {
+
+std::string_view successionCauseName(SuccessionCause cause)
+{
+    constexpr std::array<std::string_view, 6> names { "none", "primary-lost", "primary-leaving", "commits-stalled", "unfinished",
+        "no-primary" };
+    return names[static_cast<size_t>(cause)];
+}
+
+SuccessionCause judgeSuccession(
+    const std::vector<ProbedStatus>& statuses, const std::optional<BackendServerId>& leader, bool settled, bool stalled)
+{
+    if (!leader)
+        return SuccessionCause::NoPrimary;
+    const auto found
+        = std::find_if(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == *leader; });
+    if (found == statuses.end())
+        return SuccessionCause::PrimaryLost;
+    const ProbedStatus& primary = *found;
+    if (primary.outcome != ProbeOutcome::Answered) {
+        const bool othersAnswer = std::any_of(statuses.begin(), statuses.end(),
+            [&](const ProbedStatus& status) { return status.server != *leader && status.outcome == ProbeOutcome::Answered; });
+        // When nobody answers, this VM is the one that is cut off.
+        return othersAnswer ? SuccessionCause::PrimaryLost : SuccessionCause::None;
+    }
+    if (!primary.isPrimary)
+        return settled ? SuccessionCause::PrimaryLost : SuccessionCause::Unfinished;
+    if (primary.draining || primary.removed)
+        return SuccessionCause::PrimaryLeaving;
+    return stalled ? SuccessionCause::CommitsStalled : SuccessionCause::None;
+}
+
+SuccessorChoice chooseSuccessor(const std::vector<ProbedStatus>& replicas, std::optional<LogPoint> acknowledged, bool missingCountAsLost)
+{
+    SuccessorChoice choice;
+    choice.complete = true;
+    const ProbedStatus* best = nullptr;
+    std::optional<LogPoint> highest;
+    for (const ProbedStatus& replica : replicas) {
+        if (replica.outcome != ProbeOutcome::Answered) {
+            choice.complete = false;
+            continue;
+        }
+        if (!highest || *highest < replica.received)
+            highest = replica.received;
+        // A server that leaves is asked for its log but does not succeed.
+        if (replica.draining || replica.removed)
+            continue;
+        if (!best || best->received < replica.received)
+            best = &replica;
+    }
+    if (!best)
+        return choice;
+    // The only holder of the newest commits leaves: the successor has to receive them first.
+    if (best->received < *highest)
+        return choice;
+    if (acknowledged && best->received < *acknowledged)
+        return choice;
+    if (choice.complete || missingCountAsLost)
+        choice.successor = best->server;
+    return choice;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/failover/SuccessionPlan.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace foxtail {
+
+// How a probe of a backend server ended.
+enum class ProbeOutcome : uint8_t {
+    Answered,
+    // The server's machine refused the connection: its process does not run.
+    Refused,
+    // No answer in time, or the connection broke: nothing is known about the process.
+    Silent,
+};
+
+// What a backend server answered to a probe or to an order to pause.
+struct ProbedStatus {
+    BackendServerId server;
+    ProbeOutcome outcome = ProbeOutcome::Silent;
+    bool isPrimary = false;
+    Term term;
+    // The end of its log, applied or not.
+    LogPoint received;
+    // The term for which it has stopped receiving, or term 0.
+    Term pausedFor;
+    bool draining = false;
+    // Its entry has left the shared list.
+    bool removed = false;
+};
+
+// Whether and why a primary has to be replaced.
+enum class SuccessionCause : uint8_t {
+    None,
+    // The primary answers to nobody here.
+    PrimaryLost,
+    // The primary leaves, or has left the list.
+    PrimaryLeaving,
+    // The primary answers, but its commits reach no replica.
+    CommitsStalled,
+    // A recorded promotion has not been completed.
+    Unfinished,
+    // No server of the group leads.
+    NoPrimary,
+};
+
+std::string_view successionCauseName(SuccessionCause);
+
+// Judges a group after probes of all its servers. The stalled flag says that commits at the primary have had no answer for long.
+SuccessionCause judgeSuccession(const std::vector<ProbedStatus>&, const std::optional<BackendServerId>& leader, bool settled, bool stalled);
+
+// The choice of a successor after the replicas were told to pause.
+struct SuccessorChoice {
+    // Nothing while no server may be promoted safely.
+    std::optional<BackendServerId> successor;
+    // Every server that could hold an acknowledged commit has been asked.
+    bool complete = false;
+};
+
+// Chooses the replica with the longest log. The statuses are those of the replicas after the order to pause. A commit is
+// acknowledged once `synchronousReplicas` replicas hold it, so a replica that could not be asked may hold one that no other
+// has. Then a successor is chosen only if its log reaches the highest position that this VM knows to be acknowledged and
+// the caller states that the missing replica has been away long enough to count as lost.
+SuccessorChoice chooseSuccessor(const std::vector<ProbedStatus>& replicas, std::optional<LogPoint> acknowledged, bool missingCountAsLost);
+
+}
--- /dev/null
+++ b/foxtailtrail/limits/QuotaLedger.cpp
@@ -0,0 +1,72 @@
+#include "foxtailtrail/limits/QuotaLedger.h"
+
+#include <algorithm>
+
+namespace foxtail {
+
+namespace {
+
+    // The part of the permitted excess that unused grants may take; the rest covers the VMs that use their own part.
+    constexpr double unusedShareOfExcess = 0.6;
+    // The share of what is there that one request may take, so that the VMs that ask next find something.
+    constexpr double shareOfLevel = 0.5;
+
+}
+
+double unusedAllowance(const OrganisationLimit& limit, const QuotaBounds& bounds)
+{
+    const double window = std::chrono::duration<double>(bounds.window).count();
+    return unusedShareOfExcess * (bounds.excessShare * (limit.ratePerSecond * window + limit.burst) + bounds.slack);
+}
+
+void QuotaLedger::refill(Account& account, const OrganisationLimit& limit, double share, TimePoint now) const
+{
+    double outstanding = 0;
+    for (auto loan = account.loans.begin(); loan != account.loans.end();) {
+        if (loan->second.expiresAt <= now) {
+            loan = account.loans.erase(loan);
+        } else {
+            outstanding += loan->second.tokens;
+            ++loan;
+        }
+    }
+    if (account.filledAt == TimePoint {})
+        account.filledAt = now;
+    const double elapsed = std::chrono::duration<double>(now - account.filledAt).count();
+    account.filledAt = now;
+    account.level += elapsed * limit.ratePerSecond * share;
+    const double excessLoans = std::max(0.0, outstanding - unusedAllowance(limit, this->bounds) * share);
+    account.level = std::min(account.level, std::max(0.0, limit.burst * share - excessLoans));
+}
+
+std::vector<QuotaGrant> QuotaLedger::grant(const VmId& vm, const std::vector<QuotaAsk>& asks,
+    const std::vector<OrganisationLimit>& limits, size_t fleetSize, TimePoint now)
+{
+    this->contacts[vm] = now + grantLifetime;
+    std::erase_if(this->contacts, [&](const auto& contact) { return contact.second <= now; });
+    const double share = std::min(1.0, static_cast<double>(this->contacts.size()) / static_cast<double>(std::max<size_t>(1, fleetSize)));
+
+    std::vector<QuotaGrant> grants;
+    for (const QuotaAsk& ask : asks) {
+        const auto limit = std::find_if(
+            limits.begin(), limits.end(), [&](const OrganisationLimit& each) { return each.organisation == ask.organisation; });
+        if (limit == limits.end())
+            continue;
+        Account& account = this->accounts[ask.organisation];
+        // What is left of the last grant comes back, unless it has expired.
+        const auto loan = account.loans.find(vm);
+        if (loan != account.loans.end()) {
+            if (loan->second.expiresAt > now)
+                account.level += std::clamp(ask.unused, 0.0, loan->second.tokens);
+            account.loans.erase(loan);
+        }
+        this->refill(account, *limit, share, now);
+        const double tokens = std::min(ask.wanted, std::max(account.level * shareOfLevel, std::min(account.level, 1.0)));
+        account.level -= tokens;
+        account.loans[vm] = Loan { tokens, now + grantLifetime };
+        grants.push_back({ ask.organisation, tokens });
+    }
+    return grants;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/limits/QuotaShare.cpp
@@ -0,0 +1,106 @@
+#include "foxtailtrail/limits/QuotaShare.h"
+
+#include <algorithm>
+
+namespace foxtail {
+
+namespace {
+
+    // Requests are at least this far apart.
+    constexpr Duration minAskInterval = std::chrono::milliseconds(60);
+    // A VM asks at least this often, which keeps its part of the rates lent to the ledger.
+    constexpr Duration maxAskInterval = std::chrono::milliseconds(700);
+    // A grant is sized for the expected demand of this time.
+    constexpr double grantCoverSeconds = 0.9;
+    // Operations beyond the expected demand, for its jitter.
+    constexpr double grantReserve = 3;
+    // Below this part of the wanted tokens the next request is due.
+    constexpr double lowMark = 0.3;
+    // How long operations are refused at once after a grant fell short.
+    constexpr Duration shortTime = std::chrono::milliseconds(150);
+    // Weight of the newest interval in the demand.
+    constexpr double demandWeight = 0.5;
+    // The part of the permitted excess that the burst of all VMs' own parts may take.
+    constexpr double ownBurstShareOfExcess = 0.2;
+    // Without a grant for this long, the VM uses its own part.
+    constexpr Duration ledgerSilence = std::chrono::milliseconds(1000);
+
+}
+
+bool QuotaShare::takeOwnPart(Holding& holding, const OrganisationLimit& limit, size_t fleetSize, TimePoint now) const
+{
+    const double window = std::chrono::duration<double>(this->bounds.window).count();
+    const double parts = static_cast<double>(std::max<size_t>(1, fleetSize));
+    const double excess = this->bounds.excessShare * (limit.ratePerSecond * window + limit.burst) + this->bounds.slack;
+    const double cap = std::max(1.0, ownBurstShareOfExcess * excess / parts);
+    if (holding.ownFilledAt == TimePoint {})
+        holding.ownFilledAt = now;
+    holding.ownLevel += std::chrono::duration<double>(now - holding.ownFilledAt).count() * limit.ratePerSecond / parts;
+    holding.ownLevel = std::min(holding.ownLevel, cap);
+    holding.ownFilledAt = now;
+    if (holding.ownLevel < 1)
+        return false;
+    holding.ownLevel -= 1;
+    return true;
+}
+
+QuotaVerdict QuotaShare::admit(const OrganisationLimit& limit, size_t fleetSize, TimePoint now, bool hasWaited)
+{
+    Holding& holding = this->holdings[limit.organisation];
+    if (!hasWaited)
+        holding.arrivals += 1;
+    if (now < holding.usableUntil && holding.granted >= 1) {
+        holding.granted -= 1;
+        holding.needsMore = holding.granted < holding.lastWanted * lowMark;
+        return QuotaVerdict::Admitted;
+    }
+    holding.needsMore = true;
+    const bool ledgerAnswers = this->lastGrant != TimePoint {} && now < this->lastGrant + ledgerSilence;
+    if (!ledgerAnswers && now >= holding.usableUntil)
+        return this->takeOwnPart(holding, limit, fleetSize, now) ? QuotaVerdict::Admitted : QuotaVerdict::Refused;
+    holding.ownFilledAt = now;
+    return now < holding.shortUntil ? QuotaVerdict::Refused : QuotaVerdict::Wait;
+}
+
+std::vector<QuotaAsk> QuotaShare::asks(TimePoint now)
+{
+    const double elapsed = this->lastAsk == TimePoint {} ? 1.0 : std::max(0.05, std::chrono::duration<double>(now - this->lastAsk).count());
+    std::vector<QuotaAsk> asks;
+    for (auto& [organisation, holding] : this->holdings) {
+        const double observed = holding.arrivals / elapsed;
+        const double weight = std::min(1.0, demandWeight * elapsed / std::chrono::duration<double>(maxAskInterval).count());
+        holding.demandPerSecond += (observed > holding.demandPerSecond ? std::max(weight, 0.3) : weight) * (observed - holding.demandPerSecond);
+        holding.arrivals = 0;
+        holding.needsMore = false;
+        holding.lastWanted = holding.demandPerSecond * grantCoverSeconds + grantReserve;
+        const double unused = now < holding.usableUntil ? holding.granted : 0;
+        asks.push_back({ organisation, holding.lastWanted, unused });
+        // What is returned must not be used while the request is on its way.
+        holding.granted = 0;
+    }
+    return asks;
+}
+
+void QuotaShare::take(const std::vector<QuotaGrant>& grants, TimePoint requestSentAt, TimePoint now)
+{
+    this->lastGrant = now;
+    for (const QuotaGrant& grant : grants) {
+        Holding& holding = this->holdings[grant.organisation];
+        holding.granted = grant.tokens;
+        holding.usableUntil = requestSentAt + grantLifetime;
+        holding.shortUntil = grant.tokens + 0.5 < holding.lastWanted ? now + shortTime : TimePoint {};
+    }
+}
+
+bool QuotaShare::isAskDue(TimePoint now) const
+{
+    if (now < this->lastAsk + minAskInterval)
+        return false;
+    if (now >= this->lastAsk + maxAskInterval)
+        return true;
+    return std::any_of(this->holdings.begin(), this->holdings.end(), [&](const auto& entry) { return entry.second.needsMore; });
+}
+
+void QuotaShare::noteAsked(TimePoint now) { this->lastAsk = now; }
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -0,0 +1,200 @@
+#include "foxtailtrail/proxy/ControlFollower.h"
+
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/FiberThread.h"
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/proxy/FleetRows.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <memory>
+
+namespace foxtail {
+
+namespace {
+
+    // A feed that has gone silent is noticed after its wait, so the wait bounds the age of what this VM knows.
+    constexpr Duration feedWait = std::chrono::milliseconds(4000);
+    constexpr Duration listTimeout = std::chrono::milliseconds(1000);
+    // Pause after a failed call; doubled up to the longest one.
+    constexpr Duration firstPause = std::chrono::milliseconds(100);
+    constexpr Duration longestPause = std::chrono::milliseconds(400);
+    constexpr Duration peerTimeout = std::chrono::milliseconds(800);
+
+}
+
+ControlFollower::ControlFollower(SessionProxy& proxy, SharedStore& store, const DeclarationDecoder& decoder, PeerExchange& peers)
+    : proxy(proxy)
+    , store(store)
+    , decoder(decoder)
+    , peers(peers)
+{
+}
+
+void ControlFollower::start()
+{
+    startFiber([this] {
+        this->follow(StoreTable::Declarations, "configuration", [this](const RowSet& rows, bool) { this->applyDeclarations(rows); });
+    });
+    startFiber([this] {
+        this->follow(StoreTable::Servers, "servers", [this](const RowSet& rows, bool isWhole) { this->applyServers(rows, isWhole); });
+    });
+    startFiber([this] {
+        this->follow(StoreTable::Fleet, "fleet", [this](const RowSet& rows, bool isWhole) { this->applyFleet(rows, isWhole); });
+    });
+}
+
+void ControlFollower::follow(StoreTable table, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply)
+{
+    bool isListed = false;
+    bool isLost = false;
+    uint64_t version = 0;
+    Duration pause = firstPause;
+    // Runs until the process ends.
+    while (true) {
+        const Result<RowSet> rows
+            = isListed ? this->store.follow(table, version, feedWait) : this->store.list(table, now() + listTimeout);
+        if (rows) {
+            if (isLost)
+                logEvent(LogLevel::Info, "store regained", { { "table", name } });
+            isLost = false;
+            pause = firstPause;
+            version = rows.value().version;
+            apply(rows.value(), !isListed);
+            isListed = true;
+            if (table == StoreTable::Fleet && !this->isRegistered)
+                this->registerSelf();
+            continue;
+        }
+        if (rows.error().kind == ErrorKind::VersionConflict) {
+            isListed = false;
+            continue;
+        }
+        if (!isLost)
+            logEvent(LogLevel::Warning, "store lost", { { "table", name }, { "detail", rows.error().detail } });
+        isLost = true;
+        if (table == StoreTable::Declarations && !this->proxy.isConfigured())
+            this->askSeeds();
+        sleepFor(pause);
+        pause = std::min(pause * 2, longestPause);
+    }
+}
+
+void ControlFollower::applyDeclarations(const RowSet& rows)
+{
+    for (const TableRow& row : rows.rows) {
+        if (row.key == this->decoder.configurationKey() && !row.removed)
+            this->installDocument(row.value, "store");
+    }
+}
+
+void ControlFollower::installDocument(const std::string& newer, std::string_view source)
+{
+    Result<RouteTable> table = this->decoder.decodeConfiguration(newer);
+    if (!table) {
+        logEvent(LogLevel::Error, "configuration cannot be read", { { "source", source }, { "detail", table.error().detail } });
+        return;
+    }
+    if (this->proxy.install(std::make_shared<const RouteTable>(std::move(table.value()))))
+        this->document = newer;
+}
+
+void ControlFollower::applyServers(const RowSet& rows, bool isWhole)
+{
+    const TimePoint seenAt = bootNow();
+    std::vector<ServerEntry> entries;
+    std::vector<BackendServerId> removed;
+    for (const TableRow& row : rows.rows) {
+        const Result<ServerEntry> entry
+            = row.removed ? Result<ServerEntry>(Error { ErrorKind::MalformedRequest, "removed" }) : this->decoder.decodeServer(row.key, row.value);
+        if (entry) {
+            entries.push_back(entry.value());
+            continue;
+        }
+        removed.emplace_back(row.key);
+        if (!row.removed)
+            logEvent(LogLevel::Warning, "server entry skipped", { { "server", row.key }, { "detail", entry.error().detail } });
+    }
+    this->proxy.changeDirectory([&](ServerDirectory& directory) {
+        if (isWhole)
+            directory.replaceAll(entries, seenAt);
+        for (const ServerEntry& entry : entries)
+            directory.put(entry);
+        for (const BackendServerId& id : removed)
+            directory.remove(id, seenAt);
+    });
+}
+
+void ControlFollower::applyFleet(const RowSet& rows, bool isWhole)
+{
+    if (isWhole)
+        this->knownPeers.clear();
+    std::vector<LeaderRecord> leaders;
+    for (const TableRow& row : rows.rows) {
+        if (row.removed) {
+            this->knownPeers.erase(row.key);
+            continue;
+        }
+        if (const auto peer = decodePeer(row.key, row.value))
+            this->knownPeers[row.key] = *peer;
+        if (const auto leader = decodeLeader(row.key, row.value))
+            leaders.push_back(*leader);
+    }
+    std::vector<PeerEntry> entries;
+    for (const auto& [key, entry] : this->knownPeers)
+        entries.push_back(entry);
+    this->peers.setPeers(entries);
+    if (leaders.empty())
+        return;
+    this->proxy.changeDirectory([&](ServerDirectory& directory) {
+        for (const LeaderRecord& leader : leaders)
+            directory.recordLeader(leader);
+    });
+}
+
+void ControlFollower::registerSelf()
+{
+    const ProxySettings& settings = this->proxy.settings();
+    const PeerEntry self { settings.vmId, settings.peers, settings.datagramPort };
+    const auto known = this->knownPeers.find(vmRowKey(self.id));
+    if (known != this->knownPeers.end() && known->second == self) {
+        this->isRegistered = true;
+        return;
+    }
+    StoreChange change;
+    change.puts.push_back({ StoreTable::Fleet, vmRowKey(self.id), encodePeer(self) });
+    const Result<uint64_t> stored = this->store.commit(change, now() + listTimeout);
+    if (stored)
+        this->isRegistered = true;
+    else
+        logEvent(LogLevel::Warning, "not registered in the store", { { "detail", stored.error().detail } });
+}
+
+void ControlFollower::askSeeds()
+{
+    for (const Endpoint& seed : this->proxy.settings().seeds) {
+        if (seed != this->proxy.settings().peers)
+            this->fetchFromPeer(seed);
+    }
+}
+
+void ControlFollower::fetchFromPeer(const Endpoint& peer)
+{
+    if (this->isFetching)
+        return;
+    this->isFetching = true;
+    startFiber([this, peer] {
+        HttpClient client(peer, 0);
+        HttpRequest request;
+        request.method = "GET";
+        request.target = "/configuration";
+        const Result<HttpResponse> response = client.send(request, now() + peerTimeout);
+        if (response && response.value().status == 200)
+            this->installDocument(response.value().body, "peer " + peer.address);
+        else
+            logEvent(LogLevel::Warning, "configuration not fetched from a peer",
+                { { "peer", peer.address }, { "detail", response ? std::to_string(response.value().status) : response.error().detail } });
+        this->isFetching = false;
+    });
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "foxtailtrail/proxy/DeclarationDecoder.h"
+#include "foxtailtrail/proxy/PeerExchange.h"
+#include "foxtailtrail/proxy/SessionProxy.h"
+#include "foxtailtrail/proxy/SharedStore.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace foxtail {
+
+// Keeps a VM's view of the shared state current: the configuration, the list of backend servers, the fleet. Each table is
+// followed by a fiber of its own. A configuration also comes from peers, when the store does not serve this VM.
+class ControlFollower {
+public:
+    ControlFollower(SessionProxy&, SharedStore&, const DeclarationDecoder&, PeerExchange&);
+
+    // Starts the fibers.
+    void start();
+    // The newest configuration as the store gave it, for peers; empty when there is none.
+    const std::string& configurationDocument() const { return this->document; }
+    // Asks a peer for its configuration, in a fiber of its own.
+    void fetchFromPeer(const Endpoint&);
+
+private:
+    struct TableView {
+        // Handles the whole table or some changed rows.
+        std::function<void(const RowSet&, bool isWhole)> apply;
+    };
+    void follow(StoreTable, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply);
+    void applyDeclarations(const RowSet&);
+    void applyServers(const RowSet&, bool isWhole);
+    void applyFleet(const RowSet&, bool isWhole);
+    void installDocument(const std::string&, std::string_view source);
+    void askSeeds();
+    // Writes this VM's own row unless it is there.
+    void registerSelf();
+
+    SessionProxy& proxy;
+    SharedStore& store;
+    const DeclarationDecoder& decoder;
+    PeerExchange& peers;
+    std::string document;
+    std::map<std::string, PeerEntry> knownPeers;
+    bool isFetching = false;
+    bool isRegistered = false;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/DeclarationDecoder.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "foxtailtrail/base/Result.h"
+#include "foxtailtrail/config/RouteTable.h"
+#include "foxtailtrail/replication/ServerDirectory.h"
+
+#include <string_view>
+
+namespace foxtail {
+
+// Reads the platform's documents into the project's types.
+class DeclarationDecoder {
+public:
+    virtual ~DeclarationDecoder() = default;
+
+    // The row of the declarations' table that holds the operators' configuration.
+    virtual std::string_view configurationKey() const = 0;
+    // Fails with MalformedRequest when the document does not describe a configuration.
+    virtual Result<RouteTable> decodeConfiguration(std::string_view document) const = 0;
+    // Fails with MalformedRequest when the entry names no server to use.
+    virtual Result<ServerEntry> decodeServer(std::string_view id, std::string_view document) const = 0;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -0,0 +1,97 @@
+#include "foxtailtrail/proxy/FleetRows.h"
+
+#include "foxtailtrail/base/Json.h"
+#include "foxtailtrail/server/Log.h"
+
+namespace foxtail {
+
+namespace {
+
+    constexpr std::string_view vmPrefix = "vm/";
+    constexpr std::string_view leaderPrefix = "leader/";
+
+    // Unwraps a row that was read, or logs why it could not be.
+    template <typename T> std::optional<T> orLog(std::string_view key, const Result<T>& read)
+    {
+        if (read)
+            return read.value();
+        logEvent(LogLevel::Warning, "row skipped", { { "key", key }, { "detail", read.error().detail } });
+        return std::nullopt;
+    }
+
+    Result<PeerEntry> readPeer(std::string_view id, std::string_view value)
+    {
+        BOOST_OUTCOME_TRY(const json::object object, parseJsonObject(value));
+        PeerEntry entry;
+        entry.id = VmId(std::string(id));
+        BOOST_OUTCOME_TRY(entry.control.address, stringMember(object, "address"));
+        BOOST_OUTCOME_TRY(const uint64_t control, unsignedMember(object, "controlPort"));
+        BOOST_OUTCOME_TRY(const uint64_t datagrams, unsignedMember(object, "datagramPort"));
+        entry.control.port = static_cast<uint16_t>(control);
+        entry.datagramPort = static_cast<uint16_t>(datagrams);
+        return entry;
+    }
+
+    Result<LeaderRecord> readLeader(std::string_view service, std::string_view value)
+    {
+        BOOST_OUTCOME_TRY(const json::object object, parseJsonObject(value));
+        LeaderRecord record;
+        record.service = ServiceName(std::string(service));
+        BOOST_OUTCOME_TRY(record.term.value, unsignedMember(object, "term"));
+        BOOST_OUTCOME_TRY(record.leader.value, stringMember(object, "server"));
+        BOOST_OUTCOME_TRY(record.settled, booleanMember(object, "settled"));
+        return record;
+    }
+
+    Result<TurnRecord> readTurn(std::string_view value)
+    {
+        BOOST_OUTCOME_TRY(const json::object object, parseJsonObject(value));
+        TurnRecord record;
+        BOOST_OUTCOME_TRY(record.holder.value, stringMember(object, "holder"));
+        BOOST_OUTCOME_TRY(record.fence, unsignedMember(object, "fence"));
+        BOOST_OUTCOME_TRY(const uint64_t endsAt, unsignedMember(object, "endsAtMs"));
+        record.endsAtMs = static_cast<int64_t>(endsAt);
+        return record;
+    }
+
+}
+
+std::string vmRowKey(const VmId& id) { return std::string(vmPrefix) + id.value; }
+
+std::string leaderRowKey(const ServiceName& service) { return std::string(leaderPrefix) + service.value; }
+
+std::string encodePeer(const PeerEntry& entry)
+{
+    return json::serialize(json::object {
+        { "address", entry.control.address }, { "controlPort", entry.control.port }, { "datagramPort", entry.datagramPort } });
+}
+
+std::string encodeLeader(const LeaderRecord& record)
+{
+    return json::serialize(
+        json::object { { "term", record.term.value }, { "server", record.leader.value }, { "settled", record.settled } });
+}
+
+std::string encodeTurn(const TurnRecord& record)
+{
+    return json::serialize(
+        json::object { { "holder", record.holder.value }, { "fence", record.fence }, { "endsAtMs", record.endsAtMs } });
+}
+
+std::optional<PeerEntry> decodePeer(std::string_view key, std::string_view value)
+{
+    if (!key.starts_with(vmPrefix))
+        return std::nullopt;
+    return orLog(key, readPeer(key.substr(vmPrefix.size()), value));
+}
+
+std::optional<LeaderRecord> decodeLeader(std::string_view key, std::string_view value)
+{
+    if (!key.starts_with(leaderPrefix))
+        return std::nullopt;
+    return orLog(key, readLeader(key.substr(leaderPrefix.size()), value));
+}
+
+std::optional<TurnRecord> decodeTurn(std::string_view value) { return orLog(turnRowKey, readTurn(value)); }
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -0,0 +1,246 @@
+#include "foxtailtrail/proxy/GroupTraffic.h"
+
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/proxy/StatusQuery.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtail {
+
+namespace {
+
+    // A primary that has failed for this long without an answer in between is examined.
+    constexpr Duration failureTime = std::chrono::milliseconds(250);
+    constexpr uint32_t failuresForExamination = 2;
+    // Commits without an answer for this long, while reads are answered, show that no replica receives them.
+    constexpr Duration commitStallTime = std::chrono::milliseconds(600);
+    // Statements that wait this long for a primary cause an examination.
+    constexpr Duration waitBeforeExamination = std::chrono::milliseconds(300);
+    constexpr Duration verifyTimeout = std::chrono::milliseconds(250);
+    constexpr Duration verifyInterval = std::chrono::milliseconds(60);
+
+}
+
+GroupTraffic::GroupTraffic(ServiceName service, GroupHost& host)
+    : serviceName(std::move(service))
+    , host(host)
+{
+    this->lastLeader = host.directory().leader(this->serviceName);
+}
+
+void GroupTraffic::noteAnswer(const BackendServerId& server, const std::optional<LogPoint>& position, TimePoint sentAt, bool isCommit)
+{
+    if (!this->lastLeader || this->lastLeader->server != server)
+        return;
+    this->failingSince.reset();
+    this->failures = 0;
+    if (isCommit) {
+        this->commitsUnansweredSince.reset();
+        this->unansweredCommits = 0;
+        if (position && this->lastLeader->settled && this->deposed != server) {
+            if (!this->highestAcknowledged || *this->highestAcknowledged < *position)
+                this->highestAcknowledged = position;
+            this->lease.prove(server, sentAt);
+        }
+    }
+    if (position && this->lease.covers(server, sentAt))
+        this->freshness.note(*position, sentAt);
+}
+
+void GroupTraffic::noteNotPrimary(const BackendServerId& server)
+{
+    if (!this->lastLeader || this->lastLeader->server != server || !this->lastLeader->settled)
+        return;
+    this->deposed = server;
+    this->lease.revoke();
+    this->host.examineGroup(this->serviceName, "the primary refused a write as read only");
+}
+
+void GroupTraffic::noteFailure(const BackendServerId& server, TimePoint now)
+{
+    this->serverChoice.noteTrouble(server, now);
+    if (!this->lastLeader || this->lastLeader->server != server)
+        return;
+    if (!this->failingSince)
+        this->failingSince = now;
+    ++this->failures;
+    if (this->failures >= failuresForExamination && now >= *this->failingSince + failureTime)
+        this->host.examineGroup(this->serviceName, "the primary does not answer");
+}
+
+void GroupTraffic::noteUnansweredCommit(const BackendServerId& server, TimePoint now)
+{
+    if (!this->lastLeader || this->lastLeader->server != server)
+        return;
+    if (!this->commitsUnansweredSince)
+        this->commitsUnansweredSince = now;
+    ++this->unansweredCommits;
+    this->host.examineGroup(this->serviceName, "a commit has no answer");
+}
+
+bool GroupTraffic::areCommitsStalled(TimePoint now) const
+{
+    return this->commitsUnansweredSince && (this->unansweredCommits > 1 || now >= *this->commitsUnansweredSince + commitStallTime);
+}
+
+void GroupTraffic::noteStatus(const ProbedStatus& status, TimePoint sentAt)
+{
+    if (!this->lastLeader || status.server == this->lastLeader->server || !this->lastLeader->settled)
+        return;
+    // A replica that still receives proves that no promotion had begun when it was asked.
+    const bool receives = !status.isPrimary && status.pausedFor == Term {};
+    const bool sameTerm = this->lastLeader->term == Term {} || status.term <= this->lastLeader->term;
+    if (receives && sameTerm && this->deposed != this->lastLeader->server) {
+        this->lease.prove(this->lastLeader->server, sentAt);
+        this->serveWaiters();
+    } else {
+        this->host.examineGroup(this->serviceName, "a replica has stopped to receive or another server leads");
+    }
+}
+
+void GroupTraffic::directoryChanged()
+{
+    const std::optional<LeaderView> leader = this->host.directory().leader(this->serviceName);
+    if (leader == this->lastLeader)
+        return;
+    const bool otherServer = !leader || !this->lastLeader || leader->server != this->lastLeader->server;
+    this->lastLeader = leader;
+    if (otherServer) {
+        this->lease.revoke();
+        this->freshness.clear();
+        this->failingSince.reset();
+        this->failures = 0;
+        this->commitsUnansweredSince.reset();
+        this->unansweredCommits = 0;
+    }
+    if (leader && (leader->server != this->deposed || leader->settled))
+        this->deposed = BackendServerId();
+    this->serveWaiters();
+}
+
+std::optional<LogPoint> GroupTraffic::floorFor(TimePoint now, Duration maxStaleness, const std::optional<CommitMark>& commit) const
+{
+    if (!commit)
+        return this->freshness.floorFor(now, maxStaleness);
+    // A position of an older term may have been numbered anew, so then a sample taken after the commit is needed.
+    if (commit->point.term != this->freshness.term())
+        return this->freshness.floorFor(now, maxStaleness, commit->acknowledgedAt);
+    std::optional<LogPoint> floor = this->freshness.floorFor(now, maxStaleness);
+    if (floor && *floor < commit->point)
+        floor = commit->point;
+    return floor;
+}
+
+std::vector<ReadCandidate> GroupTraffic::readCandidates(const std::string& organisation) const
+{
+    std::vector<ReadCandidate> candidates;
+    const ServerDirectory& directory = this->host.directory();
+    for (const ServerEntry* entry : directory.members(this->serviceName)) {
+        if (entry->draining || directory.isRemoved(entry->id))
+            continue;
+        const std::shared_ptr<ServerPool> pool = this->host.pool(entry->id);
+        if (!pool)
+            continue;
+        candidates.push_back(
+            { entry->id, this->host.distanceTo(*entry), pool->hasFree(organisation), pool->outstanding(), entry->slots });
+    }
+    return candidates;
+}
+
+std::optional<BackendServerId> GroupTraffic::usableLeader(LeaderNeed need, TimePoint now) const
+{
+    if (!this->lastLeader || !this->lastLeader->settled || this->deposed == this->lastLeader->server)
+        return std::nullopt;
+    if (need == LeaderNeed::Read && !this->lease.covers(this->lastLeader->server, now))
+        return std::nullopt;
+    return this->lastLeader->server;
+}
+
+uint64_t GroupTraffic::whenLeader(LeaderNeed need, const std::string& organisation, TimePoint giveUpAt, LeaderCallback callback)
+{
+    const TimePoint now = bootNow();
+    if (const auto leader = this->usableLeader(need, now)) {
+        callback(leader);
+        return 0;
+    }
+    const uint64_t ticket = this->nextTicket++;
+    this->waiters.push_back({ ticket, need, organisation, now, giveUpAt, std::move(callback) });
+    this->verifyLease(organisation, now);
+    return ticket;
+}
+
+void GroupTraffic::cancel(uint64_t ticket)
+{
+    this->waiters.remove_if([&](const Waiter& waiter) { return waiter.ticket == ticket; });
+}
+
+void GroupTraffic::serveWaiters()
+{
+    const TimePoint now = bootNow();
+    std::list<Waiter> ready;
+    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
+        const auto next = std::next(waiter);
+        if (this->usableLeader(waiter->need, now))
+            ready.splice(ready.end(), this->waiters, waiter);
+        waiter = next;
+    }
+    for (Waiter& waiter : ready)
+        waiter.callback(this->usableLeader(waiter.need, now));
+}
+
+void GroupTraffic::verifyLease(const std::string& organisation, TimePoint now)
+{
+    // Only reads at a settled primary are waiting for a proof.
+    if (this->verifying || !this->usableLeader(LeaderNeed::Write, now) || now < this->verifiedAt + verifyInterval)
+        return;
+    // The nearest replica first; another one when that has not helped.
+    std::vector<const ServerEntry*> replicas;
+    for (const ServerEntry* entry : this->host.directory().members(this->serviceName)) {
+        if (entry->id != this->lastLeader->server && !this->host.directory().isRemoved(entry->id))
+            replicas.push_back(entry);
+    }
+    if (replicas.empty())
+        return;
+    std::stable_sort(replicas.begin(), replicas.end(), [&](const ServerEntry* left, const ServerEntry* right) {
+        return this->host.distanceTo(*left) < this->host.distanceTo(*right);
+    });
+    const ServerEntry* witness = replicas[this->nextWitness % replicas.size()];
+    const std::shared_ptr<ServerPool> pool = this->host.pool(witness->id);
+    if (!pool)
+        return;
+    this->verifying = true;
+    this->verifiedAt = now;
+    StatusQuery::start(pool, this->host.backendCodec(), organisation, now + verifyTimeout,
+        [weak = this->weak_from_this()](const std::optional<ProbedStatus>& status, TimePoint sentAt) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->verifying = false;
+            if (status)
+                self->noteStatus(*status, sentAt);
+            else
+                ++self->nextWitness;
+        });
+}
+
+void GroupTraffic::sweep(TimePoint now)
+{
+    std::list<Waiter> late;
+    bool longWait = false;
+    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
+        const auto next = std::next(waiter);
+        longWait = longWait || waiter->since + waitBeforeExamination <= now;
+        if (waiter->giveUpAt <= now)
+            late.splice(late.end(), this->waiters, waiter);
+        waiter = next;
+    }
+    if (longWait)
+        this->host.examineGroup(this->serviceName, "statements wait for a primary");
+    for (Waiter& waiter : late)
+        waiter.callback(std::nullopt);
+    if (!this->waiters.empty())
+        this->verifyLease(this->waiters.front().organisation, now);
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/proxy/ServerPool.h"
+#include "foxtailtrail/replication/FreshnessHistory.h"
+#include "foxtailtrail/replication/LeaderLease.h"
+#include "foxtailtrail/replication/ServerChoice.h"
+#include "foxtailtrail/replication/ServerDirectory.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtail {
+
+// What a statement needs of the primary.
+enum class LeaderNeed : uint8_t {
+    // A write proves by its acknowledgement that the primary still leads.
+    Write,
+    // A read is only current while the lease covers the primary.
+    Read,
+};
+
+// What the traffic of a group needs of the VM around it.
+class GroupHost {
+public:
+    virtual ~GroupHost() = default;
+    virtual const ServerDirectory& directory() const = 0;
+    // The pool of a server, or null when the server is not known.
+    virtual std::shared_ptr<ServerPool> pool(const BackendServerId&) = 0;
+    virtual Distance distanceTo(const ServerEntry&) const = 0;
+    virtual const BackendCodec& backendCodec() const = 0;
+    // Asks for an examination of the group's primary.
+    virtual void examineGroup(const ServiceName&, std::string_view reason) = 0;
+};
+
+// What this VM's traffic has shown about one group: fresh positions, the lease on its primary, and signs of failure.
+class GroupTraffic : public std::enable_shared_from_this<GroupTraffic> {
+public:
+    using LeaderCallback = std::function<void(std::optional<BackendServerId>)>;
+
+    GroupTraffic(ServiceName, GroupHost&);
+
+    // Takes an answer of a server. A commit is an acknowledged one that wrote.
+    void noteAnswer(const BackendServerId&, const std::optional<LogPoint>& position, TimePoint sentAt, bool isCommit);
+    // Takes the refusal of a server that was taken for the primary.
+    void noteNotPrimary(const BackendServerId&);
+    // Takes a sign that a server does not answer.
+    void noteFailure(const BackendServerId&, TimePoint now);
+    // Takes a commit that has had no answer until its deadline.
+    void noteUnansweredCommit(const BackendServerId&, TimePoint now);
+    // Takes what a probe has shown, and serves those that wait.
+    void noteStatus(const ProbedStatus&, TimePoint sentAt);
+    // The directory has changed.
+    void directoryChanged();
+
+    // The position that a read must require, or nothing when only the primary can serve it.
+    std::optional<LogPoint> floorFor(TimePoint now, Duration maxStaleness, const std::optional<CommitMark>& commit) const;
+    // The servers that may run reads.
+    std::vector<ReadCandidate> readCandidates(const std::string& organisation) const;
+    ServerChoice& choice() { return this->serverChoice; }
+
+    // Calls back with the primary once it may be used, or with nothing at the deadline. Returns a ticket for cancel(), or 0.
+    uint64_t whenLeader(LeaderNeed, const std::string& organisation, TimePoint giveUpAt, LeaderCallback);
+    void cancel(uint64_t ticket);
+    // Whether the server may be used as the primary for the need at this time.
+    bool isUsableLeader(const BackendServerId& server, LeaderNeed need, TimePoint now) const { return this->usableLeader(need, now) == server; }
+    void sweep(TimePoint now);
+
+    // Commits at the primary have had no answer for long, although it answers.
+    bool areCommitsStalled(TimePoint now) const;
+    // The highest position known to hold an acknowledged commit.
+    const std::optional<LogPoint>& acknowledged() const { return this->highestAcknowledged; }
+    const ServiceName& service() const { return this->serviceName; }
+
+private:
+    struct Waiter {
+        uint64_t ticket = 0;
+        LeaderNeed need = LeaderNeed::Write;
+        std::string organisation;
+        TimePoint since {};
+        TimePoint giveUpAt {};
+        LeaderCallback callback;
+    };
+    // The primary when it may be used for the need at this time.
+    std::optional<BackendServerId> usableLeader(LeaderNeed, TimePoint now) const;
+    void serveWaiters();
+    // Asks a replica whether it still receives from the primary.
+    void verifyLease(const std::string& organisation, TimePoint now);
+
+    ServiceName serviceName;
+    GroupHost& host;
+    FreshnessHistory freshness;
+    LeaderLease lease;
+    ServerChoice serverChoice;
+    std::optional<LogPoint> highestAcknowledged;
+    std::list<Waiter> waiters;
+    uint64_t nextTicket = 1;
+    // The server that denied to lead although the directory says so.
+    BackendServerId deposed;
+    // The last view of the directory, to notice a change of primary.
+    std::optional<LeaderView> lastLeader;
+    bool verifying = false;
+    size_t nextWitness = 0;
+    TimePoint verifiedAt {};
+    // The first failure of the primary since its last answer.
+    std::optional<TimePoint> failingSince;
+    uint32_t failures = 0;
+    std::optional<TimePoint> commitsUnansweredSince;
+    uint32_t unansweredCommits = 0;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -0,0 +1,278 @@
+#include "foxtailtrail/proxy/PeerExchange.h"
+
+#include "foxtailtrail/base/Hash.h"
+#include "foxtailtrail/base/Json.h"
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+
+namespace foxtail {
+
+using Udp = boost::asio::ip::udp;
+
+namespace {
+
+    constexpr Duration greetingInterval = std::chrono::milliseconds(500);
+    // Peers that are greeted at a time, so that the cost of a VM does not grow with the fleet.
+    constexpr size_t greetedAtATime = 3;
+    // Without a greeting for this long a peer counts as away: it may have been left out of a dozen rounds.
+    constexpr Duration peerSilence = std::chrono::seconds(4);
+    // A peer that has been silent for this long does not count as a part of the fleet.
+    constexpr Duration peerForgotten = std::chrono::seconds(60);
+    constexpr Duration askTimeout = std::chrono::milliseconds(250);
+    constexpr Duration avoidance = std::chrono::seconds(2);
+    constexpr const char* ledgerKey = "quota";
+
+    // Kinds of datagrams.
+    constexpr std::string_view greetingKind = "hello";
+    constexpr std::string_view askKind = "ask";
+    constexpr std::string_view grantKind = "grant";
+
+    double numberAt(const json::array& list, size_t index) { return list.at(index).to_number<double>(); }
+
+}
+
+PeerExchange::PeerExchange(boost::asio::io_context& context, SessionProxy& proxy, NewerConfiguration newerConfiguration)
+    : context(context)
+    , proxy(proxy)
+    , newerConfiguration(std::move(newerConfiguration))
+    , socket(context)
+    , greetingTimer(context)
+    , ledger(proxy.settings().quota)
+{
+}
+
+Result<void> PeerExchange::start()
+{
+    boost::system::error_code code;
+    const ProxySettings& settings = this->proxy.settings();
+    const Udp::endpoint endpoint(boost::asio::ip::make_address(settings.peers.address, code), settings.datagramPort);
+    if (!code)
+        this->socket.open(endpoint.protocol(), code);
+    if (!code)
+        this->socket.bind(endpoint, code);
+    if (!code)
+        this->socket.non_blocking(true, code);
+    if (code)
+        return fail(ErrorKind::Internal, "cannot listen for datagrams: " + code.message());
+    this->receiveNext();
+    this->scheduleGreetings();
+    return succeed();
+}
+
+void PeerExchange::setPeers(const std::vector<PeerEntry>& entries)
+{
+    const TimePoint now = bootNow();
+    std::map<VmId, Peer> updated;
+    for (const PeerEntry& entry : entries) {
+        if (entry.id == this->proxy.settings().vmId)
+            continue;
+        const auto known = this->peers.find(entry.id);
+        if (known != this->peers.end() && known->second.entry == entry)
+            updated.emplace(entry.id, known->second);
+        else
+            updated.emplace(entry.id, Peer { entry, now, TimePoint {}, TimePoint {} });
+    }
+    this->peers = std::move(updated);
+    this->updateFleetSize(now);
+}
+
+bool PeerExchange::isLive(const Peer& peer, TimePoint now) const
+{
+    return now < std::max(peer.heardAt, peer.knownSince) + peerSilence;
+}
+
+void PeerExchange::updateFleetSize(TimePoint now)
+{
+    const auto counted = std::count_if(this->peers.begin(), this->peers.end(),
+        [&](const auto& each) { return now < std::max(each.second.heardAt, each.second.knownSince) + peerForgotten; });
+    if (this->proxy.fleetSize() != static_cast<size_t>(counted) + 1)
+        this->proxy.setFleetSize(static_cast<size_t>(counted) + 1);
+}
+
+size_t PeerExchange::livePeers() const
+{
+    const TimePoint now = bootNow();
+    return static_cast<size_t>(
+        std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& each) { return this->isLive(each.second, now); }));
+}
+
+size_t PeerExchange::rankFor(std::string_view key) const
+{
+    const TimePoint now = bootNow();
+    const uint64_t own = rendezvousWeight(key, this->proxy.settings().vmId.value);
+    size_t rank = 0;
+    for (const auto& [id, peer] : this->peers) {
+        if (this->isLive(peer, now) && rendezvousWeight(key, id.value) > own)
+            ++rank;
+    }
+    return rank;
+}
+
+PeerExchange::Peer* PeerExchange::ledgerPeer(TimePoint now)
+{
+    Peer* best = nullptr;
+    uint64_t bestWeight = rendezvousWeight(ledgerKey, this->proxy.settings().vmId.value);
+    for (auto& [id, peer] : this->peers) {
+        if (!this->isLive(peer, now) || now < peer.avoidUntil)
+            continue;
+        const uint64_t weight = rendezvousWeight(ledgerKey, id.value);
+        if (weight > bestWeight) {
+            best = &peer;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+void PeerExchange::quotaTick()
+{
+    if (!this->proxy.isConfigured())
+        return;
+    const TimePoint now = bootNow();
+    if (this->askOutstanding) {
+        if (now < this->askSentAt + askTimeout)
+            return;
+        this->askOutstanding = false;
+        const auto silent = this->peers.find(this->askedPeer);
+        if (silent != this->peers.end())
+            silent->second.avoidUntil = now + avoidance;
+    }
+    QuotaShare& share = this->proxy.quota();
+    if (!share.isAskDue(now))
+        return;
+    const std::vector<QuotaAsk> asks = share.asks(now);
+    share.noteAsked(now);
+    Peer* peer = this->ledgerPeer(now);
+    if (!peer) {
+        const RouteTable& table = this->proxy.routeTable();
+        share.take(this->ledger.grant(this->proxy.settings().vmId, asks, table.organisations, this->proxy.fleetSize(), now), now, now);
+        this->proxy.serveQuotaWaiters();
+        return;
+    }
+    json::array list;
+    for (const QuotaAsk& ask : asks)
+        list.push_back(json::array { ask.organisation.value, ask.wanted, ask.unused });
+    this->askOutstanding = true;
+    this->askSentAt = now;
+    this->askedPeer = peer->entry.id;
+    this->sendTo(*peer,
+        json::serialize(json::object {
+            { "kind", askKind }, { "vm", this->proxy.settings().vmId.value }, { "number", ++this->askNumber }, { "list", list } }));
+}
+
+std::string PeerExchange::greeting() const
+{
+    return json::serialize(json::object { { "kind", greetingKind }, { "vm", this->proxy.settings().vmId.value },
+        { "configuration", this->proxy.isConfigured() ? this->proxy.routeTable().version : 0 } });
+}
+
+void PeerExchange::scheduleGreetings()
+{
+    this->greetingTimer.expires_after(greetingInterval);
+    this->greetingTimer.async_wait([this](const boost::system::error_code& code) {
+        if (code)
+            return;
+        this->greet();
+        this->scheduleGreetings();
+    });
+}
+
+void PeerExchange::greet()
+{
+    this->updateFleetSize(bootNow());
+    if (this->peers.empty())
+        return;
+    const std::string text = this->greeting();
+    for (size_t count = 0; count < std::min(greetedAtATime, this->peers.size()); ++count) {
+        auto peer = this->peers.begin();
+        std::advance(peer, this->nextPeer++ % this->peers.size());
+        this->sendTo(peer->second, text);
+    }
+}
+
+void PeerExchange::sendTo(const Peer& peer, const std::string& text)
+{
+    boost::system::error_code code;
+    const auto address = boost::asio::ip::make_address(peer.entry.control.address, code);
+    if (!code)
+        this->sendTo(Udp::endpoint(address, peer.entry.datagramPort), text);
+}
+
+void PeerExchange::sendTo(const Udp::endpoint& endpoint, const std::string& text)
+{
+    boost::system::error_code code;
+    this->socket.send_to(boost::asio::buffer(text), endpoint, 0, code);
+    if (code && code != boost::asio::error::would_block)
+        logEvent(LogLevel::Debug, "datagram not sent", { { "detail", code.message() } });
+}
+
+void PeerExchange::receiveNext()
+{
+    this->socket.async_receive_from(
+        boost::asio::buffer(this->buffer), this->sender, [this](const boost::system::error_code& code, size_t count) {
+            if (code == boost::asio::error::operation_aborted)
+                return;
+            if (!code)
+                this->handle({ this->buffer.data(), count }, this->sender);
+            this->receiveNext();
+        });
+}
+
+void PeerExchange::handle(std::string_view datagram, const Udp::endpoint& from)
+{
+    const Result<json::object> parsed = parseJsonObject(datagram);
+    const Result<std::string> kind = parsed ? stringMember(parsed.value(), "kind") : Result<std::string>(parsed.error());
+    const Result<std::string> vm = parsed ? stringMember(parsed.value(), "vm") : Result<std::string>(parsed.error());
+    if (!kind || !vm) {
+        logEvent(LogLevel::Debug, "datagram skipped", { { "detail", kind ? vm.error().detail : kind.error().detail } });
+        return;
+    }
+    const TimePoint now = bootNow();
+    const auto peer = this->peers.find(VmId(vm.value()));
+    if (peer != this->peers.end())
+        peer->second.heardAt = now;
+    const json::object& message = parsed.value();
+    if (kind.value() == greetingKind) {
+        const Result<uint64_t> version = unsignedMember(message, "configuration");
+        const uint64_t own = this->proxy.isConfigured() ? this->proxy.routeTable().version : 0;
+        if (version && version.value() > own && peer != this->peers.end())
+            this->newerConfiguration(peer->second.entry.control, version.value());
+        return;
+    }
+    const Result<json::array> list = arrayMember(message, "list");
+    const Result<uint64_t> number = unsignedMember(message, "number");
+    if (!list || !number)
+        return;
+    try {
+        if (kind.value() == askKind && this->proxy.isConfigured()) {
+            std::vector<QuotaAsk> asks;
+            for (const json::value& each : list.value()) {
+                const json::array& ask = each.as_array();
+                asks.push_back({ OrganisationId(std::string(std::string_view(ask.at(0).as_string()))), numberAt(ask, 1), numberAt(ask, 2) });
+            }
+            json::array grants;
+            const RouteTable& table = this->proxy.routeTable();
+            for (const QuotaGrant& grant : this->ledger.grant(VmId(vm.value()), asks, table.organisations, this->proxy.fleetSize(), now))
+                grants.push_back(json::array { grant.organisation.value, grant.tokens });
+            this->sendTo(from,
+                json::serialize(json::object { { "kind", grantKind }, { "vm", this->proxy.settings().vmId.value },
+                    { "number", number.value() }, { "list", grants } }));
+        } else if (kind.value() == grantKind && this->askOutstanding && number.value() == this->askNumber) {
+            this->askOutstanding = false;
+            std::vector<QuotaGrant> grants;
+            for (const json::value& each : list.value()) {
+                const json::array& grant = each.as_array();
+                grants.push_back({ OrganisationId(std::string(std::string_view(grant.at(0).as_string()))), numberAt(grant, 1) });
+            }
+            this->proxy.quota().take(grants, this->askSentAt, now);
+            this->proxy.serveQuotaWaiters();
+        }
+    } catch (const std::exception& error) {
+        logEvent(LogLevel::Debug, "datagram skipped", { { "detail", error.what() } });
+    }
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/limits/QuotaLedger.h"
+#include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/proxy/SessionProxy.h"
+
+#include <array>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace foxtail {
+
+// Another VM as the store lists it.
+struct PeerEntry {
+    VmId id;
+    // Where it answers requests for the configuration.
+    Endpoint control;
+    uint16_t datagramPort = 0;
+    bool operator==(const PeerEntry&) const = default;
+};
+
+// The datagrams between VMs: signs of life with the version of the configuration, and the loans of quotas.
+class PeerExchange {
+public:
+    // Told that a peer has a newer configuration.
+    using NewerConfiguration = std::function<void(const Endpoint&, uint64_t version)>;
+
+    PeerExchange(boost::asio::io_context&, SessionProxy&, NewerConfiguration);
+
+    // Opens the socket. Fails with Internal when it cannot be bound.
+    Result<void> start();
+    void setPeers(const std::vector<PeerEntry>&);
+    // Asks for a grant if one is due. Called often.
+    void quotaTick();
+    // The place of this VM among the live ones in an order that depends on the key; 0 is the first.
+    size_t rankFor(std::string_view key) const;
+    size_t livePeers() const;
+
+private:
+    struct Peer {
+        PeerEntry entry;
+        TimePoint knownSince {};
+        TimePoint heardAt {};
+        // After unanswered requests the peer is passed over until this time.
+        TimePoint avoidUntil {};
+    };
+    void receiveNext();
+    void handle(std::string_view datagram, const boost::asio::ip::udp::endpoint& from);
+    void scheduleGreetings();
+    void greet();
+    void sendTo(const boost::asio::ip::udp::endpoint&, const std::string&);
+    void sendTo(const Peer&, const std::string&);
+    bool isLive(const Peer&, TimePoint now) const;
+    std::string greeting() const;
+    // The VM that lends quotas to this one; empty for this VM itself.
+    Peer* ledgerPeer(TimePoint now);
+    void updateFleetSize(TimePoint now);
+
+    boost::asio::io_context& context;
+    SessionProxy& proxy;
+    NewerConfiguration newerConfiguration;
+    boost::asio::ip::udp::socket socket;
+    boost::asio::steady_timer greetingTimer;
+    boost::asio::ip::udp::endpoint sender;
+    std::array<char, 4096> buffer {};
+    std::map<VmId, Peer> peers;
+    size_t nextPeer = 0;
+    QuotaLedger ledger;
+    uint64_t askNumber = 0;
+    bool askOutstanding = false;
+    TimePoint askSentAt {};
+    VmId askedPeer;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -0,0 +1,123 @@
+#include "foxtailtrail/proxy/ProxySettings.h"
+
+#include <functional>
+#include <yaml-cpp/yaml.h>
+
+namespace foxtail {
+
+namespace {
+
+    // Reads the members of a settings document and collects the faults.
+    class Reader {
+    public:
+        Reader(std::string file, YAML::Node root)
+            : file(std::move(file))
+            , root(std::move(root))
+        {
+        }
+
+        template <typename T> T read(std::string_view section, std::string_view name, const char* allowed, bool required = true)
+        {
+            const YAML::Node node = this->find(section, name);
+            if (!node || node.IsNull()) {
+                if (required)
+                    this->fault(section, name, "is missing; it must be " + std::string(allowed));
+                return T {};
+            }
+            try {
+                return node.as<T>();
+            } catch (const YAML::Exception&) {
+                this->fault(section, name, "must be " + std::string(allowed));
+                return T {};
+            }
+        }
+
+        Endpoint endpoint(std::string_view section, std::string_view name, bool required = true)
+        {
+            const auto text = this->read<std::string>(section, name, "ADDRESS:PORT", required);
+            if (text.empty())
+                return {};
+            return this->parseEndpoint(section, name, text);
+        }
+
+        Endpoint parseEndpoint(std::string_view section, std::string_view name, const std::string& text)
+        {
+            const size_t colon = text.rfind(':');
+            char* end = nullptr;
+            const unsigned long port = colon == std::string::npos ? 0 : std::strtoul(text.c_str() + colon + 1, &end, 10);
+            if (colon == std::string::npos || colon == 0 || port == 0 || port > UINT16_MAX || *end != '\0') {
+                this->fault(section, name, "must be ADDRESS:PORT");
+                return {};
+            }
+            return { text.substr(0, colon), static_cast<uint16_t>(port) };
+        }
+
+        YAML::Node find(std::string_view section, std::string_view name) const
+        {
+            const YAML::Node parent = this->root[std::string(section)];
+            return parent && parent.IsMap() ? parent[std::string(name)] : YAML::Node(YAML::NodeType::Undefined);
+        }
+
+        void fault(std::string_view section, std::string_view name, const std::string& what)
+        {
+            this->faults.push_back(this->file + ": " + std::string(section) + "." + std::string(name) + " " + what);
+        }
+
+        std::vector<std::string> faults;
+
+    private:
+        std::string file;
+        YAML::Node root;
+    };
+
+    Duration milliseconds(double value) { return Duration(static_cast<Duration::rep>(value * 1000)); }
+
+    ProxySettings readAll(Reader& reader)
+    {
+        ProxySettings settings;
+        settings.vmId = VmId(reader.read<std::string>("vm", "id", "a name"));
+        settings.dataCentre = DataCentre(reader.read<std::string>("vm", "dataCentre", "a name"));
+        settings.region = Region(reader.read<std::string>("vm", "region", "a name"));
+        settings.regions = reader.read<std::map<std::string, std::string>>("vm", "regions", "a map from data centre to region", false);
+        settings.maxDescriptors = reader.read<uint32_t>("vm", "maxDescriptors", "a whole number", false);
+        settings.memoryMegabytes = reader.read<uint32_t>("vm", "memoryMegabytes", "a whole number", false);
+        settings.logLevel = reader.read<std::string>("vm", "logLevel", "debug, info, warning or error", false);
+        if (settings.logLevel.empty())
+            settings.logLevel = "info";
+        settings.callers = reader.endpoint("listen", "callers");
+        settings.ready = reader.endpoint("listen", "ready");
+        settings.peers = reader.endpoint("listen", "peers");
+        settings.datagramPort = reader.read<uint16_t>("listen", "datagramPort", "a port");
+        settings.metricsPort = reader.read<uint16_t>("listen", "metricsPort", "a port", false);
+        settings.store = reader.endpoint("platform", "store");
+        settings.promotions = reader.endpoint("platform", "promotions", false);
+        for (const std::string& seed : reader.read<std::vector<std::string>>("platform", "seeds", "a list of ADDRESS:PORT", false))
+            settings.seeds.push_back(reader.parseEndpoint("platform", "seeds", seed));
+        settings.stopGrace = milliseconds(1000 * reader.read<double>("bounds", "stopGraceSeconds", "a number of seconds"));
+        settings.quota.window = milliseconds(1000 * reader.read<double>("bounds", "quotaWindowSeconds", "a number of seconds"));
+        settings.quota.excessShare = reader.read<double>("bounds", "quotaExcess", "a share");
+        settings.quota.slack = reader.read<double>("bounds", "quotaSlack", "a number of operations");
+        return settings;
+    }
+
+}
+
+boost::outcome_v2::basic_result<ProxySettings, std::vector<std::string>, boost::outcome_v2::policy::terminate> readProxySettings(
+    const std::string& file)
+{
+    YAML::Node root;
+    try {
+        root = YAML::LoadFile(file);
+    } catch (const YAML::Exception& error) {
+        return boost::outcome_v2::failure(std::vector<std::string> { file + ": " + error.what() });
+    }
+    if (!root.IsMap())
+        return boost::outcome_v2::failure(std::vector<std::string> { file + ": the document must be a map of sections" });
+    Reader reader(file, root);
+    ProxySettings settings = readAll(reader);
+    if (!reader.faults.empty())
+        return boost::outcome_v2::failure(std::move(reader.faults));
+    return settings;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/limits/QuotaLedger.h"
+#include "foxtailtrail/net/HttpClient.h"
+
+#include <boost/outcome/result.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace foxtail {
+
+// The settings of a VM that runs on the platform. The file's own layout is YAML; docs/settings.md lists its names.
+struct ProxySettings {
+    VmId vmId;
+    DataCentre dataCentre;
+    Region region;
+    // From each data centre to its region.
+    std::map<std::string, std::string> regions;
+    Endpoint callers;
+    Endpoint ready;
+    // Where other VMs ask for the configuration.
+    Endpoint peers;
+    // Where other VMs send datagrams.
+    uint16_t datagramPort = 0;
+    uint16_t metricsPort = 0;
+    // The peer addresses of some VMs, of use when the store cannot be reached at the start.
+    std::vector<Endpoint> seeds;
+    Endpoint store;
+    Endpoint promotions;
+    // From the signal to stop to the kill.
+    Duration stopGrace { 0 };
+    QuotaBounds quota;
+    uint32_t maxDescriptors = 0;
+    uint32_t memoryMegabytes = 0;
+    std::string logLevel = "info";
+};
+
+// Reads and checks a settings file. Fails with one line a fault: file, name of the setting, and what is allowed.
+boost::outcome_v2::basic_result<ProxySettings, std::vector<std::string>, boost::outcome_v2::policy::terminate> readProxySettings(
+    const std::string& file);
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -0,0 +1,111 @@
+#include "foxtailtrail/proxy/ProxyVm.h"
+
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <boost/fiber/future.hpp>
+#include <csignal>
+
+namespace foxtail {
+
+namespace {
+
+    // The balancer takes a VM out of rotation after two probes, a second apart; idle sessions are closed after that.
+    constexpr Duration rotationDelay = std::chrono::milliseconds(2300);
+    // Before the kill, the process ends by itself.
+    constexpr Duration endMargin = std::chrono::milliseconds(500);
+    constexpr Duration stopPollInterval = std::chrono::milliseconds(50);
+
+}
+
+ProxyVm::ProxyVm(FiberThread& thread, const ProxySettings& settings, const ProxyPlatform& platform, std::function<void()> ended)
+    : thread(thread)
+    , settings(settings)
+    , ended(std::move(ended))
+    , store(platform.makeStore(settings))
+    , orders(platform.makeOrders(settings))
+    , proxy(thread.ioContext(), settings, platform.callers, platform.backends)
+    , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t) { this->follower.fetchFromPeer(peer); })
+    , follower(proxy, *store, platform.declarations, peers)
+    , succession(proxy, *store, *orders, [this](std::string_view key) { return this->peers.rankFor(key); })
+    , signals(thread.ioContext(), SIGTERM, SIGINT)
+{
+}
+
+Result<void> ProxyVm::start()
+{
+    this->proxy.setExaminer([this](const ServiceName& service, std::string_view reason) { this->succession.examine(service, reason); });
+    this->proxy.setQuotaTick([this] { this->peers.quotaTick(); });
+    BOOST_OUTCOME_TRY(this->peers.start());
+    HttpServerSettings ready;
+    ready.address = this->settings.ready.address;
+    ready.port = this->settings.ready.port;
+    ready.errorResponse = [](const Error&) { return HttpResponse { 400, "text/plain", {}, {} }; };
+    BOOST_OUTCOME_TRY(this->readyServer,
+        HttpServer::listen(this->thread, ready, [this](const HttpRequest& request) { return this->answerReady(request); }));
+    HttpServerSettings peer = ready;
+    peer.address = this->settings.peers.address;
+    peer.port = this->settings.peers.port;
+    BOOST_OUTCOME_TRY(this->peerServer,
+        HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->answerPeer(request); }));
+    BOOST_OUTCOME_TRY(this->proxy.listen());
+    this->follower.start();
+    this->waitForSignal();
+    logEvent(LogLevel::Info, "started", { { "dataCentre", this->settings.dataCentre.value }, { "region", this->settings.region.value } });
+    return succeed();
+}
+
+void ProxyVm::waitForSignal()
+{
+    this->signals.async_wait([this](const boost::system::error_code& code, int) {
+        if (!code && !this->isStopping)
+            startFiber([this] { this->stop(); });
+    });
+}
+
+void ProxyVm::stop()
+{
+    this->isStopping = true;
+    const TimePoint begun = bootNow();
+    const TimePoint end = begun + this->settings.stopGrace - endMargin;
+    logEvent(LogLevel::Info, "stopping", { { "sessions", this->proxy.sessionCount() } });
+    this->proxy.startDraining(begun + rotationDelay, begun + this->settings.stopGrace / 2);
+    while (bootNow() < end && (bootNow() < begun + rotationDelay || this->proxy.sessionCount() > 0))
+        sleepFor(stopPollInterval);
+    logEvent(LogLevel::Info, "stopped", { { "sessions", this->proxy.sessionCount() } });
+    this->ended();
+}
+
+bool ProxyVm::isReady() const { return !this->isStopping && this->proxy.isConfigured(); }
+
+HttpResponse ProxyVm::answerReady(const HttpRequest&) const { return HttpResponse { this->isReady() ? 200U : 503U, "text/plain", {}, {} }; }
+
+HttpResponse ProxyVm::answerPeer(const HttpRequest& request) const
+{
+    if (request.target != "/configuration" || this->follower.configurationDocument().empty())
+        return HttpResponse { 404, "text/plain", {}, {} };
+    return HttpResponse { 200, "application/json", {}, this->follower.configurationDocument() };
+}
+
+int ProxyVm::run(const ProxySettings& settings, const ProxyPlatform& platform)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::unique_ptr<FiberThread> thread = FiberThread::start("vm");
+    boost::fibers::promise<void> ended;
+    auto future = ended.get_future();
+    std::unique_ptr<ProxyVm> vm;
+    const Result<void> started = thread->call([&] {
+        vm.reset(new ProxyVm(*thread, settings, platform, [&ended] { ended.set_value(); }));
+        return vm->start();
+    });
+    if (!started) {
+        logEvent(LogLevel::Error, "start failed", { { "detail", started.error().detail } });
+        std::_Exit(EXIT_FAILURE);
+    }
+    future.wait();
+    // Fibers still wait for the store; the process ends without them.
+    std::_Exit(EXIT_SUCCESS);
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ServerCommands.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "foxtailtrail/failover/SuccessionPlan.h"
+#include "foxtailtrail/proxy/BackendLink.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace foxtail {
+
+// Sends orders to the backend servers of one group over connections of its own, which it keeps while it lives. Used by a fiber.
+class ServerCommands {
+public:
+    ServerCommands(boost::asio::io_context&, const BackendCodec&);
+    ~ServerCommands();
+
+    ServerCommands(const ServerCommands&) = delete;
+    ServerCommands& operator=(const ServerCommands&) = delete;
+
+    // Sends the order to all servers at once and waits until each has answered or the timeout is over. The statuses are in the
+    // order of the servers.
+    std::vector<ProbedStatus> askAll(const std::vector<ServerEntry>&, ServerOrder, Term, Duration timeout);
+
+private:
+    class Exchange;
+    boost::asio::io_context& context;
+    const BackendCodec& codec;
+    std::map<BackendServerId, std::shared_ptr<BackendLink>> links;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ServerPool.cpp
@@ -0,0 +1,233 @@
+#include "foxtailtrail/proxy/ServerPool.h"
+
+#include "foxtailtrail/proxy/BootClock.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace foxtail {
+
+namespace {
+
+    // A connection across regions takes about 30 ms; a full accept queue or a silent machine takes longer than this.
+    constexpr Duration openTimeout = std::chrono::milliseconds(500);
+    // Pause before the next connection after the server refused one as too many.
+    constexpr Duration fullPause = std::chrono::milliseconds(60);
+    // Idle connections beyond those that are kept are closed after this time.
+    constexpr Duration surplusIdleTime = std::chrono::milliseconds(1500);
+    // The backend servers close idle connections after a minute; this VM does so before.
+    constexpr Duration maxIdleTime = std::chrono::seconds(20);
+
+}
+
+ServerPool::ServerPool(boost::asio::io_context& context, const BackendCodec& codec, ServerEntry entry, OpeningObserver observer)
+    : context(context)
+    , codec(codec)
+    , entry(std::move(entry))
+    , observer(std::move(observer))
+{
+}
+
+uint64_t ServerPool::acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, Callback callback)
+{
+    if (this->retired) {
+        callback(Acquisition::Gone, nullptr);
+        return 0;
+    }
+    if (std::shared_ptr<BackendLink> free = this->takeFree(organisation)) {
+        ++this->counts.reused;
+        callback(Acquisition::Acquired, free);
+        return 0;
+    }
+    const uint64_t ticket = this->nextTicket++;
+    // Higher priorities first, in the order of arrival within one.
+    const auto place
+        = std::find_if(this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.priority > priority; });
+    this->waiters.insert(place, Waiter { ticket, organisation, priority, giveUpAt, std::move(callback) });
+    this->serveWaiters();
+    return ticket;
+}
+
+void ServerPool::cancel(uint64_t ticket)
+{
+    this->waiters.remove_if([&](const Waiter& waiter) { return waiter.ticket == ticket; });
+}
+
+std::shared_ptr<BackendLink> ServerPool::takeFree(const std::string& organisation)
+{
+    for (auto link = this->idle.rbegin(); link != this->idle.rend(); ++link) {
+        if ((*link)->organisation() != organisation)
+            continue;
+        std::shared_ptr<BackendLink> free = *link;
+        this->idle.erase(std::next(link).base());
+        if (!free->isClean())
+            return this->takeFree(organisation);
+        ++this->inUse;
+        return free;
+    }
+    return nullptr;
+}
+
+bool ServerPool::hasFree(const std::string& organisation) const
+{
+    return std::any_of(this->idle.begin(), this->idle.end(),
+        [&](const std::shared_ptr<BackendLink>& link) { return link->organisation() == organisation; });
+}
+
+size_t ServerPool::openingsFor(const std::string& organisation) const
+{
+    return static_cast<size_t>(std::count_if(this->opening.begin(), this->opening.end(),
+        [&](const Opening& each) { return each.link && each.link->organisation() == organisation; }));
+}
+
+void ServerPool::serveWaiters()
+{
+    // Free connections first.
+    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
+        std::shared_ptr<BackendLink> free = this->takeFree(waiter->organisation);
+        if (!free) {
+            ++waiter;
+            continue;
+        }
+        const Callback callback = std::move(waiter->callback);
+        this->waiters.erase(waiter);
+        ++this->counts.reused;
+        callback(Acquisition::Acquired, free);
+        // The callback may have changed the list.
+        waiter = this->waiters.begin();
+    }
+    if (bootNow() < this->fullUntil || this->retired)
+        return;
+    // One opening for each waiter without one, within the budget; a free connection of another organisation makes room.
+    std::map<std::string, size_t> wanted;
+    for (const Waiter& waiter : this->waiters)
+        ++wanted[waiter.organisation];
+    for (const auto& [organisation, count] : wanted) {
+        for (size_t openings = this->openingsFor(organisation); openings < count; ++openings) {
+            if (this->size() >= this->budget) {
+                if (this->idle.empty())
+                    return;
+                const std::shared_ptr<BackendLink> oldest = this->idle.front();
+                this->idle.pop_front();
+                ++this->counts.evicted;
+                std::string farewell;
+                this->codec.writeTerminate(farewell);
+                oldest->setUser(nullptr);
+                oldest->send(farewell);
+                oldest->close();
+            }
+            this->openFor(organisation);
+        }
+    }
+}
+
+void ServerPool::openFor(const std::string& organisation)
+{
+    ++this->counts.opened;
+    auto self = this->shared_from_this();
+    auto link = BackendLink::open(this->context, this->codec, this->entry, organisation,
+        [self](LinkOpening how, const std::shared_ptr<BackendLink>& openedLink) { self->opened(how, openedLink); });
+    this->opening.push_back({ std::move(link), bootNow() + openTimeout });
+}
+
+void ServerPool::opened(LinkOpening how, const std::shared_ptr<BackendLink>& link)
+{
+    this->opening.remove_if([&](const Opening& each) { return each.link == link; });
+    this->observer(this->entry.id, how, std::nullopt);
+    if (how == LinkOpening::Opened) {
+        link->idleSince = bootNow();
+        this->idle.push_back(link);
+        this->serveWaiters();
+        return;
+    }
+    if (how == LinkOpening::TooMany) {
+        // Those that wait are served by connections that come free, or by the next opening.
+        ++this->counts.refusedFull;
+        this->fullUntil = bootNow() + fullPause;
+        return;
+    }
+    this->failWaiters(how == LinkOpening::Refused ? Acquisition::Refused
+            : how == LinkOpening::Misrouted       ? Acquisition::Gone
+                                                  : Acquisition::Unreachable);
+}
+
+void ServerPool::failWaiters(Acquisition outcome)
+{
+    std::list<Waiter> failed;
+    failed.swap(this->waiters);
+    for (Waiter& waiter : failed)
+        waiter.callback(outcome, nullptr);
+}
+
+void ServerPool::release(const std::shared_ptr<BackendLink>& link)
+{
+    assert(this->inUse > 0);
+    --this->inUse;
+    link->setUser(nullptr);
+    if (!link->isClean() || this->retired) {
+        link->close();
+    } else {
+        link->idleSince = bootNow();
+        this->idle.push_back(link);
+    }
+    this->serveWaiters();
+}
+
+void ServerPool::drop(const std::shared_ptr<BackendLink>& link)
+{
+    assert(this->inUse > 0);
+    --this->inUse;
+    link->setUser(nullptr);
+    link->close();
+    this->serveWaiters();
+}
+
+void ServerPool::setBudget(size_t most, size_t kept)
+{
+    this->budget = std::max<size_t>(1, most);
+    this->keptIdle = kept;
+}
+
+void ServerPool::sweep(TimePoint now)
+{
+    std::list<std::shared_ptr<BackendLink>> overdue;
+    for (const Opening& each : this->opening) {
+        if (each.deadline <= now)
+            overdue.push_back(each.link);
+    }
+    for (const auto& link : overdue)
+        link->abandonOpening();
+
+    std::list<Waiter> late;
+    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
+        auto next = std::next(waiter);
+        if (waiter->giveUpAt <= now)
+            late.splice(late.end(), this->waiters, waiter);
+        waiter = next;
+    }
+    for (Waiter& waiter : late)
+        waiter.callback(Acquisition::Full, nullptr);
+
+    this->idle.remove_if([&](const std::shared_ptr<BackendLink>& link) { return !link->isClean(); });
+    while (!this->idle.empty()) {
+        const Duration limit = this->size() > this->keptIdle ? surplusIdleTime : maxIdleTime;
+        if (this->idle.front()->idleSince + limit > now)
+            break;
+        this->idle.front()->close();
+        this->idle.pop_front();
+    }
+    if (!this->waiters.empty())
+        this->serveWaiters();
+}
+
+void ServerPool::retire()
+{
+    this->retired = true;
+    for (const auto& link : this->idle)
+        link->close();
+    this->idle.clear();
+    this->failWaiters(Acquisition::Gone);
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ServerPool.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/proxy/BackendLink.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace foxtail {
+
+// How a request for a connection ended.
+enum class Acquisition : uint8_t {
+    Acquired,
+    Refused,
+    Unreachable,
+    // All connections that this VM may hold, or the server accepts, are in use.
+    Full,
+    // The address belongs to another server, or this one is gone.
+    Gone,
+};
+
+// Counts of one pool for metrics and operators.
+struct PoolCounters {
+    uint64_t opened = 0;
+    uint64_t reused = 0;
+    uint64_t evicted = 0;
+    uint64_t refusedFull = 0;
+};
+
+// This VM's connections to one backend server. A connection belongs to one organisation; a free one of another organisation is
+// closed to make room when the VM's budget is used up.
+class ServerPool : public std::enable_shared_from_this<ServerPool> {
+public:
+    using Callback = std::function<void(Acquisition, std::shared_ptr<BackendLink>)>;
+    // Told of each opening's end, for the detection of failures.
+    using OpeningObserver = std::function<void(const BackendServerId&, LinkOpening, const std::optional<LogPoint>&)>;
+
+    ServerPool(boost::asio::io_context&, const BackendCodec&, ServerEntry, OpeningObserver);
+
+    // Asks for a connection for the organisation. The callback may run before the call returns. Returns a ticket for cancel(), or 0.
+    uint64_t acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, Callback);
+    // Withdraws a request whose callback has not run.
+    void cancel(uint64_t ticket);
+    // Gives a connection back. One that is not clean is closed.
+    void release(const std::shared_ptr<BackendLink>&);
+    // Forgets a connection that is lost or was closed by its user.
+    void drop(const std::shared_ptr<BackendLink>&);
+
+    bool hasFree(const std::string& organisation) const;
+    // Statements that run on the server or wait for a connection.
+    uint32_t outstanding() const { return static_cast<uint32_t>(this->inUse + this->waiters.size()); }
+    // Connections, open or being opened.
+    size_t size() const { return this->inUse + this->idle.size() + this->opening.size(); }
+
+    // Sets how many connections this VM may hold, and how many it keeps when they are idle.
+    void setBudget(size_t most, size_t kept);
+    // Ends overdue requests and openings, and closes connections that have been idle for long.
+    void sweep(TimePoint now);
+    // Closes the idle connections and refuses new requests: the server leaves.
+    void retire();
+
+    const ServerEntry& server() const { return this->entry; }
+    void updateEntry(const ServerEntry& changed) { this->entry = changed; }
+    const PoolCounters& counters() const { return this->counts; }
+
+private:
+    struct Waiter {
+        uint64_t ticket = 0;
+        std::string organisation;
+        uint32_t priority = 0;
+        TimePoint giveUpAt {};
+        Callback callback;
+    };
+    struct Opening {
+        std::shared_ptr<BackendLink> link;
+        TimePoint deadline {};
+    };
+    std::shared_ptr<BackendLink> takeFree(const std::string& organisation);
+    void openFor(const std::string& organisation);
+    void opened(LinkOpening, const std::shared_ptr<BackendLink>&);
+    void serveWaiters();
+    // Openings under way for an organisation.
+    size_t openingsFor(const std::string& organisation) const;
+    void failWaiters(Acquisition);
+
+    boost::asio::io_context& context;
+    const BackendCodec& codec;
+    ServerEntry entry;
+    OpeningObserver observer;
+    std::list<Waiter> waiters;
+    // The most recently used connection is at the back.
+    std::list<std::shared_ptr<BackendLink>> idle;
+    std::list<Opening> opening;
+    size_t inUse = 0;
+    size_t budget = 2;
+    size_t keptIdle = 1;
+    // After a refusal for too many connections, none is opened until this time.
+    TimePoint fullUntil {};
+    uint64_t nextTicket = 1;
+    bool retired = false;
+    PoolCounters counts;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -0,0 +1,316 @@
+#include "foxtailtrail/proxy/SessionProxy.h"
+
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace foxtail {
+
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+    constexpr Duration sweepInterval = std::chrono::milliseconds(50);
+    // Callers close a session whose start has no answer within two seconds.
+    constexpr Duration configurationWait = std::chrono::milliseconds(1500);
+    // A grant takes one round trip to the ledger; across regions about 20 ms.
+    constexpr Duration quotaWait = std::chrono::milliseconds(200);
+    // The share of a server's connections that traffic may take; the rest is for promotions and VMs that start.
+    constexpr double trafficShareOfConnections = 0.9;
+    // How far one VM may exceed its equal part while others use less.
+    constexpr double budgetOvercommitment = 2.0;
+
+}
+
+SessionProxy::SessionProxy(boost::asio::io_context& context, ProxySettings settings, const CallerCodec& callers, const BackendCodec& backends)
+    : context(context)
+    , proxySettings(std::move(settings))
+    , callers(callers)
+    , backends(backends)
+    , acceptor(context)
+    , sweepTimer(context)
+    , quotaShare(proxySettings.quota)
+{
+}
+
+SessionProxy::~SessionProxy() = default;
+
+Result<void> SessionProxy::listen()
+{
+    boost::system::error_code code;
+    const Tcp::endpoint endpoint(
+        boost::asio::ip::make_address(this->proxySettings.callers.address, code), this->proxySettings.callers.port);
+    if (!code)
+        this->acceptor.open(endpoint.protocol(), code);
+    if (!code)
+        this->acceptor.set_option(Tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        this->acceptor.bind(endpoint, code);
+    if (!code)
+        this->acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
+    if (code)
+        return fail(ErrorKind::Internal, "cannot listen for callers: " + code.message());
+    this->acceptNext();
+    this->scheduleSweep();
+    return succeed();
+}
+
+void SessionProxy::acceptNext()
+{
+    this->acceptor.async_accept([this](const boost::system::error_code& code, Tcp::socket socket) {
+        if (code == boost::asio::error::operation_aborted)
+            return;
+        if (!code) {
+            const auto connection = CallerConnection::accept(std::move(socket), *this);
+            this->connections.emplace(connection.get(), connection);
+        } else {
+            logEvent(LogLevel::Warning, "accept failed", { { "detail", code.message() } });
+        }
+        this->acceptNext();
+    });
+}
+
+bool SessionProxy::install(std::shared_ptr<const RouteTable> newer)
+{
+    if (this->table && newer->version <= this->table->version)
+        return false;
+    this->table = std::move(newer);
+    logEvent(LogLevel::Info, "configuration installed",
+        { { "version", this->table->version }, { "routes", this->table->routes.size() },
+            { "organisations", this->table->organisations.size() } });
+    this->updateBudgets();
+    std::list<ConfigurationWaiter> waiting;
+    waiting.swap(this->configurationWaiters);
+    for (ConfigurationWaiter& waiter : waiting)
+        waiter.callback(true);
+    return true;
+}
+
+void SessionProxy::whenConfigured(std::function<void(bool)> callback)
+{
+    if (this->table)
+        callback(true);
+    else
+        this->configurationWaiters.push_back({ bootNow() + configurationWait, std::move(callback) });
+}
+
+void SessionProxy::changeDirectory(const std::function<void(ServerDirectory&)>& change)
+{
+    change(this->servers);
+    for (const auto& [service, group] : this->groups) {
+        for (const ServerEntry* entry : this->servers.members(service)) {
+            const auto found = this->pools.find(entry->id);
+            if (found != this->pools.end())
+                found->second->updateEntry(*entry);
+        }
+    }
+    const auto current = this->groups;
+    for (const auto& [service, group] : current)
+        group->directoryChanged();
+}
+
+void SessionProxy::examineLeavingPrimaries()
+{
+    if (!this->table)
+        return;
+    for (const auto& [name, settings] : this->table->groups) {
+        const std::optional<LeaderView> leader = this->servers.leader(settings.service);
+        const ServerEntry* entry = leader ? this->servers.find(leader->server) : nullptr;
+        if (entry && leader->settled && (entry->draining || this->servers.isRemoved(entry->id)))
+            this->examineGroup(settings.service, "the primary leaves");
+    }
+}
+
+void SessionProxy::retireMissingPools()
+{
+    for (auto pool = this->pools.begin(); pool != this->pools.end();) {
+        if (this->servers.find(pool->first)) {
+            ++pool;
+            continue;
+        }
+        const std::shared_ptr<ServerPool> retired = pool->second;
+        pool = this->pools.erase(pool);
+        retired->retire();
+    }
+}
+
+void SessionProxy::setFleetSize(size_t vms)
+{
+    this->vmCount = std::max<size_t>(1, vms);
+    this->updateBudgets();
+}
+
+void SessionProxy::updateBudgets()
+{
+    if (!this->table)
+        return;
+    for (const auto& [id, pool] : this->pools) {
+        const auto group = this->table->groups.find(pool->server().service.value);
+        if (group == this->table->groups.end())
+            continue;
+        const double part = group->second.maxConnections * trafficShareOfConnections / static_cast<double>(this->vmCount);
+        const auto most = static_cast<size_t>(std::max(2.0, part * budgetOvercommitment));
+        pool->setBudget(most, static_cast<size_t>(std::max(1.0, part)));
+    }
+}
+
+std::shared_ptr<GroupTraffic> SessionProxy::group(const ServiceName& service)
+{
+    std::shared_ptr<GroupTraffic>& group = this->groups[service];
+    if (!group)
+        group = std::make_shared<GroupTraffic>(service, *this);
+    return group;
+}
+
+std::shared_ptr<ServerPool> SessionProxy::pool(const BackendServerId& id)
+{
+    const auto found = this->pools.find(id);
+    if (found != this->pools.end())
+        return found->second;
+    const ServerEntry* entry = this->servers.find(id);
+    if (!entry)
+        return nullptr;
+    auto observer = [this](const BackendServerId& server, LinkOpening how, const std::optional<LogPoint>&) {
+        if (how == LinkOpening::Opened || how == LinkOpening::TooMany)
+            return;
+        const ServerEntry* failed = this->servers.find(server);
+        if (failed)
+            this->group(failed->service)->noteFailure(server, bootNow());
+    };
+    auto pool = std::make_shared<ServerPool>(this->context, this->backends, *entry, std::move(observer));
+    this->pools.emplace(id, pool);
+    this->updateBudgets();
+    return pool;
+}
+
+Distance SessionProxy::distanceTo(const ServerEntry& entry) const
+{
+    if (entry.dataCentre == this->proxySettings.dataCentre)
+        return Distance::SameDataCentre;
+    const auto region = this->proxySettings.regions.find(entry.dataCentre.value);
+    const bool same = region != this->proxySettings.regions.end() && region->second == this->proxySettings.region.value;
+    return same ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+void SessionProxy::examineGroup(const ServiceName& service, std::string_view reason)
+{
+    if (this->examine)
+        this->examine(service, reason);
+}
+
+void SessionProxy::admit(const OrganisationLimit& limit, std::function<void(bool)> callback)
+{
+    const TimePoint now = bootNow();
+    const QuotaVerdict verdict = this->quotaShare.admit(limit, this->vmCount, now);
+    if (verdict == QuotaVerdict::Wait)
+        this->quotaWaiters.push_back({ limit, now + quotaWait, std::move(callback) });
+    else
+        callback(verdict == QuotaVerdict::Admitted);
+    if (this->quotaTick)
+        this->quotaTick();
+}
+
+void SessionProxy::serveQuotaWaiters()
+{
+    std::list<QuotaWaiter> waiting;
+    waiting.swap(this->quotaWaiters);
+    const TimePoint now = bootNow();
+    for (QuotaWaiter& waiter : waiting) {
+        const QuotaVerdict verdict = this->quotaShare.admit(waiter.limit, this->vmCount, now, true);
+        if (verdict == QuotaVerdict::Wait && now < waiter.giveUpAt)
+            this->quotaWaiters.push_back(std::move(waiter));
+        else
+            waiter.callback(verdict == QuotaVerdict::Admitted);
+    }
+}
+
+void SessionProxy::forget(CallerConnection& connection)
+{
+    this->working.erase(&connection);
+    this->connections.erase(&connection);
+}
+
+void SessionProxy::noteWork(CallerConnection& connection) { this->working.insert(&connection); }
+
+void SessionProxy::countServed(Duration) { ++this->counts.served; }
+
+void SessionProxy::countRefusal(ErrorKind kind) { ++this->counts.refusals[kind]; }
+
+void SessionProxy::logRequest(const std::string& id, const std::string& database, const std::string& organisation, ErrorKind kind,
+    std::string_view detail, Duration elapsed) const
+{
+    logEvent(LogLevel::Info, "request refused",
+        { { "request", id }, { "database", database }, { "organisation", organisation }, { "error", errorKindRow(kind).name },
+            { "detail", detail }, { "elapsedMs", toMilliseconds(elapsed) } });
+}
+
+void SessionProxy::post(std::function<void()> task) { boost::asio::post(this->context, std::move(task)); }
+
+void SessionProxy::startDraining(TimePoint closeIdle, TimePoint endTransactions)
+{
+    this->draining = true;
+    this->closeIdleFrom = closeIdle;
+    this->endTransactionsAt = endTransactions;
+}
+
+void SessionProxy::scheduleSweep()
+{
+    this->sweepTimer.expires_after(sweepInterval);
+    this->sweepTimer.async_wait([this](const boost::system::error_code& code) {
+        if (code)
+            return;
+        this->sweep();
+        this->scheduleSweep();
+    });
+}
+
+void SessionProxy::sweep()
+{
+    const TimePoint now = bootNow();
+    const std::vector<CallerConnection*> active(this->working.begin(), this->working.end());
+    for (CallerConnection* connection : active) {
+        const auto found = this->connections.find(connection);
+        if (found == this->connections.end())
+            continue;
+        const auto keep = found->second;
+        keep->sweep(now);
+        if (!keep->hasWork())
+            this->working.erase(connection);
+    }
+    const auto currentPools = this->pools;
+    for (const auto& [id, pool] : currentPools)
+        pool->sweep(now);
+    const auto currentGroups = this->groups;
+    for (const auto& [service, group] : currentGroups)
+        group->sweep(now);
+    if (this->quotaTick)
+        this->quotaTick();
+    if (!this->quotaWaiters.empty())
+        this->serveQuotaWaiters();
+    this->examineLeavingPrimaries();
+    std::list<ConfigurationWaiter> late;
+    while (!this->configurationWaiters.empty() && this->configurationWaiters.front().giveUpAt <= now)
+        late.splice(late.end(), this->configurationWaiters, this->configurationWaiters.begin());
+    for (ConfigurationWaiter& waiter : late)
+        waiter.callback(false);
+    if (!this->servers.expire(now).empty()) {
+        this->retireMissingPools();
+        this->changeDirectory([](ServerDirectory&) {});
+    }
+    if (!this->draining)
+        return;
+    const auto sessions = this->connections;
+    const bool endTransactions = now >= this->endTransactionsAt && !std::exchange(this->transactionsEnded, now >= this->endTransactionsAt);
+    for (const auto& [address, connection] : sessions) {
+        if (endTransactions)
+            connection->endTransactionForStop();
+        if (now >= this->closeIdleFrom && connection->isIdle())
+            connection->shut();
+    }
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "foxtailtrail/base/ErrorKind.h"
+#include "foxtailtrail/config/RouteTable.h"
+#include "foxtailtrail/limits/QuotaShare.h"
+#include "foxtailtrail/proxy/CallerCodec.h"
+#include "foxtailtrail/proxy/CallerConnection.h"
+#include "foxtailtrail/proxy/GroupTraffic.h"
+#include "foxtailtrail/proxy/ProxySettings.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace foxtail {
+
+// What the VM has served and refused, for metrics.
+struct ProxyCounters {
+    uint64_t served = 0;
+    std::map<ErrorKind, uint64_t> refusals;
+};
+
+// The session path of a VM: callers' connections, the pools of backend connections, and what traffic shows about the groups. All
+// of it runs on one thread.
+class SessionProxy final : public GroupHost {
+public:
+    using Examine = std::function<void(const ServiceName&, std::string_view reason)>;
+
+    SessionProxy(boost::asio::io_context&, ProxySettings, const CallerCodec&, const BackendCodec&);
+    ~SessionProxy() override;
+
+    // Starts to accept callers. Fails with Internal when the address cannot be bound.
+    Result<void> listen();
+    // Sets who examines groups whose primary is in doubt.
+    void setExaminer(Examine examiner) { this->examine = std::move(examiner); }
+
+    // Sets who asks for grants of quotas; called when one may be due.
+    void setQuotaTick(std::function<void()> tick) { this->quotaTick = std::move(tick); }
+
+    // Installs a configuration. One that is not newer than the installed one is ignored. Returns whether it was installed.
+    bool install(std::shared_ptr<const RouteTable>);
+    bool isConfigured() const { return this->table != nullptr; }
+    const RouteTable& routeTable() const { return *this->table; }
+    // Calls back once a configuration is there, or with false after a bounded time.
+    void whenConfigured(std::function<void(bool)>);
+
+    // Changes the directory and tells the groups.
+    void changeDirectory(const std::function<void(ServerDirectory&)>&);
+    // Sets the number of VMs that share quotas and connections.
+    void setFleetSize(size_t vms);
+    size_t fleetSize() const { return this->vmCount; }
+
+    // Admits an operation of the organisation, perhaps after waiting for a grant.
+    void admit(const OrganisationLimit&, std::function<void(bool)>);
+    QuotaShare& quota() { return this->quotaShare; }
+    // Serves the operations that wait for a grant.
+    void serveQuotaWaiters();
+
+    // Stops to keep callers: idle sessions are closed from the first time on, open transactions are ended at the second.
+    void startDraining(TimePoint closeIdleFrom, TimePoint endTransactionsAt);
+    size_t sessionCount() const { return this->connections.size(); }
+
+    std::shared_ptr<GroupTraffic> group(const ServiceName&);
+    void forget(CallerConnection&);
+    void noteWork(CallerConnection&);
+    void noteFailure(ErrorKind) { }
+    void countServed(Duration latency);
+    void countRefusal(ErrorKind);
+    // Logs a request that was not served.
+    void logRequest(const std::string& id, const std::string& database, const std::string& organisation, ErrorKind, std::string_view detail,
+        Duration elapsed) const;
+    void post(std::function<void()>);
+    boost::asio::io_context& ioContext() { return this->context; }
+    const CallerCodec& callerCodec() const { return this->callers; }
+    const ProxyCounters& counters() const { return this->counts; }
+    const ProxySettings& settings() const { return this->proxySettings; }
+
+    // GroupHost
+    const ServerDirectory& directory() const override { return this->servers; }
+    std::shared_ptr<ServerPool> pool(const BackendServerId&) override;
+    Distance distanceTo(const ServerEntry&) const override;
+    const BackendCodec& backendCodec() const override { return this->backends; }
+    void examineGroup(const ServiceName&, std::string_view reason) override;
+
+private:
+    struct ConfigurationWaiter {
+        TimePoint giveUpAt {};
+        std::function<void(bool)> callback;
+    };
+    struct QuotaWaiter {
+        OrganisationLimit limit;
+        TimePoint giveUpAt {};
+        std::function<void(bool)> callback;
+    };
+    void acceptNext();
+    void scheduleSweep();
+    void sweep();
+    void updateBudgets();
+    void retireMissingPools();
+    // Has primaries replaced that drain or have left the list.
+    void examineLeavingPrimaries();
+
+    boost::asio::io_context& context;
+    ProxySettings proxySettings;
+    const CallerCodec& callers;
+    const BackendCodec& backends;
+    boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer sweepTimer;
+    Examine examine;
+    std::function<void()> quotaTick;
+    std::shared_ptr<const RouteTable> table;
+    std::list<ConfigurationWaiter> configurationWaiters;
+    ServerDirectory servers;
+    std::map<ServiceName, std::shared_ptr<GroupTraffic>> groups;
+    std::map<BackendServerId, std::shared_ptr<ServerPool>> pools;
+    QuotaShare quotaShare;
+    std::list<QuotaWaiter> quotaWaiters;
+    size_t vmCount = 1;
+    std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections;
+    // The connections with a request or transaction under way.
+    std::set<CallerConnection*> working;
+    bool draining = false;
+    TimePoint closeIdleFrom {};
+    TimePoint endTransactionsAt {};
+    bool transactionsEnded = false;
+    ProxyCounters counts;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "foxtailtrail/base/ErrorKind.h"
+#include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/config/RouteTable.h"
+#include "foxtailtrail/proxy/BackendLink.h"
+#include "foxtailtrail/proxy/GroupTraffic.h"
+#include "foxtailtrail/proxy/ServerPool.h"
+#include "foxtailtrail/session/SessionState.h"
+#include "foxtailtrail/session/SessionStatement.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtail {
+
+// A connection that a transaction holds.
+struct PinnedLink {
+    std::shared_ptr<ServerPool> pool;
+    std::shared_ptr<BackendLink> link;
+    explicit operator bool() const { return this->link != nullptr; }
+};
+
+// What a statement run needs of its session.
+struct StatementTask {
+    std::string id;
+    SessionStatement statement;
+    // Whether the statement writes; for Execute, that of its prepared statement.
+    bool writes = false;
+    // The prepared statement that Execute names.
+    std::optional<PreparedStatement> prepared;
+    DatabaseRoute route;
+    std::string organisation;
+    // When the operation's first byte arrived: its reads may be this old and older.
+    TimePoint operationStart {};
+    TimePoint deadline {};
+};
+
+// How a statement ended.
+struct RunResult {
+    // Set when a backend server answered; otherwise the error kind tells what happened.
+    std::optional<LinkReply> reply;
+    ErrorKind error = ErrorKind::Internal;
+    std::string detail;
+    BackendServerId server;
+    uint32_t attempts = 0;
+};
+
+// Runs one statement of a session on a backend server: chooses the server, takes a connection, brings it to the session's state,
+// sends the statement, and tries again elsewhere while that is safe. A statement that may have run is repeated only if it reads
+// and its transaction has seen no earlier answer.
+class StatementRun final : public LinkUser, public std::enable_shared_from_this<StatementRun> {
+public:
+    using Callback = std::function<void(RunResult&&)>;
+
+    // Starts the run. The session outlives it. The pinned link is that of the open transaction; an empty one is filled when the
+    // transaction's first statement has run. The callback is called once, not before start() returns.
+    static std::shared_ptr<StatementRun> start(
+        boost::asio::io_context&, GroupHost&, std::shared_ptr<GroupTraffic>, const SessionState&, PinnedLink& pinned, StatementTask, Callback);
+
+    // Ends attempts and the whole run when their time is over.
+    void sweep(TimePoint now);
+    // The caller is gone: nothing more is tried. The connection is given up if a statement is under way.
+    void abandon();
+    bool isFinished() const { return this->finished; }
+
+private:
+    enum class Phase : uint8_t {
+        Choosing,
+        Acquiring,
+        Restoring,
+        Running,
+        Pausing,
+    };
+
+    StatementRun(boost::asio::io_context&, GroupHost&, std::shared_ptr<GroupTraffic>, const SessionState&, PinnedLink&, StatementTask, Callback);
+    bool inTransaction() const { return this->session.transaction() == TransactionState::Open; }
+    // Whether only the primary may run the statement.
+    bool needsPrimary() const;
+    LeaderNeed leaderNeed() const;
+    // Whether an attempt that may have run can be repeated.
+    bool mayRepeat() const;
+    void next();
+    void chooseReplica();
+    void choosePrimary();
+    void acquire(const BackendServerId&);
+    void acquired(Acquisition, const std::shared_ptr<BackendLink>&);
+    void prepareLink();
+    void sendStatement();
+    void linkReplied(LinkReply&&) override;
+    void linkLost() override;
+    void restoreReplied(const LinkReply&);
+    void statementReplied(LinkReply&&);
+    // Handles a refusal that proves that the statement did not run.
+    void refused(const LinkReply&);
+    // Handles the loss of the answer to a statement that may have run.
+    void answerLost(std::string_view why);
+    // Gives the connection back or closes it, unless the transaction keeps it.
+    void releaseLink();
+    void dropLink();
+    void retryAfter(Duration pause);
+    void succeed(LinkReply&&);
+    void fail(ErrorKind, std::string detail);
+    void finish(RunResult&&);
+
+    boost::asio::io_context& context;
+    GroupHost& host;
+    std::shared_ptr<GroupTraffic> group;
+    const SessionState& session;
+    PinnedLink& pinned;
+    StatementTask task;
+    Callback callback;
+
+    Phase phase = Phase::Choosing;
+    // The connection of this run: the pinned one or one of its own.
+    PinnedLink held;
+    // The transaction's first statement: the connection does not belong to a transaction yet.
+    bool beginsTransaction = false;
+    bool floorRequired = false;
+    std::optional<LogPoint> floor;
+    std::vector<BackendServerId> excluded;
+    BackendServerId target;
+    uint64_t acquireTicket = 0;
+    uint64_t leaderTicket = 0;
+    size_t restoresOutstanding = 0;
+    bool restoreFailed = false;
+    // Why the last attempt did not run, for the refusal if none does.
+    ErrorKind lastObstacle = ErrorKind::Overloaded;
+    TimePoint attemptDeadline {};
+    TimePoint pauseUntil {};
+    // A statement that no server has started by this time is refused.
+    TimePoint giveUpAt {};
+    uint32_t attempts = 0;
+    uint32_t lostAnswers = 0;
+    bool abandoned = false;
+    bool finished = false;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/StatusQuery.cpp
@@ -0,0 +1,56 @@
+#include "foxtailtrail/proxy/StatusQuery.h"
+
+#include <utility>
+
+namespace foxtail {
+
+StatusQuery::StatusQuery(std::shared_ptr<ServerPool> pool, const BackendCodec& codec, Callback callback)
+    : pool(std::move(pool))
+    , codec(codec)
+    , callback(std::move(callback))
+{
+}
+
+void StatusQuery::start(const std::shared_ptr<ServerPool>& pool, const BackendCodec& codec, const std::string& organisation,
+    TimePoint deadline, Callback callback)
+{
+    std::shared_ptr<StatusQuery> query(new StatusQuery(pool, codec, std::move(callback)));
+    // Ahead of all statements: those that wait depend on the answer.
+    pool->acquire(organisation, 0, deadline,
+        [query](Acquisition outcome, const std::shared_ptr<BackendLink>& link) { query->acquired(outcome, link); });
+}
+
+void StatusQuery::acquired(Acquisition outcome, const std::shared_ptr<BackendLink>& acquiredLink)
+{
+    if (outcome != Acquisition::Acquired) {
+        this->callback(std::nullopt, TimePoint {});
+        return;
+    }
+    this->link = acquiredLink;
+    this->self = this->shared_from_this();
+    this->link->setUser(this);
+    std::string order;
+    this->codec.writeOrder(order, ServerOrder::Status, Term {}, std::nullopt);
+    this->link->sendStatements(order, 1);
+}
+
+void StatusQuery::linkReplied(LinkReply&& reply)
+{
+    const auto keep = std::exchange(this->self, nullptr);
+    std::optional<ProbedStatus> status;
+    if (reply.succeeded() && reply.rows.size() == 1)
+        status = this->codec.readStatus(reply.rows.front());
+    if (status)
+        status->server = this->link->server();
+    this->pool->release(std::exchange(this->link, nullptr));
+    this->callback(status, reply.sentAt);
+}
+
+void StatusQuery::linkLost()
+{
+    const auto keep = std::exchange(this->self, nullptr);
+    this->pool->drop(std::exchange(this->link, nullptr));
+    this->callback(std::nullopt, TimePoint {});
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/Stream.cpp
@@ -0,0 +1,162 @@
+#include "foxtailtrail/proxy/Stream.h"
+
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace foxtail {
+
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+    constexpr size_t readChunk = size_t { 32 } * 1024;
+    // An answer that the other side does not take is kept up to this size.
+    constexpr size_t maxPendingBytes = size_t { 4 } << 20;
+    // A peer that vanished without a reset is noticed by keep-alive probes after about four seconds.
+    constexpr int keepAliveIdleSeconds = 2;
+    constexpr int keepAliveIntervalSeconds = 1;
+    constexpr int keepAliveProbes = 2;
+    constexpr int userTimeoutMilliseconds = 4000;
+
+    // Shared by all connections of the thread, as a read is handled before the next one starts.
+    std::array<char, readChunk>& scratch()
+    {
+        thread_local std::array<char, readChunk> buffer {};
+        return buffer;
+    }
+
+    void setOption(int descriptor, int level, int name, int value) { setsockopt(descriptor, level, name, &value, sizeof(value)); }
+
+}
+
+Stream::Stream(boost::asio::io_context& context)
+    : socket(context)
+{
+}
+
+Stream::Stream(Tcp::socket connected)
+    : socket(std::move(connected))
+{
+}
+
+void Stream::startReading()
+{
+    boost::system::error_code ignored;
+    this->socket.non_blocking(true, ignored);
+    const int descriptor = this->socket.native_handle();
+    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
+    this->waitForBytes();
+}
+
+void Stream::waitForBytes()
+{
+    this->socket.async_wait(Tcp::socket::wait_read, [self = this->shared_from_this()](const boost::system::error_code& code) {
+        if (code == boost::asio::error::operation_aborted || !self->socket.is_open())
+            return;
+        self->readAvailable();
+    });
+}
+
+void Stream::readAvailable()
+{
+    while (this->socket.is_open()) {
+        boost::system::error_code code;
+        auto& buffer = scratch();
+        const size_t count = this->socket.read_some(boost::asio::buffer(buffer), code);
+        if (code == boost::asio::error::would_block)
+            break;
+        if (code) {
+            this->fail();
+            return;
+        }
+        const std::string_view fresh(buffer.data(), count);
+        if (this->unread.empty()) {
+            const size_t used = this->received(fresh);
+            this->unread.assign(fresh.substr(used));
+        } else {
+            this->unread.append(fresh);
+            // The handler may close this connection, so the bytes are moved out while it runs.
+            std::string bytes = std::move(this->unread);
+            this->unread.clear();
+            const size_t used = this->received(bytes);
+            this->unread.assign(bytes, used);
+        }
+        if (this->unread.empty() && this->unread.capacity() > readChunk)
+            this->unread.shrink_to_fit();
+        if (count < readChunk)
+            break;
+    }
+    if (this->socket.is_open())
+        this->waitForBytes();
+}
+
+void Stream::send(std::string_view bytes)
+{
+    if (!this->socket.is_open() || this->closing)
+        return;
+    if (this->writing) {
+        this->pending.append(bytes);
+        if (this->pending.size() > maxPendingBytes)
+            boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->fail(); });
+        return;
+    }
+    boost::system::error_code code;
+    const size_t sent = this->socket.write_some(boost::asio::buffer(bytes.data(), bytes.size()), code);
+    if (code && code != boost::asio::error::would_block) {
+        // The read side reports the loss, so that a sender never sees its connection vanish inside a call.
+        return;
+    }
+    if (sent < bytes.size()) {
+        this->pending.append(bytes.substr(sent));
+        this->writePending();
+    }
+}
+
+void Stream::writePending()
+{
+    this->writing = true;
+    auto chunk = std::make_shared<std::string>(std::move(this->pending));
+    this->pending.clear();
+    boost::asio::async_write(
+        this->socket, boost::asio::buffer(*chunk), [self = this->shared_from_this(), chunk](const boost::system::error_code& code, size_t) {
+            self->writing = false;
+            if (code || !self->socket.is_open())
+                return;
+            if (!self->pending.empty())
+                self->writePending();
+            else if (self->closing)
+                self->close();
+        });
+}
+
+void Stream::close()
+{
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+void Stream::closeAfterSending()
+{
+    if (this->writing)
+        this->closing = true;
+    else
+        this->close();
+}
+
+void Stream::fail()
+{
+    if (!this->socket.is_open())
+        return;
+    this->close();
+    this->disconnected();
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -0,0 +1,393 @@
+#include "foxtailtrail/proxy/SuccessionDuty.h"
+
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/FiberThread.h"
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/proxy/FleetRows.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtail {
+
+namespace {
+
+    // An answer across regions takes about 30 ms with a new connection, more while slots are taken.
+    constexpr Duration probeTimeout = std::chrono::milliseconds(300);
+    // Between two looks at the replicas' logs, to see whether the primary still feeds them.
+    constexpr Duration secondLook = std::chrono::milliseconds(200);
+    // Each place in the order of VMs waits this much longer before it examines.
+    constexpr Duration rankDelay = std::chrono::milliseconds(150);
+    constexpr size_t maxRankDelays = 6;
+    // After an examination the next one of the group waits this long.
+    constexpr Duration quietTime = std::chrono::milliseconds(300);
+    constexpr Duration storeTimeout = std::chrono::milliseconds(600);
+    constexpr Duration orderTimeout = std::chrono::milliseconds(600);
+    // The platform takes some 300 ms from the order until the new primary leads; the lease may run out in that time.
+    constexpr Duration earliestLead = std::chrono::milliseconds(200);
+    constexpr Duration leadPollInterval = std::chrono::milliseconds(40);
+    constexpr Duration leadTimeout = std::chrono::milliseconds(1500);
+    constexpr Duration choicePause = std::chrono::milliseconds(100);
+    // A replica whose process is known not to run counts as lost after this time, one that is silent after the longer one.
+    constexpr Duration stoppedReplicaTime = std::chrono::milliseconds(500);
+    constexpr Duration silentReplicaTime = std::chrono::milliseconds(1800);
+
+}
+
+// One examination of a group and the promotion that may follow.
+class SuccessionDuty::Case {
+public:
+    Case(SuccessionDuty& duty, ServiceName service)
+        : duty(duty)
+        , proxy(duty.proxy)
+        , service(std::move(service))
+        , commands(proxy.ioContext(), proxy.backendCodec())
+    {
+    }
+
+    void run(std::string_view reason)
+    {
+        const std::optional<LeaderView> before = this->proxy.directory().leader(this->service);
+        const std::vector<ProbedStatus> statuses = this->probe();
+        if (this->learnLeader(statuses))
+            return;
+        const bool stalled = this->proxy.group(this->service)->areCommitsStalled(bootNow()) && this->logsDiffer(statuses);
+        const auto leader = before ? std::optional(before->server) : std::nullopt;
+        SuccessionCause cause = judgeSuccession(statuses, leader, before && before->settled, stalled);
+        if (cause == SuccessionCause::PrimaryLost || cause == SuccessionCause::CommitsStalled)
+            cause = this->confirm(statuses, cause);
+        this->shareStatuses(statuses);
+        if (cause == SuccessionCause::None)
+            return;
+        logEvent(LogLevel::Info, "primary to be replaced",
+            { { "service", this->service.value }, { "cause", successionCauseName(cause) }, { "reason", reason },
+                { "primary", leader ? leader->value : "" } });
+        this->replace(leader, statuses);
+    }
+
+private:
+    std::vector<ServerEntry> members() const
+    {
+        std::vector<ServerEntry> entries;
+        for (const ServerEntry* entry : this->proxy.directory().members(this->service))
+            entries.push_back(*entry);
+        return entries;
+    }
+
+    std::vector<ProbedStatus> ask(const std::vector<ServerEntry>& servers, ServerOrder order, Term term)
+    {
+        this->askedAt = bootNow();
+        std::vector<ProbedStatus> statuses = this->commands.askAll(servers, order, term, probeTimeout);
+        for (ProbedStatus& status : statuses)
+            status.removed = this->proxy.directory().isRemoved(status.server);
+        return statuses;
+    }
+
+    std::vector<ProbedStatus> probe() { return this->ask(this->members(), ServerOrder::Status, Term {}); }
+
+    // Takes a primary that this VM did not know of. Returns true when there is one.
+    bool learnLeader(const std::vector<ProbedStatus>& statuses)
+    {
+        const ProbedStatus* newest = nullptr;
+        for (const ProbedStatus& status : statuses) {
+            if (status.outcome == ProbeOutcome::Answered && status.isPrimary && (!newest || newest->term < status.term))
+                newest = &status;
+        }
+        if (!newest)
+            return false;
+        const std::optional<LeaderView> known = this->proxy.directory().leader(this->service);
+        if (known && known->server == newest->server && known->settled)
+            return false;
+        const LeaderRecord record { this->service, newest->term, newest->server, true };
+        logEvent(LogLevel::Info, "primary found by its status",
+            { { "service", this->service.value }, { "server", record.leader.value }, { "term", record.term.value } });
+        bool changed = false;
+        this->proxy.changeDirectory([&](ServerDirectory& directory) { changed = directory.recordLeader(record); });
+        return changed;
+    }
+
+    // Whether the primary holds commits that no replica has received.
+    bool logsDiffer(const std::vector<ProbedStatus>& statuses) const
+    {
+        const std::optional<LeaderView> leader = this->proxy.directory().leader(this->service);
+        std::optional<LogPoint> primaryLog;
+        std::optional<LogPoint> replicaLog;
+        for (const ProbedStatus& status : statuses) {
+            if (status.outcome != ProbeOutcome::Answered)
+                continue;
+            std::optional<LogPoint>& log = leader && leader->server == status.server ? primaryLog : replicaLog;
+            if (!log || *log < status.received)
+                log = status.received;
+        }
+        return primaryLog && replicaLog && *replicaLog < *primaryLog;
+    }
+
+    // Looks again: a primary whose replicas still receive is alive, and only the link of this VM is broken.
+    SuccessionCause confirm(const std::vector<ProbedStatus>& first, SuccessionCause cause)
+    {
+        sleepFor(secondLook);
+        const std::vector<ProbedStatus> second = this->probe();
+        const std::optional<LeaderView> leader = this->proxy.directory().leader(this->service);
+        if (this->learnLeader(second))
+            return SuccessionCause::None;
+        for (const ProbedStatus& status : second) {
+            if (leader && status.server == leader->server) {
+                if (cause == SuccessionCause::PrimaryLost && status.outcome == ProbeOutcome::Answered && status.isPrimary)
+                    return SuccessionCause::None;
+                continue;
+            }
+            const auto earlier
+                = std::find_if(first.begin(), first.end(), [&](const ProbedStatus& each) { return each.server == status.server; });
+            const bool bothAnswered = earlier != first.end() && earlier->outcome == ProbeOutcome::Answered
+                && status.outcome == ProbeOutcome::Answered;
+            if (bothAnswered && earlier->received < status.received)
+                return SuccessionCause::None;
+        }
+        return cause;
+    }
+
+    // Replicas that still receive renew the lease of this VM.
+    void shareStatuses(const std::vector<ProbedStatus>& statuses)
+    {
+        for (const ProbedStatus& status : statuses) {
+            const bool receives = status.outcome == ProbeOutcome::Answered && !status.isPrimary && status.pausedFor == Term {};
+            if (receives)
+                this->proxy.group(this->service)->noteStatus(status, this->askedAt);
+        }
+    }
+
+    void replace(const std::optional<BackendServerId>& oldLeader, const std::vector<ProbedStatus>& statuses)
+    {
+        const std::optional<HeldTurn> turn = this->duty.claim();
+        if (!turn)
+            return;
+        Term term;
+        for (const ProbedStatus& status : statuses)
+            term = std::max({ term, status.term, status.pausedFor });
+        if (const LeaderRecord* record = this->proxy.directory().leaderRecord(this->service))
+            term = std::max(term, record->term);
+        ++term.value;
+
+        // Fence: no commit is acknowledged by the old primary once its replicas do not receive.
+        std::vector<ServerEntry> replicas = this->members();
+        std::erase_if(replicas, [&](const ServerEntry& entry) { return oldLeader && entry.id == *oldLeader; });
+        std::vector<BackendServerId> failed;
+        while (turn->mayActAt(bootNow())) {
+            const std::optional<ProbedStatus> successor = this->fence(replicas, oldLeader, term, failed, *turn);
+            if (!successor)
+                break;
+            if (this->promote(*successor, oldLeader, statuses, term, *turn))
+                return;
+            failed.push_back(successor->server);
+        }
+        this->commands.askAll(replicas, ServerOrder::Resume, Term {}, probeTimeout);
+        this->duty.endTurn(*turn);
+        logEvent(LogLevel::Warning, "promotion given up", { { "service", this->service.value }, { "fence", turn->record.fence } });
+    }
+
+    // Pauses the replicas and chooses one. Blocks until there is a choice or the turn is over.
+    std::optional<ProbedStatus> fence(const std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldLeader, Term term,
+        const std::vector<BackendServerId>& failed, const HeldTurn& turn)
+    {
+        const TimePoint begun = bootNow();
+        while (turn.mayActAt(bootNow())) {
+            std::vector<ProbedStatus> paused = this->ask(replicas, ServerOrder::Pause, term);
+            this->pausedAt = bootNow();
+            std::erase_if(paused, [&](const ProbedStatus& status) {
+                return std::find(failed.begin(), failed.end(), status.server) != failed.end();
+            });
+            bool missingAreLost = true;
+            for (const ProbedStatus& status : paused) {
+                if (status.outcome == ProbeOutcome::Answered || status.removed)
+                    continue;
+                const Duration needed = status.outcome == ProbeOutcome::Refused ? stoppedReplicaTime : silentReplicaTime;
+                missingAreLost = missingAreLost && bootNow() >= begun + needed;
+            }
+            const SuccessorChoice choice
+                = chooseSuccessor(paused, this->proxy.group(this->service)->acknowledged(), missingAreLost);
+            if (choice.successor) {
+                for (const ProbedStatus& status : paused) {
+                    if (status.server == *choice.successor)
+                        return status;
+                }
+            }
+            sleepFor(choicePause);
+        }
+        logEvent(LogLevel::Warning, "no successor may be promoted",
+            { { "service", this->service.value }, { "primary", oldLeader ? oldLeader->value : "" } });
+        return std::nullopt;
+    }
+
+    bool promote(const ProbedStatus& successor, const std::optional<BackendServerId>& oldLeader, const std::vector<ProbedStatus>& statuses,
+        Term term, const HeldTurn& turn)
+    {
+        // Every VM learns of the decision before it takes effect, so that statements wait instead of failing.
+        LeaderRecord record { this->service, term, successor.server, false };
+        StoreChange decision;
+        decision.expectations.push_back({ StoreTable::Turns, turnRowKey, turn.storedVersion });
+        decision.puts.push_back({ StoreTable::Fleet, leaderRowKey(this->service), encodeLeader(record) });
+        const Result<uint64_t> decided = this->duty.store.commit(decision, now() + storeTimeout);
+        if (!decided) {
+            logEvent(LogLevel::Warning, "promotion not recorded", { { "service", this->service.value }, { "detail", decided.error().detail } });
+            return false;
+        }
+        this->proxy.changeDirectory([&](ServerDirectory& directory) { directory.recordLeader(record); });
+
+        // A process that does not run serves no reads; any other may serve them until the leases on it have run out.
+        const bool oldProcessIsGone = std::any_of(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) {
+            return oldLeader && status.server == *oldLeader && status.outcome == ProbeOutcome::Refused;
+        });
+        if (!oldProcessIsGone)
+            sleepUntilBoot(this->pausedAt + leaderLeaseTime - earliestLead);
+
+        PromotionAnswer answer = PromotionAnswer::Unknown;
+        while (answer == PromotionAnswer::Unknown && turn.mayActAt(bootNow())) {
+            answer = this->duty.orders.promote(
+                this->service, successor.server, this->proxy.settings().vmId, turn.record.fence, now() + orderTimeout);
+            if (answer == PromotionAnswer::Unknown)
+                sleepFor(choicePause);
+        }
+        if (answer != PromotionAnswer::Accepted)
+            return false;
+        return this->settle(record, oldLeader, turn);
+    }
+
+    // Waits until the successor leads, deposes the old primary and tells all VMs.
+    bool settle(LeaderRecord record, const std::optional<BackendServerId>& oldLeader, const HeldTurn& turn)
+    {
+        const ServerEntry* entry = this->proxy.directory().find(record.leader);
+        const TimePoint deadline = bootNow() + leadTimeout;
+        bool leads = false;
+        while (entry && !leads && bootNow() < deadline) {
+            sleepFor(leadPollInterval);
+            const std::vector<ProbedStatus> statuses = this->commands.askAll({ *entry }, ServerOrder::Status, Term {}, probeTimeout);
+            leads = statuses.front().outcome == ProbeOutcome::Answered && statuses.front().isPrimary;
+            if (leads)
+                record.term = std::max(record.term, statuses.front().term);
+            entry = this->proxy.directory().find(record.leader);
+        }
+        if (!leads)
+            return false;
+        record.settled = true;
+        this->proxy.changeDirectory([&](ServerDirectory& directory) { directory.recordLeader(record); });
+        logEvent(LogLevel::Info, "primary replaced",
+            { { "service", this->service.value }, { "server", record.leader.value }, { "term", record.term.value },
+                { "fence", turn.record.fence } });
+        StoreChange change;
+        change.expectations.push_back({ StoreTable::Turns, turnRowKey, turn.storedVersion });
+        change.puts.push_back({ StoreTable::Fleet, leaderRowKey(this->service), encodeLeader(record) });
+        TurnRecord ended = turn.record;
+        // The fence number stays; the end of the turn lies in the past of the store's clock.
+        ended.endsAtMs -= toMilliseconds(turnTime);
+        change.puts.push_back({ StoreTable::Turns, turnRowKey, encodeTurn(ended) });
+        const Result<uint64_t> stored = this->duty.store.commit(change, now() + storeTimeout);
+        if (!stored)
+            logEvent(LogLevel::Warning, "promotion settled but not recorded",
+                { { "service", this->service.value }, { "detail", stored.error().detail } });
+        if (oldLeader) {
+            if (const ServerEntry* old = this->proxy.directory().find(*oldLeader))
+                this->commands.askAll({ *old }, ServerOrder::Demote, record.term, probeTimeout);
+        }
+        return true;
+    }
+
+    static void sleepUntilBoot(TimePoint time)
+    {
+        const TimePoint current = bootNow();
+        if (current < time)
+            sleepFor(time - current);
+    }
+
+    SuccessionDuty& duty;
+    SessionProxy& proxy;
+    ServiceName service;
+    ServerCommands commands;
+    TimePoint askedAt {};
+    // When all replicas that answered had stopped to receive.
+    TimePoint pausedAt {};
+};
+
+SuccessionDuty::SuccessionDuty(SessionProxy& proxy, SharedStore& store, PromotionOrders& orders, Rank rank)
+    : proxy(proxy)
+    , store(store)
+    , orders(orders)
+    , rank(std::move(rank))
+{
+}
+
+void SuccessionDuty::examine(const ServiceName& service, std::string_view reason)
+{
+    Progress& state = this->progress[service];
+    if (state.running || bootNow() < state.quietUntil)
+        return;
+    state.running = true;
+    startFiber([this, service, reason = std::string(reason)] {
+        const std::optional<LeaderView> before = this->proxy.directory().leader(service);
+        sleepFor(rankDelay * std::min(this->rank(service.value), maxRankDelays));
+        // Another VM may have been faster.
+        if (this->proxy.directory().leader(service) == before)
+            Case(*this, service).run(reason);
+        Progress& ended = this->progress[service];
+        ended.running = false;
+        ended.quietUntil = bootNow() + quietTime;
+    });
+}
+
+std::optional<HeldTurn> SuccessionDuty::claim()
+{
+    const TimePoint sentAt = bootNow();
+    const Result<RowSet> rows = this->store.list(StoreTable::Turns, now() + storeTimeout);
+    if (!rows) {
+        logEvent(LogLevel::Warning, "turn not claimed", { { "detail", rows.error().detail } });
+        return std::nullopt;
+    }
+    std::optional<TurnRecord> current;
+    uint64_t version = 0;
+    for (const TableRow& row : rows.value().rows) {
+        if (row.key != turnRowKey)
+            continue;
+        version = row.version;
+        current = decodeTurn(row.value);
+        // An unreadable row could hide a higher number.
+        if (!current)
+            return std::nullopt;
+    }
+    const std::optional<TurnRecord> claimed = claimTurn(current, this->proxy.settings().vmId, rows.value().storeTimeMs);
+    if (!claimed)
+        return std::nullopt;
+    StoreChange change;
+    change.expectations.push_back({ StoreTable::Turns, turnRowKey, version });
+    change.puts.push_back({ StoreTable::Turns, turnRowKey, encodeTurn(*claimed) });
+    Result<uint64_t> stored = this->store.commit(change, now() + storeTimeout);
+    if (!stored && stored.error().kind == ErrorKind::StoreOutcomeUnknown) {
+        // The claim may have been made: the row tells.
+        const Result<RowSet> again = this->store.list(StoreTable::Turns, now() + storeTimeout);
+        if (again) {
+            for (const TableRow& row : again.value().rows) {
+                if (row.key == turnRowKey && decodeTurn(row.value) == claimed)
+                    stored = row.version;
+            }
+        }
+    }
+    if (!stored) {
+        logEvent(LogLevel::Info, "turn not claimed", { { "detail", stored.error().detail } });
+        return std::nullopt;
+    }
+    logEvent(LogLevel::Info, "turn claimed", { { "fence", claimed->fence } });
+    return HeldTurn { *claimed, stored.value(), sentAt + turnActingTime };
+}
+
+void SuccessionDuty::endTurn(const HeldTurn& turn)
+{
+    TurnRecord ended = turn.record;
+    ended.endsAtMs -= toMilliseconds(turnTime);
+    StoreChange change;
+    change.expectations.push_back({ StoreTable::Turns, turnRowKey, turn.storedVersion });
+    change.puts.push_back({ StoreTable::Turns, turnRowKey, encodeTurn(ended) });
+    const Result<uint64_t> stored = this->store.commit(change, now() + storeTimeout);
+    if (!stored)
+        logEvent(LogLevel::Info, "turn not ended early", { { "detail", stored.error().detail } });
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/replication/ServerChoice.cpp
@@ -0,0 +1,74 @@
+#include "foxtailtrail/replication/ServerChoice.h"
+
+#include <algorithm>
+#include <array>
+
+namespace foxtail {
+
+namespace {
+
+    // Weight of a new answer in the moving average.
+    constexpr double latencyWeight = 0.1;
+    // The price of the bytes of a read over each distance, as microseconds of added answer time.
+    constexpr std::array<double, 3> distanceCost { 0, 30'000, 80'000 };
+    // A connection that has to be opened first takes a slot of the server for about this many microseconds.
+    constexpr double connectionCost = 12'000;
+    // Expected time of a statement that waits before this one, in microseconds, per slot of the server.
+    constexpr double waitingCost = 20'000;
+    // Added to a server in trouble, in microseconds: above any other difference.
+    constexpr double troubleCost = 10'000'000;
+    constexpr Duration firstAvoidance = std::chrono::milliseconds(100);
+    // Doublings of the avoidance; 1.6 s at the most.
+    constexpr uint32_t maxAvoidanceDoublings = 4;
+
+}
+
+void ServerChoice::noteAnswer(const BackendServerId& id, Duration latency, TimePoint now)
+{
+    Seen& server = this->seen[id];
+    server.latency += latencyWeight * (static_cast<double>(latency.count()) - server.latency);
+    if (now >= server.avoidUntil)
+        server.troubles = 0;
+}
+
+void ServerChoice::noteTrouble(const BackendServerId& id, TimePoint now)
+{
+    Seen& server = this->seen[id];
+    const uint32_t doublings = std::min(server.troubles, maxAvoidanceDoublings);
+    server.avoidUntil = now + firstAvoidance * (1 << doublings);
+    ++server.troubles;
+}
+
+double ServerChoice::score(const ReadCandidate& candidate, TimePoint now) const
+{
+    double cost = distanceCost[static_cast<size_t>(candidate.distance)];
+    if (!candidate.hasFreeConnection)
+        cost += connectionCost;
+    cost += waitingCost * candidate.outstanding / std::max(1U, candidate.slots);
+    const auto found = this->seen.find(candidate.server);
+    if (found != this->seen.end()) {
+        cost += found->second.latency;
+        if (now < found->second.avoidUntil)
+            cost += troubleCost;
+    }
+    return cost;
+}
+
+std::optional<BackendServerId> ServerChoice::choose(
+    const std::vector<ReadCandidate>& candidates, const std::vector<BackendServerId>& excluded, TimePoint now) const
+{
+    const ReadCandidate* best = nullptr;
+    double bestScore = 0;
+    for (const ReadCandidate& candidate : candidates) {
+        if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end())
+            continue;
+        const double score = this->score(candidate, now);
+        if (!best || score < bestScore) {
+            best = &candidate;
+            bestScore = score;
+        }
+    }
+    return best ? std::optional(best->server) : std::nullopt;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/replication/ServerDirectory.cpp
@@ -0,0 +1,119 @@
+#include "foxtailtrail/replication/ServerDirectory.h"
+
+#include <set>
+
+namespace foxtail {
+
+namespace {
+
+    // Entries that lapsed with the store are back within two seconds of its return; the rest is for the way of the news.
+    constexpr Duration removalDelay = std::chrono::milliseconds(2500);
+
+}
+
+bool ServerDirectory::put(const ServerEntry& entry)
+{
+    Known& known = this->servers[entry.id];
+    const bool changed = known.removedAt.has_value() || known.entry != entry;
+    known = Known { entry, std::nullopt };
+    return changed;
+}
+
+void ServerDirectory::remove(const BackendServerId& id, TimePoint now)
+{
+    const auto found = this->servers.find(id);
+    if (found != this->servers.end() && !found->second.removedAt)
+        found->second.removedAt = now;
+}
+
+void ServerDirectory::replaceAll(const std::vector<ServerEntry>& entries, TimePoint now)
+{
+    std::set<BackendServerId> listed;
+    for (const ServerEntry& entry : entries) {
+        listed.insert(entry.id);
+        this->put(entry);
+    }
+    for (auto& [id, known] : this->servers) {
+        if (listed.count(id) == 0 && !known.removedAt)
+            known.removedAt = now;
+    }
+}
+
+std::vector<BackendServerId> ServerDirectory::expire(TimePoint now)
+{
+    std::vector<BackendServerId> expired;
+    for (auto entry = this->servers.begin(); entry != this->servers.end();) {
+        if (entry->second.removedAt && *entry->second.removedAt + removalDelay <= now) {
+            expired.push_back(entry->first);
+            entry = this->servers.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return expired;
+}
+
+bool ServerDirectory::recordLeader(const LeaderRecord& record)
+{
+    const auto found = this->leaders.find(record.service);
+    if (found == this->leaders.end()) {
+        this->leaders.emplace(record.service, record);
+        return true;
+    }
+    LeaderRecord& known = found->second;
+    if (record.term < known.term || record == known)
+        return false;
+    // Within a term only the step from undecided to settled is news; a successor that could not start may be replaced.
+    if (record.term == known.term && known.settled)
+        return false;
+    known = record;
+    return true;
+}
+
+const ServerEntry* ServerDirectory::find(const BackendServerId& id) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() ? nullptr : &found->second.entry;
+}
+
+bool ServerDirectory::isRemoved(const BackendServerId& id) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() || found->second.removedAt.has_value();
+}
+
+std::vector<const ServerEntry*> ServerDirectory::members(const ServiceName& service) const
+{
+    std::vector<const ServerEntry*> found;
+    for (const auto& [id, known] : this->servers) {
+        if (known.entry.service == service)
+            found.push_back(&known.entry);
+    }
+    return found;
+}
+
+std::optional<LeaderView> ServerDirectory::leader(const ServiceName& service) const
+{
+    const auto recorded = this->leaders.find(service);
+    if (recorded != this->leaders.end() && this->servers.count(recorded->second.leader) > 0) {
+        const LeaderRecord& record = recorded->second;
+        // The successor's own word settles a promotion whose last record was not written.
+        const bool settled = record.settled || this->servers.at(record.leader).entry.reportsPrimary;
+        return LeaderView { record.leader, settled, record.term };
+    }
+    // Without a usable record the servers' own word is all there is; a server that stays is preferred to one that leaves.
+    std::optional<LeaderView> reported;
+    for (const ServerEntry* entry : this->members(service)) {
+        if (entry->reportsPrimary && (!reported || !entry->draining))
+            reported = LeaderView { entry->id, true, Term {} };
+    }
+    return reported;
+}
+
+const LeaderRecord* ServerDirectory::leaderRecord(const ServiceName& service) const
+{
+    const auto found = this->leaders.find(service);
+    return found == this->leaders.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/session/LinkState.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "foxtailtrail/session/SessionState.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace foxtail {
+
+// One statement that brings a backend connection to the state of a session.
+struct RestoreStep {
+    enum class Kind : uint8_t {
+        // Drops all values and prepared statements.
+        Reset,
+        Set,
+        Prepare,
+    };
+    Kind kind = Kind::Reset;
+    std::string name;
+    std::string argument;
+    bool writes = false;
+    bool operator==(const RestoreStep&) const = default;
+};
+
+// The session values and prepared statements that a backend connection holds. Prepared statements are renamed by mode and
+// shape, so that sessions whose names collide can share one connection.
+class LinkState {
+public:
+    // The steps that give the connection exactly the session's values and, when the next statement executes one, its
+    // prepared statement. The state assumes that the steps succeed; the connection is closed when one does not.
+    std::vector<RestoreStep> restore(const SessionState&, const PreparedStatement* executed);
+
+    // The name under which the connection holds a prepared statement. It must have been restored.
+    const std::string& linkName(const PreparedStatement&) const;
+
+private:
+    static std::string preparedKey(const PreparedStatement&);
+
+    std::map<std::string, std::string> values;
+    // From mode and shape to the name on this connection.
+    std::map<std::string, std::string> names;
+    uint64_t nextName = 1;
+};
+
+}
--- /dev/null
+++ b/foxtailtrail/session/SessionState.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace foxtail {
+
+// Where a session stands with respect to a transaction.
+enum class TransactionState : uint8_t {
+    None,
+    Open,
+    // The transaction can only be ended; ending it rolls back.
+    Failed,
+};
+
+// A statement that a session has prepared.
+struct PreparedStatement {
+    bool writes = false;
+    std::string shape;
+    bool operator==(const PreparedStatement&) const = default;
+};
+
+// The newest commit of a session that was acknowledged to its caller.
+struct CommitMark {
+    LogPoint point;
+    TimePoint acknowledgedAt;
+};
+
+// The state that a session carries from statement to statement, apart from any connection. The acknowledged values and
+// prepared statements are the truth; a backend connection is brought to them before it runs a statement of the session.
+class SessionState {
+public:
+    void setValue(const std::string& name, const std::string& value) { this->values[name] = value; }
+    void prepare(const std::string& name, PreparedStatement prepared) { this->preparedStatements[name] = std::move(prepared); }
+    void closePrepared(const std::string& name) { this->preparedStatements.erase(name); }
+
+    const std::map<std::string, std::string>& sessionValues() const { return this->values; }
+    // The prepared statement of that name, or null.
+    const PreparedStatement* findPrepared(const std::string& name) const;
+
+    void begin(bool readOnly, TimePoint now);
+    void failTransaction();
+    void endTransaction();
+    // Records a write that was sent inside the open transaction.
+    void noteWrite() { this->wrote = true; }
+    // Records an acknowledged commit, which later reads of the session must see.
+    void noteCommit(LogPoint point, TimePoint now) { this->lastCommit = CommitMark { point, now }; }
+
+    TransactionState transaction() const { return this->state; }
+    bool isReadOnly() const { return this->readOnly; }
+    bool hasWritten() const { return this->wrote; }
+    // When the open transaction began.
+    TimePoint begunAt() const { return this->transactionBegin; }
+    const std::optional<CommitMark>& commitMark() const { return this->lastCommit; }
+
+private:
+    std::map<std::string, std::string> values;
+    std::map<std::string, PreparedStatement> preparedStatements;
+    TransactionState state = TransactionState::None;
+    bool readOnly = false;
+    bool wrote = false;
+    TimePoint transactionBegin {};
+    std::optional<CommitMark> lastCommit;
+};
+
+}
