--- a/foxtailtrail/failover/SuccessionPlan.cpp
+++ b/foxtailtrail/failover/SuccessionPlan.cpp
@@ -22,6 +22,9 @@
     if (found == statuses.end())
         return SuccessionCause::PrimaryLost;
     const ProbedStatus& primary = *found;
+    // A primary that is full works.
+    if (primary.outcome == ProbeOutcome::Full)
+        return primary.draining || primary.removed ? SuccessionCause::PrimaryLeaving : SuccessionCause::None;
     if (primary.outcome != ProbeOutcome::Answered) {
         const bool othersAnswer = std::any_of(statuses.begin(), statuses.end(),
             [&](const ProbedStatus& status) { return status.server != *leader && status.outcome == ProbeOutcome::Answered; });
@@ -39,11 +42,13 @@
 {
     SuccessorChoice choice;
     choice.complete = true;
+    bool liveMissing = false;
     const ProbedStatus* best = nullptr;
     std::optional<LogPoint> highest;
     for (const ProbedStatus& replica : replicas) {
         if (replica.outcome != ProbeOutcome::Answered) {
             choice.complete = false;
+            liveMissing = liveMissing || replica.outcome == ProbeOutcome::Full;
             continue;
         }
         if (!highest || *highest < replica.received)
@@ -61,7 +66,7 @@
         return choice;
     if (acknowledged && best->received < *acknowledged)
         return choice;
-    if (choice.complete || missingCountAsLost)
+    if (choice.complete || (missingCountAsLost && !liveMissing))
         choice.successor = best->server;
     return choice;
 }
--- a/foxtailtrail/failover/SuccessionPlan.h
+++ b/foxtailtrail/failover/SuccessionPlan.h
@@ -16,6 +16,8 @@
     Refused,
     // No answer in time, or the connection broke: nothing is known about the process.
     Silent,
+    // The process runs, but takes no further connection or statement now.
+    Full,
 };
 
 // What a backend server answered to a probe or to an order to pause.
--- a/foxtailtrail/proxy/BackendLink.cpp
+++ b/foxtailtrail/proxy/BackendLink.cpp
@@ -131,7 +131,8 @@
 
 void BackendLink::disconnected()
 {
-    this->finishOpening(LinkOpening::Unreachable);
+    // A server at its maximum resets connections that it has accepted.
+    this->finishOpening(LinkOpening::TooMany);
     if (this->user)
         std::exchange(this->user, nullptr)->linkLost();
 }
--- a/foxtailtrail/proxy/ServerCommands.cpp
+++ b/foxtailtrail/proxy/ServerCommands.cpp
@@ -41,7 +41,9 @@
                     if (how == LinkOpening::Opened)
                         self->sendOrder();
                     else
-                        self->finish(how == LinkOpening::Refused ? ProbeOutcome::Refused : ProbeOutcome::Silent);
+                        self->finish(how == LinkOpening::Refused ? ProbeOutcome::Refused
+                                : how == LinkOpening::TooMany    ? ProbeOutcome::Full
+                                                                 : ProbeOutcome::Silent);
                 });
         }
         return this->promise.get_future();
@@ -75,7 +77,9 @@
             this->status.server = server;
             this->status.draining = draining;
         }
-        this->finish(read ? ProbeOutcome::Answered : ProbeOutcome::Silent);
+        this->finish(read                              ? ProbeOutcome::Answered
+                : reply.refusal == BackendRefusal::Busy ? ProbeOutcome::Full
+                                                        : ProbeOutcome::Silent);
     }
 
     void linkLost() override
--- a/foxtailtrail/proxy/ServerPool.cpp
+++ b/foxtailtrail/proxy/ServerPool.cpp
@@ -108,20 +108,31 @@
             if (this->size() >= this->budget) {
                 if (this->idle.empty())
                     return;
-                const std::shared_ptr<BackendLink> oldest = this->idle.front();
-                this->idle.pop_front();
                 ++this->counts.evicted;
-                std::string farewell;
-                this->codec.writeTerminate(farewell);
-                oldest->setUser(nullptr);
-                oldest->send(farewell);
-                oldest->close();
+                this->closeOldest();
             }
             this->openFor(organisation);
         }
     }
 }
 
+void ServerPool::closeOldest()
+{
+    const std::shared_ptr<BackendLink> oldest = this->idle.front();
+    this->idle.pop_front();
+    std::string farewell;
+    this->codec.writeTerminate(farewell);
+    oldest->setUser(nullptr);
+    oldest->send(farewell);
+    oldest->close();
+}
+
+bool ServerPool::isWanted(const std::string& organisation) const
+{
+    return std::any_of(
+        this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.organisation == organisation; });
+}
+
 void ServerPool::openFor(const std::string& organisation)
 {
     ++this->counts.opened;
@@ -165,9 +176,13 @@
     assert(this->inUse > 0);
     --this->inUse;
     link->setUser(nullptr);
-    if (!link->isClean() || this->retired) {
+    // What this VM holds beyond its own part of the server's maximum is missing to others.
+    const bool isSurplus = this->size() >= this->keptIdle && !this->isWanted(link->organisation());
+    if (!link->isClean() || this->retired || (isSurplus && this->idle.empty())) {
         link->close();
     } else {
+        if (isSurplus)
+            this->closeOldest();
         link->idleSince = bootNow();
         this->idle.push_back(link);
     }
--- a/foxtailtrail/proxy/ServerPool.h
+++ b/foxtailtrail/proxy/ServerPool.h
@@ -86,6 +86,10 @@
     // Openings under way for an organisation.
     size_t openingsFor(const std::string& organisation) const;
     void failWaiters(Acquisition);
+    // Closes the connection that has been idle for the longest time.
+    void closeOldest();
+    // Whether a request for the organisation waits.
+    bool isWanted(const std::string& organisation) const;
 
     boost::asio::io_context& context;
     const BackendCodec& codec;
