--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -35,6 +35,8 @@
         return;
     this->failingSince.reset();
     this->failures = 0;
+    if (position && this->leaderTerm < position->term)
+        this->leaderTerm = position->term;
     if (isCommit) {
         this->commitsUnansweredSince.reset();
         this->unansweredCommits = 0;
@@ -54,7 +56,7 @@
         return;
     this->deposed = server;
     this->lease.revoke();
-    this->host.examineGroup(this->serviceName, "the primary refused a write as read only");
+    this->host.examineGroup(this->serviceName, "the primary has been replaced");
 }
 
 void GroupTraffic::noteFailure(const BackendServerId& server, TimePoint now)
@@ -88,14 +90,18 @@
 {
     if (!this->lastLeader || status.server == this->lastLeader->server || !this->lastLeader->settled)
         return;
-    // A replica that still receives proves that no promotion had begun when it was asked.
-    const bool receives = !status.isPrimary && status.pausedFor == Term {};
-    const bool sameTerm = this->lastLeader->term == Term {} || status.term <= this->lastLeader->term;
-    if (receives && sameTerm && this->deposed != this->lastLeader->server) {
+    // A replica of a newer term follows another primary, or leads itself.
+    if (this->leaderTerm != Term {} && this->leaderTerm < status.term) {
+        this->noteNotPrimary(this->lastLeader->server);
+        return;
+    }
+    // A replica that still receives in the primary's term proves that no promotion had begun when it was asked.
+    const bool receives = !status.isPrimary && status.pausedFor == Term {} && status.term == this->leaderTerm;
+    if (receives && this->deposed != this->lastLeader->server) {
         this->lease.prove(this->lastLeader->server, sentAt);
         this->serveWaiters();
     } else {
-        this->host.examineGroup(this->serviceName, "a replica has stopped to receive or another server leads");
+        this->host.examineGroup(this->serviceName, "a replica has stopped to receive");
     }
 }
 
@@ -106,6 +112,7 @@
         return;
     const bool otherServer = !leader || !this->lastLeader || leader->server != this->lastLeader->server;
     this->lastLeader = leader;
+    this->leaderTerm = leader && !otherServer ? std::max(this->leaderTerm, leader->term) : leader ? leader->term : Term {};
     if (otherServer) {
         this->lease.revoke();
         this->freshness.clear();
@@ -211,6 +218,10 @@
         return;
     this->verifying = true;
     this->verifiedAt = now;
+    if (this->leaderTerm == Term {}) {
+        this->learnLeaderTerm(organisation, now);
+        return;
+    }
     StatusQuery::start(pool, this->host.backendCodec(), organisation, now + verifyTimeout,
         [weak = this->weak_from_this()](const std::optional<ProbedStatus>& status, TimePoint sentAt) {
             const auto self = weak.lock();
@@ -224,6 +235,28 @@
         });
 }
 
+void GroupTraffic::learnLeaderTerm(const std::string& organisation, TimePoint now)
+{
+    const std::shared_ptr<ServerPool> pool = this->host.pool(this->lastLeader->server);
+    if (!pool) {
+        this->verifying = false;
+        return;
+    }
+    StatusQuery::start(pool, this->host.backendCodec(), organisation, now + verifyTimeout,
+        [weak = this->weak_from_this()](const std::optional<ProbedStatus>& status, TimePoint) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->verifying = false;
+            self->verifiedAt = TimePoint {};
+            if (!status || !self->lastLeader || status->server != self->lastLeader->server || !status->isPrimary)
+                return;
+            self->leaderTerm = std::max(self->leaderTerm, status->term);
+            if (!self->waiters.empty())
+                self->verifyLease(self->waiters.front().organisation, bootNow());
+        });
+}
+
 void GroupTraffic::sweep(TimePoint now)
 {
     std::list<Waiter> late;
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -91,6 +91,8 @@
     void serveWaiters();
     // Asks a replica whether it still receives from the primary.
     void verifyLease(const std::string& organisation, TimePoint now);
+    // Asks the primary for its term, with which the words of replicas are compared.
+    void learnLeaderTerm(const std::string& organisation, TimePoint now);
 
     ServiceName serviceName;
     GroupHost& host;
@@ -104,6 +106,8 @@
     BackendServerId deposed;
     // The last view of the directory, to notice a change of primary.
     std::optional<LeaderView> lastLeader;
+    // The term in which the primary leads, or term 0 while it is not known.
+    Term leaderTerm;
     bool verifying = false;
     size_t nextWitness = 0;
     TimePoint verifiedAt {};
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -29,9 +29,8 @@
     constexpr Duration leadPollInterval = std::chrono::milliseconds(40);
     constexpr Duration leadTimeout = std::chrono::milliseconds(1500);
     constexpr Duration choicePause = std::chrono::milliseconds(100);
-    // A replica whose process is known not to run counts as lost after this time, one that is silent after the longer one.
-    constexpr Duration stoppedReplicaTime = std::chrono::milliseconds(500);
-    constexpr Duration silentReplicaTime = std::chrono::milliseconds(1800);
+    // A replica that does not run may come back with its log within this time.
+    constexpr Duration lostReplicaTime = std::chrono::milliseconds(500);
 
 }
 
@@ -157,6 +156,19 @@
         }
     }
 
+    // Whether a server certainly works for nobody: its machine refuses connections, or it is silent here and in the shared list. A
+    // server that is silent here only may still serve VMs and replicas on its side of a partition.
+    bool isGone(const std::optional<BackendServerId>& server, const std::vector<ProbedStatus>& statuses) const
+    {
+        if (!server)
+            return true;
+        const auto found
+            = std::find_if(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == *server; });
+        if (found == statuses.end() || found->outcome == ProbeOutcome::Refused)
+            return true;
+        return found->outcome == ProbeOutcome::Silent && this->proxy.directory().isRemoved(*server);
+    }
+
     void replace(const std::optional<BackendServerId>& oldLeader, const std::vector<ProbedStatus>& statuses)
     {
         const std::optional<HeldTurn> turn = this->duty.claim();
@@ -174,7 +186,7 @@
         std::erase_if(replicas, [&](const ServerEntry& entry) { return oldLeader && entry.id == *oldLeader; });
         std::vector<BackendServerId> failed;
         while (turn->mayActAt(bootNow())) {
-            const std::optional<ProbedStatus> successor = this->fence(replicas, oldLeader, term, failed, *turn);
+            const std::optional<ProbedStatus> successor = this->fence(replicas, oldLeader, statuses, term, failed, *turn);
             if (!successor)
                 break;
             if (this->promote(*successor, oldLeader, statuses, term, *turn))
@@ -187,8 +199,8 @@
     }
 
     // Pauses the replicas and chooses one. Blocks until there is a choice or the turn is over.
-    std::optional<ProbedStatus> fence(const std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldLeader, Term term,
-        const std::vector<BackendServerId>& failed, const HeldTurn& turn)
+    std::optional<ProbedStatus> fence(const std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldLeader,
+        const std::vector<ProbedStatus>& statuses, Term term, const std::vector<BackendServerId>& failed, const HeldTurn& turn)
     {
         const TimePoint begun = bootNow();
         while (turn.mayActAt(bootNow())) {
@@ -197,13 +209,10 @@
             std::erase_if(paused, [&](const ProbedStatus& status) {
                 return std::find(failed.begin(), failed.end(), status.server) != failed.end();
             });
-            bool missingAreLost = true;
-            for (const ProbedStatus& status : paused) {
-                if (status.outcome == ProbeOutcome::Answered || status.removed)
-                    continue;
-                const Duration needed = status.outcome == ProbeOutcome::Refused ? stoppedReplicaTime : silentReplicaTime;
-                missingAreLost = missingAreLost && bootNow() >= begun + needed;
-            }
+            const bool missingAreLost = bootNow() >= begun + lostReplicaTime && this->isGone(oldLeader, statuses)
+                && std::all_of(paused.begin(), paused.end(), [&](const ProbedStatus& status) {
+                       return status.outcome == ProbeOutcome::Answered || this->isGone(status.server, paused);
+                   });
             const SuccessorChoice choice
                 = chooseSuccessor(paused, this->proxy.group(this->service)->acknowledged(), missingAreLost);
             if (choice.successor) {
