--- a/foxtailtrail/Main.cpp
+++ b/foxtailtrail/Main.cpp
@@ -93,7 +93,8 @@
         std::cerr << "usage: foxtailtrail proxy [SETTINGS-FILE]\nWithout a file, " << settingsVariable << " must name one.\n";
         return exitUsage;
     }
-    const auto settings = readProxySettings(arguments.empty() ? variable : arguments[0]);
+    const std::string file = arguments.empty() ? variable : arguments[0];
+    const auto settings = readProxySettings(file);
     if (!settings) {
         for (const std::string& fault : settings.error())
             std::cerr << fault << "\n";
@@ -106,7 +107,7 @@
     const ProxyPlatform platform { callers, backends, declarations,
         [](const ProxySettings& given) { return std::make_unique<platform::TableStore>(given.store); },
         [](const ProxySettings& given) { return std::make_unique<platform::PromotionClient>(given.promotions); } };
-    return ProxyVm::run(settings.value(), platform);
+    return ProxyVm::run(file, settings.value(), platform);
 }
 
 // Where the command line finds the operators' port, and how it prints.
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -155,24 +155,27 @@
     return candidates;
 }
 
-std::optional<BackendServerId> GroupTraffic::usableLeader(LeaderNeed need, TimePoint now) const
+bool GroupTraffic::hasSettledLeader() const
 {
-    if (!this->lastLeader || !this->lastLeader->settled || this->deposed == this->lastLeader->server)
-        return std::nullopt;
-    if (need == LeaderNeed::Read && !this->lease.covers(this->lastLeader->server, now))
+    return this->lastLeader && this->lastLeader->settled && this->deposed != this->lastLeader->server;
+}
+
+std::optional<BackendServerId> GroupTraffic::usableLeader(TimePoint now) const
+{
+    if (!this->hasSettledLeader() || !this->lease.covers(this->lastLeader->server, now))
         return std::nullopt;
     return this->lastLeader->server;
 }
 
-uint64_t GroupTraffic::whenLeader(LeaderNeed need, const std::string& organisation, TimePoint giveUpAt, LeaderCallback callback)
+uint64_t GroupTraffic::whenLeader(const std::string& organisation, TimePoint giveUpAt, LeaderCallback callback)
 {
     const TimePoint now = bootNow();
-    if (const auto leader = this->usableLeader(need, now)) {
+    if (const auto leader = this->usableLeader(now)) {
         callback(leader);
         return 0;
     }
     const uint64_t ticket = this->nextTicket++;
-    this->waiters.push_back({ ticket, need, organisation, now, giveUpAt, std::move(callback) });
+    this->waiters.push_back({ ticket, organisation, now, giveUpAt, std::move(callback) });
     this->verifyLease(organisation, now);
     return ticket;
 }
@@ -188,18 +191,18 @@
     std::list<Waiter> ready;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         const auto next = std::next(waiter);
-        if (this->usableLeader(waiter->need, now))
+        if (this->usableLeader(now))
             ready.splice(ready.end(), this->waiters, waiter);
         waiter = next;
     }
     for (Waiter& waiter : ready)
-        waiter.callback(this->usableLeader(waiter.need, now));
+        waiter.callback(this->usableLeader(now));
 }
 
 void GroupTraffic::verifyLease(const std::string& organisation, TimePoint now)
 {
-    // Only reads at a settled primary are waiting for a proof.
-    if (this->verifying || !this->usableLeader(LeaderNeed::Write, now) || now < this->verifiedAt + verifyInterval)
+    // Only statements for a settled primary wait for a proof.
+    if (this->verifying || !this->hasSettledLeader() || now < this->verifiedAt + verifyInterval)
         return;
     // The nearest replica first; another one when that has not helped.
     std::vector<const ServerEntry*> replicas;
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -17,14 +17,6 @@
 
 namespace foxtail {
 
-// What a statement needs of the primary.
-enum class LeaderNeed : uint8_t {
-    // A write proves by its acknowledgement that the primary still leads.
-    Write,
-    // A read is only current while the lease covers the primary.
-    Read,
-};
-
 // What the traffic of a group needs of the VM around it.
 class GroupHost {
 public:
@@ -64,11 +56,12 @@
     std::vector<ReadCandidate> readCandidates(const std::string& organisation) const;
     ServerChoice& choice() { return this->serverChoice; }
 
-    // Calls back with the primary once it may be used, or with nothing at the deadline. Returns a ticket for cancel(), or 0.
-    uint64_t whenLeader(LeaderNeed, const std::string& organisation, TimePoint giveUpAt, LeaderCallback);
+    // Calls back with the primary once the lease covers it, or with nothing at the deadline. Writes need the lease too: one that is
+    // sent to a primary that has been replaced is in doubt, one that waits can still be refused. Returns a ticket for cancel(), or 0.
+    uint64_t whenLeader(const std::string& organisation, TimePoint giveUpAt, LeaderCallback);
     void cancel(uint64_t ticket);
-    // Whether the server may be used as the primary for the need at this time.
-    bool isUsableLeader(const BackendServerId& server, LeaderNeed need, TimePoint now) const { return this->usableLeader(need, now) == server; }
+    // Whether the server may be used as the primary at this time.
+    bool isUsableLeader(const BackendServerId& server, TimePoint now) const { return this->usableLeader(now) == server; }
     void sweep(TimePoint now);
 
     // Commits at the primary have had no answer for long, although it answers.
@@ -80,14 +73,15 @@
 private:
     struct Waiter {
         uint64_t ticket = 0;
-        LeaderNeed need = LeaderNeed::Write;
         std::string organisation;
         TimePoint since {};
         TimePoint giveUpAt {};
         LeaderCallback callback;
     };
-    // The primary when it may be used for the need at this time.
-    std::optional<BackendServerId> usableLeader(LeaderNeed, TimePoint now) const;
+    // Whether the directory names a primary and nothing speaks against it.
+    bool hasSettledLeader() const;
+    // The primary when the lease covers it at this time.
+    std::optional<BackendServerId> usableLeader(TimePoint now) const;
     void serveWaiters();
     // Asks a replica whether it still receives from the primary.
     void verifyLease(const std::string& organisation, TimePoint now);
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/fiber/future.hpp>
 #include <csignal>
+#include <utility>
 
 namespace foxtail {
 
@@ -19,8 +20,9 @@
 
 }
 
-ProxyVm::ProxyVm(FiberThread& thread, const ProxySettings& settings, const ProxyPlatform& platform, std::function<void()> ended)
+ProxyVm::ProxyVm(FiberThread& thread, std::string settingsFile, const ProxySettings& settings, const ProxyPlatform& platform, std::function<void()> ended)
     : thread(thread)
+    , settingsFile(std::move(settingsFile))
     , settings(settings)
     , ended(std::move(ended))
     , store(platform.makeStore(settings))
@@ -29,7 +31,7 @@
     , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t) { this->follower.fetchFromPeer(peer); })
     , follower(proxy, *store, platform.declarations, peers)
     , succession(proxy, *store, *orders, [this](std::string_view key) { return this->peers.rankFor(key); })
-    , signals(thread.ioContext(), SIGTERM, SIGINT)
+    , signals(thread.ioContext(), SIGTERM, SIGINT, SIGHUP)
 {
 }
 
@@ -58,15 +60,35 @@
 
 void ProxyVm::waitForSignal()
 {
-    this->signals.async_wait([this](const boost::system::error_code& code, int) {
-        if (!code && !this->isStopping)
+    this->signals.async_wait([this](const boost::system::error_code& code, int signal) {
+        if (code)
+            return;
+        if (signal == SIGHUP)
+            this->reload();
+        else if (!this->isStopping)
             startFiber([this] { this->stop(); });
+        this->waitForSignal();
     });
 }
 
+void ProxyVm::reload()
+{
+    const auto read = readProxySettings(this->settingsFile);
+    if (!read) {
+        for (const std::string& fault : read.error())
+            logEvent(LogLevel::Error, "settings not reloaded", { { "detail", fault } });
+        return;
+    }
+    this->settings.stopGrace = read.value().stopGrace;
+    this->settings.seeds = read.value().seeds;
+    setLogLevel(logLevelByName(read.value().logLevel).value_or(LogLevel::Info));
+    logEvent(LogLevel::Info, "settings reloaded");
+}
+
 void ProxyVm::stop()
 {
-    this->isStopping = true;
+    if (std::exchange(this->isStopping, true))
+        return;
     const TimePoint begun = bootNow();
     const TimePoint end = begun + this->settings.stopGrace - endMargin;
     logEvent(LogLevel::Info, "stopping", { { "sessions", this->proxy.sessionCount() } });
@@ -88,7 +110,7 @@
     return HttpResponse { 200, "application/json", {}, this->follower.configurationDocument() };
 }
 
-int ProxyVm::run(const ProxySettings& settings, const ProxyPlatform& platform)
+int ProxyVm::run(const std::string& settingsFile, const ProxySettings& settings, const ProxyPlatform& platform)
 {
     std::signal(SIGPIPE, SIG_IGN);
     const std::unique_ptr<FiberThread> thread = FiberThread::start("vm");
@@ -96,7 +118,7 @@
     auto future = ended.get_future();
     std::unique_ptr<ProxyVm> vm;
     const Result<void> started = thread->call([&] {
-        vm.reset(new ProxyVm(*thread, settings, platform, [&ended] { ended.set_value(); }));
+        vm.reset(new ProxyVm(*thread, settingsFile, settings, platform, [&ended] { ended.set_value(); }));
         return vm->start();
     });
     if (!started) {
--- a/foxtailtrail/proxy/ProxyVm.h
+++ b/foxtailtrail/proxy/ProxyVm.h
@@ -28,18 +28,21 @@
 class ProxyVm {
 public:
     // Runs until SIGTERM or SIGINT and the end of the sessions. Returns the exit status.
-    static int run(const ProxySettings&, const ProxyPlatform&);
+    static int run(const std::string& settingsFile, const ProxySettings&, const ProxyPlatform&);
 
 private:
-    ProxyVm(FiberThread&, const ProxySettings&, const ProxyPlatform&, std::function<void()> ended);
+    ProxyVm(FiberThread&, std::string settingsFile, const ProxySettings&, const ProxyPlatform&, std::function<void()> ended);
     Result<void> start();
     void waitForSignal();
     void stop();
+    // Reads the settings file again and applies what may change in a running process.
+    void reload();
     HttpResponse answerReady(const HttpRequest&) const;
     HttpResponse answerPeer(const HttpRequest&) const;
     bool isReady() const;
 
     FiberThread& thread;
+    std::string settingsFile;
     ProxySettings settings;
     std::function<void()> ended;
     std::unique_ptr<SharedStore> store;
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -62,12 +62,6 @@
     return this->task.writes || this->task.route.consistency == Consistency::Primary;
 }
 
-LeaderNeed StatementRun::leaderNeed() const
-{
-    const bool commitsEmpty = this->inTransaction() && !this->session.isReadOnly() && this->task.statement.kind == StatementKind::Commit;
-    return this->task.writes || commitsEmpty ? LeaderNeed::Write : LeaderNeed::Read;
-}
-
 bool StatementRun::mayRepeat() const
 {
     const bool reads = !this->task.writes && this->task.statement.kind != StatementKind::Commit;
@@ -134,7 +128,7 @@
     this->floor.reset();
     auto self = this->shared_from_this();
     this->leaderTicket = this->group->whenLeader(
-        this->leaderNeed(), this->task.organisation, this->giveUpAt, [self](const std::optional<BackendServerId>& leader) {
+        this->task.organisation, this->giveUpAt, [self](const std::optional<BackendServerId>& leader) {
             self->leaderTicket = 0;
             if (self->finished)
                 return;
@@ -219,7 +213,7 @@
 {
     // Waiting for the connection and its preparation has taken time, in which the lease may have ended.
     const bool atPrimary = !this->floor && !this->pinned;
-    if (atPrimary && !this->group->isUsableLeader(this->target, this->leaderNeed(), bootNow())) {
+    if (atPrimary && !this->group->isUsableLeader(this->target, bootNow())) {
         if (this->beginsTransaction)
             this->dropLink();
         else
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -80,7 +80,6 @@
     bool inTransaction() const { return this->session.transaction() == TransactionState::Open; }
     // Whether only the primary may run the statement.
     bool needsPrimary() const;
-    LeaderNeed leaderNeed() const;
     // Whether an attempt that may have run can be repeated.
     bool mayRepeat() const;
     void next();
--- a/foxtailtrail/server/Log.cpp
+++ b/foxtailtrail/server/Log.cpp
@@ -51,6 +51,8 @@
     boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
 }
 
+void setLogLevel(LogLevel level) { logState().level = level; }
+
 void logEvent(LogLevel level, std::string_view event, json::object fields)
 {
     if (level < logState().level)
--- a/foxtailtrail/server/Log.h
+++ b/foxtailtrail/server/Log.h
@@ -21,6 +21,9 @@
 // Sends log records to standard error, one JSON object per line, from the given level on.
 void startLogging(LogLevel, std::string_view vmId);
 
+// Changes the level from which on records are written.
+void setLogLevel(LogLevel);
+
 // Writes one record: time (UTC), level, VM, event and the given fields. Fields never hold a caller's key or statement.
 void logEvent(LogLevel, std::string_view event, json::object fields = {});
 
