Resume replicas after a promotion and limit the concurrency per backend server

Cause: the promotion ends the pause of its own server only, so the commits of the new primary found no replica until the old one left. Ruled out: replicas that do not receive (their positions were equal 0.5 s after the promotion). Change: RESUME to all replicas after a promotion and, by the holder of a turn, to replicas that a dead promoter left paused; a window per server that halves on BUSY; a refused connection is kept.

--- a/foxtailtrail/proxy/ServerPool.cpp
+++ b/foxtailtrail/proxy/ServerPool.cpp
@@ -3,6 +3,7 @@
 #include "foxtailtrail/proxy/BootClock.h"
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <cassert>
 #include <utility>
 
@@ -26,19 +27,36 @@
     , codec(codec)
     , entry(std::move(entry))
     , observer(std::move(observer))
+    , random(static_cast<std::minstd_rand::result_type>(bootNow().time_since_epoch().count()))
 {
 }
 
+void ServerPool::noteBusy()
+{
+    const TimePoint now = bootNow();
+    const double spread = std::uniform_real_distribution<double>(0, 1)(this->random);
+    this->busyUntil = std::max(this->busyUntil, this->window.noteBusy(now, spread));
+    this->serveWaitersAt(this->busyUntil);
+}
+
+void ServerPool::serveWaitersAt(TimePoint time)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(this->context, std::max(Duration(0), time - bootNow()));
+    timer->async_wait([self = this->shared_from_this(), timer](const boost::system::error_code&) { self->serveWaiters(); });
+}
+
 uint64_t ServerPool::acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, Callback callback)
 {
     if (this->retired) {
         callback(Acquisition::Gone, nullptr);
         return 0;
     }
-    if (std::shared_ptr<BackendLink> free = this->takeFree(organisation)) {
-        ++this->counts.reused;
-        callback(Acquisition::Acquired, free);
-        return 0;
+    if (this->mayStart(bootNow())) {
+        if (std::shared_ptr<BackendLink> free = this->takeFree(organisation)) {
+            ++this->counts.reused;
+            callback(Acquisition::Acquired, free);
+            return 0;
+        }
     }
     const uint64_t ticket = this->nextTicket++;
     // Higher priorities first, in the order of arrival within one.
@@ -85,6 +103,8 @@
 {
     // Free connections first.
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
+        if (!this->mayStart(bootNow()))
+            return;
         std::shared_ptr<BackendLink> free = this->takeFree(waiter->organisation);
         if (!free) {
             ++waiter;
@@ -105,6 +125,9 @@
         ++wanted[waiter.organisation];
     for (const auto& [organisation, count] : wanted) {
         for (size_t openings = this->openingsFor(organisation); openings < count; ++openings) {
+            // An opening takes a slot of the server, like a statement.
+            if (this->inUse + this->opening.size() >= this->window.size())
+                return;
             if (this->size() >= this->budget) {
                 if (this->idle.empty())
                     return;
--- a/foxtailtrail/proxy/ServerPool.h
+++ b/foxtailtrail/proxy/ServerPool.h
@@ -3,11 +3,13 @@
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/proxy/BackendLink.h"
+#include "foxtailtrail/scheduling/ConcurrencyWindow.h"
 
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace foxtail {
@@ -50,6 +52,11 @@
     // Forgets a connection that is lost or was closed by its user.
     void drop(const std::shared_ptr<BackendLink>&);
 
+    // The server refused a statement as busy: this VM sends less to it for a while.
+    void noteBusy();
+    // The server answered a statement.
+    void noteAnswer() { this->window.noteAnswer(); }
+
     bool hasFree(const std::string& organisation) const;
     // Statements that run on the server or wait for a connection.
     uint32_t outstanding() const { return static_cast<uint32_t>(this->inUse + this->waiters.size()); }
@@ -80,6 +87,10 @@
         TimePoint deadline {};
     };
     std::shared_ptr<BackendLink> takeFree(const std::string& organisation);
+    // Whether another statement may be sent to the server now.
+    bool mayStart(TimePoint now) const { return now >= this->busyUntil && this->inUse < this->window.size(); }
+    // Has the waiters looked at again at the given time.
+    void serveWaitersAt(TimePoint);
     void openFor(const std::string& organisation);
     void opened(LinkOpening, const std::shared_ptr<BackendLink>&);
     void serveWaiters();
@@ -104,6 +115,10 @@
     size_t keptIdle = 1;
     // After a refusal for too many connections, none is opened until this time.
     TimePoint fullUntil {};
+    ConcurrencyWindow window;
+    // After a refusal as busy, nothing is sent until this time.
+    TimePoint busyUntil {};
+    std::minstd_rand random;
     uint64_t nextTicket = 1;
     bool retired = false;
     PoolCounters counts;
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -300,6 +300,8 @@
     this->lastObstacle = refusal == BackendRefusal::Lagging ? ErrorKind::ReadNotCurrent
         : refusal == BackendRefusal::ReadOnly               ? ErrorKind::NotPrimary
                                                             : ErrorKind::Overloaded;
+    if (refusal == BackendRefusal::Busy)
+        this->held.pool->noteBusy();
     if (refusal == BackendRefusal::ReadOnly)
         this->group->noteNotPrimary(this->target);
     else if (!this->needsPrimary())
@@ -321,7 +323,7 @@
         return;
     }
     // A connection that lacks a statement that it should hold is not trusted any more.
-    if (refusal == BackendRefusal::NoStatement || this->beginsTransaction)
+    if (refusal == BackendRefusal::NoStatement)
         this->dropLink();
     else
         this->releaseLink();
@@ -333,6 +335,7 @@
 {
     const TimePoint now = bootNow();
     const bool ran = reply.succeeded();
+    this->held.pool->noteAnswer();
     const bool isCommit = ran
         && ((this->task.statement.kind == StatementKind::Commit && this->session.hasWritten())
             || (this->task.writes && !this->inTransaction()));
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -57,8 +57,10 @@
         if (cause == SuccessionCause::PrimaryLost || cause == SuccessionCause::CommitsStalled)
             cause = this->confirm(statuses, cause);
         this->shareStatuses(statuses);
-        if (cause == SuccessionCause::None)
+        if (cause == SuccessionCause::None) {
+            this->resumeForgotten(statuses);
             return;
+        }
         logEvent(LogLevel::Info, "primary to be replaced",
             { { "service", this->service.value }, { "cause", successionCauseName(cause) }, { "reason", reason },
                 { "primary", leader ? leader->value : "" } });
@@ -96,7 +98,8 @@
         if (!newest)
             return false;
         const std::optional<LeaderView> known = this->proxy.directory().leader(this->service);
-        if (known && known->server == newest->server && known->settled)
+        // A promotion that is under way has a newer term than the primary that it replaces.
+        if (known && ((known->server == newest->server && known->settled) || newest->term < known->term))
             return false;
         const LeaderRecord record { this->service, newest->term, newest->server, true };
         logEvent(LogLevel::Info, "primary found by its status",
@@ -156,6 +159,43 @@
         }
     }
 
+    // Lets replicas receive again that a promoter paused and left behind. Only the holder of a turn knows that no promotion is under
+    // way that relies on the pause.
+    void resumeForgotten(const std::vector<ProbedStatus>& statuses)
+    {
+        const bool anyPaused = std::any_of(statuses.begin(), statuses.end(), [](const ProbedStatus& status) {
+            return status.outcome == ProbeOutcome::Answered && !status.isPrimary && status.pausedFor != Term {};
+        });
+        if (!anyPaused)
+            return;
+        const std::optional<HeldTurn> turn = this->duty.claim();
+        if (!turn)
+            return;
+        logEvent(LogLevel::Info, "replicas resumed", { { "service", this->service.value }, { "fence", turn->record.fence } });
+        this->resumeReplicas();
+        this->duty.endTurn(*turn);
+    }
+
+    // Lets all servers but the primary receive.
+    void resumeReplicas()
+    {
+        const std::optional<LeaderView> leader = this->proxy.directory().leader(this->service);
+        std::vector<ServerEntry> replicas = this->members();
+        std::erase_if(replicas, [&](const ServerEntry& entry) { return leader && entry.id == leader->server; });
+        this->logStatuses("resume", this->commands.askAll(replicas, ServerOrder::Resume, Term {}, probeTimeout));
+    }
+
+    // Logs what the servers answered to an order.
+    void logStatuses(std::string_view order, const std::vector<ProbedStatus>& statuses) const
+    {
+        for (const ProbedStatus& status : statuses) {
+            logEvent(LogLevel::Info, "server answered",
+                { { "order", order }, { "server", status.server.value }, { "outcome", static_cast<int>(status.outcome) },
+                    { "primary", status.isPrimary }, { "term", status.term.value }, { "received", status.received.position.value },
+                    { "pausedFor", status.pausedFor.value } });
+        }
+    }
+
     // Whether a server certainly works for nobody: its machine refuses connections, or it is silent here and in the shared list. A
     // server that is silent here only may still serve VMs and replicas on its side of a partition.
     bool isGone(const std::optional<BackendServerId>& server, const std::vector<ProbedStatus>& statuses) const
@@ -206,6 +246,7 @@
         while (turn.mayActAt(bootNow())) {
             std::vector<ProbedStatus> paused = this->ask(replicas, ServerOrder::Pause, term);
             this->pausedAt = bootNow();
+            this->logStatuses("pause", paused);
             std::erase_if(paused, [&](const ProbedStatus& status) {
                 return std::find(failed.begin(), failed.end(), status.server) != failed.end();
             });
@@ -279,10 +320,12 @@
         if (!leads)
             return false;
         record.settled = true;
+        // The promotion ends the pause of its own server only.
         this->proxy.changeDirectory([&](ServerDirectory& directory) { directory.recordLeader(record); });
         logEvent(LogLevel::Info, "primary replaced",
             { { "service", this->service.value }, { "server", record.leader.value }, { "term", record.term.value },
                 { "fence", turn.record.fence } });
+        this->resumeReplicas();
         StoreChange change;
         change.expectations.push_back({ StoreTable::Turns, turnRowKey, turn.storedVersion });
         change.puts.push_back({ StoreTable::Fleet, leaderRowKey(this->service), encodeLeader(record) });
@@ -296,7 +339,7 @@
                 { { "service", this->service.value }, { "detail", stored.error().detail } });
         if (oldLeader) {
             if (const ServerEntry* old = this->proxy.directory().find(*oldLeader))
-                this->commands.askAll({ *old }, ServerOrder::Demote, record.term, probeTimeout);
+                this->logStatuses("demote", this->commands.askAll({ *old }, ServerOrder::Demote, record.term, probeTimeout));
         }
         return true;
     }
