--- a/foxtailtrail/limits/QuotaLedger.cpp
+++ b/foxtailtrail/limits/QuotaLedger.cpp
@@ -6,17 +6,20 @@
 
 namespace {
 
-    // The part of the permitted excess that unused grants may take; the rest covers the VMs that use their own part.
-    constexpr double unusedShareOfExcess = 0.6;
+    // The part of the permitted excess that unused grants may take.
+    constexpr double unusedShareOfExcess = 0.45;
+    // The part of it with which a new ledger starts, as it does not know what an earlier one has lent. The rest covers the VMs that
+    // use their own part.
+    constexpr double startShareOfExcess = 0.35;
     // The share of what is there that one request may take, so that the VMs that ask next find something.
     constexpr double shareOfLevel = 0.5;
 
 }
 
-double unusedAllowance(const OrganisationLimit& limit, const QuotaBounds& bounds)
+double permittedExcess(const OrganisationLimit& limit, const QuotaBounds& bounds)
 {
     const double window = std::chrono::duration<double>(bounds.window).count();
-    return unusedShareOfExcess * (bounds.excessShare * (limit.ratePerSecond * window + limit.burst) + bounds.slack);
+    return bounds.excessShare * (limit.ratePerSecond * window + limit.burst) + bounds.slack;
 }
 
 void QuotaLedger::refill(Account& account, const OrganisationLimit& limit, double share, TimePoint now) const
@@ -30,12 +33,15 @@
             ++loan;
         }
     }
-    if (account.filledAt == TimePoint {})
+    const double excess = permittedExcess(limit, this->bounds);
+    if (account.filledAt == TimePoint {}) {
         account.filledAt = now;
+        account.level = startShareOfExcess * excess;
+    }
     const double elapsed = std::chrono::duration<double>(now - account.filledAt).count();
     account.filledAt = now;
     account.level += elapsed * limit.ratePerSecond * share;
-    const double excessLoans = std::max(0.0, outstanding - unusedAllowance(limit, this->bounds) * share);
+    const double excessLoans = std::max(0.0, outstanding - unusedShareOfExcess * excess * share);
     account.level = std::min(account.level, std::max(0.0, limit.burst * share - excessLoans));
 }
 
--- a/foxtailtrail/limits/QuotaLedger.h
+++ b/foxtailtrail/limits/QuotaLedger.h
@@ -23,8 +23,9 @@
 // How long a grant may be used after its request was sent. A VM that asks counts as served by the ledger for as long.
 constexpr Duration grantLifetime = std::chrono::milliseconds(1200);
 
-// The operations by which grants that lie unused may exceed rate and burst: most of what the bounds leave.
-double unusedAllowance(const OrganisationLimit&, const QuotaBounds&);
+// The operations by which an organisation may exceed rate and burst in one window. Grants that lie unused, new ledgers and VMs
+// without a ledger each take a part of it.
+double permittedExcess(const OrganisationLimit&, const QuotaBounds&);
 
 // What a VM asks for one organisation.
 struct QuotaAsk {
--- a/foxtailtrail/limits/QuotaShare.cpp
+++ b/foxtailtrail/limits/QuotaShare.cpp
@@ -16,7 +16,9 @@
     constexpr double grantReserve = 3;
     // Below this part of the wanted tokens the next request is due.
     constexpr double lowMark = 0.3;
-    // How long operations are refused at once after a grant fell short.
+    // A grant below this part of what was wanted shows that the organisation is at its limit.
+    constexpr double shortShare = 0.2;
+    // How long operations are refused at once after such a grant.
     constexpr Duration shortTime = std::chrono::milliseconds(150);
     // Weight of the newest interval in the demand.
     constexpr double demandWeight = 0.5;
@@ -29,10 +31,8 @@
 
 bool QuotaShare::takeOwnPart(Holding& holding, const OrganisationLimit& limit, size_t fleetSize, TimePoint now) const
 {
-    const double window = std::chrono::duration<double>(this->bounds.window).count();
     const double parts = static_cast<double>(std::max<size_t>(1, fleetSize));
-    const double excess = this->bounds.excessShare * (limit.ratePerSecond * window + limit.burst) + this->bounds.slack;
-    const double cap = std::max(1.0, ownBurstShareOfExcess * excess / parts);
+    const double cap = std::max(1.0, ownBurstShareOfExcess * permittedExcess(limit, this->bounds) / parts);
     if (holding.ownFilledAt == TimePoint {})
         holding.ownFilledAt = now;
     holding.ownLevel += std::chrono::duration<double>(now - holding.ownFilledAt).count() * limit.ratePerSecond / parts;
@@ -88,7 +88,7 @@
         Holding& holding = this->holdings[grant.organisation];
         holding.granted = grant.tokens;
         holding.usableUntil = requestSentAt + grantLifetime;
-        holding.shortUntil = grant.tokens + 0.5 < holding.lastWanted ? now + shortTime : TimePoint {};
+        holding.shortUntil = grant.tokens < holding.lastWanted * shortShare ? now + shortTime : TimePoint {};
     }
 }
 
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -17,12 +17,17 @@
     constexpr Duration greetingInterval = std::chrono::milliseconds(500);
     // Peers that are greeted at a time, so that the cost of a VM does not grow with the fleet.
     constexpr size_t greetedAtATime = 3;
+    constexpr size_t greetedAtOnce = 16;
     // Without a greeting for this long a peer counts as away: it may have been left out of a dozen rounds.
     constexpr Duration peerSilence = std::chrono::seconds(4);
     // A peer that has been silent for this long does not count as a part of the fleet.
     constexpr Duration peerForgotten = std::chrono::seconds(60);
     constexpr Duration askTimeout = std::chrono::milliseconds(250);
     constexpr Duration avoidance = std::chrono::seconds(2);
+    // A peer that stops is gone within this time.
+    constexpr Duration stopAvoidance = std::chrono::seconds(6);
+    // Processes whose starts are closer together than this count as equally old.
+    constexpr Duration sameAge = std::chrono::seconds(2);
     constexpr const char* ledgerKey = "quota";
 
     // Kinds of datagrams.
@@ -40,6 +45,7 @@
     , newerConfiguration(std::move(newerConfiguration))
     , socket(context)
     , greetingTimer(context)
+    , startedAt(bootNow())
     , ledger(proxy.settings().quota)
 {
 }
@@ -73,10 +79,17 @@
         if (known != this->peers.end() && known->second.entry == entry)
             updated.emplace(entry.id, known->second);
         else
-            updated.emplace(entry.id, Peer { entry, now, TimePoint {}, TimePoint {} });
+            updated.emplace(entry.id, Peer { entry, now, TimePoint {}, TimePoint {}, TimePoint {} });
     }
     this->peers = std::move(updated);
     this->updateFleetSize(now);
+    // New peers learn of this VM at once; in a large fleet the rounds of greetings reach the others.
+    size_t greeted = 0;
+    const std::string text = this->greeting();
+    for (const auto& [id, peer] : this->peers) {
+        if (peer.knownSince == now && greeted++ < greetedAtOnce)
+            this->sendTo(peer, text);
+    }
 }
 
 bool PeerExchange::isLive(const Peer& peer, TimePoint now) const
@@ -113,10 +126,17 @@
 
 PeerExchange::Peer* PeerExchange::ledgerPeer(TimePoint now)
 {
+    const auto mayLend = [&](const Peer& peer) { return peer.startedAt != TimePoint {} && this->isLive(peer, now) && now >= peer.avoidUntil; };
+    TimePoint oldest = this->isStopping ? now : this->startedAt;
+    for (const auto& [id, peer] : this->peers) {
+        if (mayLend(peer))
+            oldest = std::min(oldest, peer.startedAt);
+    }
     Peer* best = nullptr;
-    uint64_t bestWeight = rendezvousWeight(ledgerKey, this->proxy.settings().vmId.value);
+    uint64_t bestWeight
+        = this->isStopping || oldest + sameAge < this->startedAt ? 0 : rendezvousWeight(ledgerKey, this->proxy.settings().vmId.value);
     for (auto& [id, peer] : this->peers) {
-        if (!this->isLive(peer, now) || now < peer.avoidUntil)
+        if (!mayLend(peer) || oldest + sameAge < peer.startedAt)
             continue;
         const uint64_t weight = rendezvousWeight(ledgerKey, id.value);
         if (weight > bestWeight) {
@@ -127,6 +147,14 @@
     return best;
 }
 
+void PeerExchange::announceStop()
+{
+    this->isStopping = true;
+    const std::string text = this->greeting();
+    for (const auto& [id, peer] : this->peers)
+        this->sendTo(peer, text);
+}
+
 void PeerExchange::quotaTick()
 {
     if (!this->proxy.isConfigured())
@@ -166,7 +194,8 @@
 std::string PeerExchange::greeting() const
 {
     return json::serialize(json::object { { "kind", greetingKind }, { "vm", this->proxy.settings().vmId.value },
-        { "configuration", this->proxy.isConfigured() ? this->proxy.routeTable().version : 0 } });
+        { "configuration", this->proxy.isConfigured() ? this->proxy.routeTable().version : 0 },
+        { "upMs", toMilliseconds(bootNow() - this->startedAt) }, { "stops", this->isStopping } });
 }
 
 void PeerExchange::scheduleGreetings()
@@ -236,6 +265,13 @@
         peer->second.heardAt = now;
     const json::object& message = parsed.value();
     if (kind.value() == greetingKind) {
+        const Result<uint64_t> up = unsignedMember(message, "upMs");
+        const Result<bool> stops = booleanMember(message, "stops");
+        if (peer != this->peers.end() && up && stops) {
+            peer->second.startedAt = now - std::chrono::milliseconds(up.value());
+            if (stops.value())
+                peer->second.avoidUntil = now + stopAvoidance;
+        }
         const Result<uint64_t> version = unsignedMember(message, "configuration");
         const uint64_t own = this->proxy.isConfigured() ? this->proxy.routeTable().version : 0;
         if (version && version.value() > own && peer != this->peers.end())
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -35,6 +35,8 @@
 
     // Opens the socket. Fails with Internal when it cannot be bound.
     Result<void> start();
+    // Tells the peers that this VM stops, so that another one lends quotas.
+    void announceStop();
     void setPeers(const std::vector<PeerEntry>&);
     // Asks for a grant if one is due. Called often.
     void quotaTick();
@@ -49,6 +51,8 @@
         TimePoint heardAt {};
         // After unanswered requests the peer is passed over until this time.
         TimePoint avoidUntil {};
+        // When its process started, by this VM's clock and without the time of the greeting on its way.
+        TimePoint startedAt {};
     };
     void receiveNext();
     void handle(std::string_view datagram, const boost::asio::ip::udp::endpoint& from);
@@ -58,7 +62,8 @@
     void sendTo(const Peer&, const std::string&);
     bool isLive(const Peer&, TimePoint now) const;
     std::string greeting() const;
-    // The VM that lends quotas to this one; empty for this VM itself.
+    // The VM that lends quotas to this one; null for this VM itself. One of the oldest processes is chosen, so that the loans survive
+    // restarts of others.
     Peer* ledgerPeer(TimePoint now);
     void updateFleetSize(TimePoint now);
 
@@ -71,6 +76,8 @@
     std::array<char, 4096> buffer {};
     std::map<VmId, Peer> peers;
     size_t nextPeer = 0;
+    TimePoint startedAt {};
+    bool isStopping = false;
     QuotaLedger ledger;
     uint64_t askNumber = 0;
     bool askOutstanding = false;
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -92,6 +92,7 @@
     const TimePoint begun = bootNow();
     const TimePoint end = begun + this->settings.stopGrace - endMargin;
     logEvent(LogLevel::Info, "stopping", { { "sessions", this->proxy.sessionCount() } });
+    this->peers.announceStop();
     this->proxy.startDraining(begun + rotationDelay, begun + this->settings.stopGrace / 2);
     while (bootNow() < end && (bootNow() < begun + rotationDelay || this->proxy.sessionCount() > 0))
         sleepFor(stopPollInterval);
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -17,8 +17,8 @@
     constexpr Duration sweepInterval = std::chrono::milliseconds(50);
     // Callers close a session whose start has no answer within two seconds.
     constexpr Duration configurationWait = std::chrono::milliseconds(1500);
-    // A grant takes one round trip to the ledger; across regions about 20 ms.
-    constexpr Duration quotaWait = std::chrono::milliseconds(200);
+    // A grant takes one round trip to the ledger, about 20 ms across regions, and requests are 60 ms apart.
+    constexpr Duration quotaWait = std::chrono::milliseconds(100);
     // The share of a server's connections that traffic may take; the rest is for promotions and VMs that start.
     constexpr double trafficShareOfConnections = 0.9;
     // How far one VM may exceed its equal part while others use less.
