Refuse soon where no primary will come, and check the record before a promotion

Ruled out: slow promotion (0.93 s from the claim to the new primary). Change: a VM without store and most peers reports not ready and refuses within 80 ms, as does one whose group has had no primary for 1.6 s; connections to the store have keep-alive; the holder of a turn reads the records of promotions before it acts.

--- a/foxtailtrail/net/HttpClient.cpp
+++ b/foxtailtrail/net/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "foxtailtrail/net/Await.h"
 #include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/net/FiberThread.h"
+#include "foxtailtrail/net/KeepAlive.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -114,7 +115,7 @@
         });
         if (connected.code)
             return fail(ErrorKind::PeerUnavailable, this->describe() + ": " + connected.code.message());
-        stream->socket().set_option(Tcp::no_delay(true), code);
+        configureConnection(stream->socket().native_handle());
         return stream;
     }
 
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -7,6 +7,7 @@
 #include "foxtailtrail/server/Log.h"
 
 #include <memory>
+#include <utility>
 
 namespace foxtail {
 
@@ -54,9 +55,10 @@
         const Result<RowSet> rows
             = isListed ? this->store.follow(table, version, feedWait) : this->store.list(table, now() + listTimeout);
         if (rows) {
-            if (isLost)
+            if (std::exchange(isLost, false)) {
+                --this->tablesLost;
                 logEvent(LogLevel::Info, "store regained", { { "table", name } });
-            isLost = false;
+            }
             pause = firstPause;
             version = rows.value().version;
             apply(rows.value(), !isListed);
@@ -69,9 +71,10 @@
             isListed = false;
             continue;
         }
-        if (!isLost)
+        if (!std::exchange(isLost, true)) {
+            ++this->tablesLost;
             logEvent(LogLevel::Warning, "store lost", { { "table", name }, { "detail", rows.error().detail } });
-        isLost = true;
+        }
         if (table == StoreTable::Declarations && !this->proxy.isConfigured())
             this->askSeeds();
         sleepFor(pause);
@@ -151,6 +154,15 @@
     });
 }
 
+Result<void> ControlFollower::refreshFleet()
+{
+    const Result<RowSet> rows = this->store.list(StoreTable::Fleet, now() + listTimeout);
+    if (!rows)
+        return fail(rows.error().kind, rows.error().detail);
+    this->applyFleet(rows.value(), true);
+    return succeed();
+}
+
 void ControlFollower::registerSelf()
 {
     const ProxySettings& settings = this->proxy.settings();
--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -21,14 +21,15 @@
     void start();
     // The newest configuration as the store gave it, for peers; empty when there is none.
     const std::string& configurationDocument() const { return this->document; }
+    // Whether no table has been readable for a while.
+    bool isStoreLost() const { return this->tablesLost == tableCount; }
+    // Reads the fleet's rows now. Fails when the store does not answer.
+    Result<void> refreshFleet();
     // Asks a peer for its configuration, in a fiber of its own.
     void fetchFromPeer(const Endpoint&);
 
 private:
-    struct TableView {
-        // Handles the whole table or some changed rows.
-        std::function<void(const RowSet&, bool isWhole)> apply;
-    };
+    static constexpr size_t tableCount = 3;
     void follow(StoreTable, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply);
     void applyDeclarations(const RowSet&);
     void applyServers(const RowSet&, bool isWhole);
@@ -44,6 +45,7 @@
     PeerExchange& peers;
     std::string document;
     std::map<std::string, PeerEntry> knownPeers;
+    size_t tablesLost = 0;
     bool isFetching = false;
     bool isRegistered = false;
 };
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -17,6 +17,10 @@
     constexpr Duration commitStallTime = std::chrono::milliseconds(600);
     // Statements that wait this long for a primary cause an examination.
     constexpr Duration waitBeforeExamination = std::chrono::milliseconds(300);
+    // From the loss of a primary to the first statement at its successor.
+    constexpr Duration expectedPromotion = std::chrono::milliseconds(1600);
+    // A proof of the lease takes one round trip, about 20 ms across regions.
+    constexpr Duration hopelessWait = std::chrono::milliseconds(80);
     constexpr Duration verifyTimeout = std::chrono::milliseconds(250);
     constexpr Duration verifyInterval = std::chrono::milliseconds(60);
 
@@ -171,11 +175,17 @@
 {
     const TimePoint now = bootNow();
     if (const auto leader = this->usableLeader(now)) {
+        this->leaderlessSince.reset();
         callback(leader);
         return 0;
     }
+    if (!this->leaderlessSince)
+        this->leaderlessSince = now;
+    // A promotion takes less than this. When it takes longer here, another VM may know the new primary, so the caller is told soon.
+    const bool isHopeless = now >= *this->leaderlessSince + expectedPromotion || this->host.isIsolated();
+    const TimePoint waitUntil = isHopeless ? std::min(giveUpAt, now + hopelessWait) : giveUpAt;
     const uint64_t ticket = this->nextTicket++;
-    this->waiters.push_back({ ticket, organisation, now, giveUpAt, std::move(callback) });
+    this->waiters.push_back({ ticket, organisation, now, waitUntil, std::move(callback) });
     this->verifyLease(organisation, now);
     return ticket;
 }
@@ -188,6 +198,8 @@
 void GroupTraffic::serveWaiters()
 {
     const TimePoint now = bootNow();
+    if (this->usableLeader(now))
+        this->leaderlessSince.reset();
     std::list<Waiter> ready;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         const auto next = std::next(waiter);
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -26,6 +26,8 @@
     virtual std::shared_ptr<ServerPool> pool(const BackendServerId&) = 0;
     virtual Distance distanceTo(const ServerEntry&) const = 0;
     virtual const BackendCodec& backendCodec() const = 0;
+    // Whether this VM is cut off from the store and from most other VMs, so that it won't learn of a new primary.
+    virtual bool isIsolated() const = 0;
     // Asks for an examination of the group's primary.
     virtual void examineGroup(const ServiceName&, std::string_view reason) = 0;
 };
@@ -94,6 +96,8 @@
     LeaderLease lease;
     ServerChoice serverChoice;
     std::optional<LogPoint> highestAcknowledged;
+    // Since when statements have waited for a primary without one becoming usable.
+    std::optional<TimePoint> leaderlessSince;
     std::list<Waiter> waiters;
     uint64_t nextTicket = 1;
     // The server that denied to lead although the directory says so.
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -20,6 +20,8 @@
     constexpr size_t greetedAtOnce = 16;
     // Without a greeting for this long a peer counts as away: it may have been left out of a dozen rounds.
     constexpr Duration peerSilence = std::chrono::seconds(4);
+    // Two greetings of each peer of a small fleet come within this time, and the greetings of several peers of a large one.
+    constexpr Duration isolationSilence = std::chrono::milliseconds(2500);
     // A peer that has been silent for this long does not count as a part of the fleet.
     constexpr Duration peerForgotten = std::chrono::seconds(60);
     constexpr Duration askTimeout = std::chrono::milliseconds(250);
@@ -105,11 +107,14 @@
         this->proxy.setFleetSize(static_cast<size_t>(counted) + 1);
 }
 
-size_t PeerExchange::livePeers() const
+bool PeerExchange::hearsFewPeers() const
 {
     const TimePoint now = bootNow();
-    return static_cast<size_t>(
-        std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& each) { return this->isLive(each.second, now); }));
+    const auto heard = std::count_if(
+        this->peers.begin(), this->peers.end(), [&](const auto& each) { return now < each.second.heardAt + isolationSilence; });
+    // In a large fleet a VM hears from as many peers a round as greet it, whatever the size.
+    const size_t expected = std::min(this->peers.size(), 2 * greetedAtATime);
+    return static_cast<size_t>(heard) * 2 < expected;
 }
 
 size_t PeerExchange::rankFor(std::string_view key) const
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -42,7 +42,8 @@
     void quotaTick();
     // The place of this VM among the live ones in an order that depends on the key; 0 is the first.
     size_t rankFor(std::string_view key) const;
-    size_t livePeers() const;
+    // Whether most peers have been silent for some greetings.
+    bool hearsFewPeers() const;
 
 private:
     struct Peer {
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -30,7 +30,8 @@
     , proxy(thread.ioContext(), settings, platform.callers, platform.backends)
     , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t) { this->follower.fetchFromPeer(peer); })
     , follower(proxy, *store, platform.declarations, peers)
-    , succession(proxy, *store, *orders, [this](std::string_view key) { return this->peers.rankFor(key); })
+    , succession(proxy, *store, *orders, [this](std::string_view key) { return this->peers.rankFor(key); },
+          [this] { return this->follower.refreshFleet(); })
     , signals(thread.ioContext(), SIGTERM, SIGINT, SIGHUP)
 {
 }
@@ -38,6 +39,7 @@
 Result<void> ProxyVm::start()
 {
     this->proxy.setExaminer([this](const ServiceName& service, std::string_view reason) { this->succession.examine(service, reason); });
+    this->proxy.setIsolationCheck([this] { return this->isIsolated(); });
     this->proxy.setQuotaTick([this] { this->peers.quotaTick(); });
     BOOST_OUTCOME_TRY(this->peers.start());
     HttpServerSettings ready;
@@ -100,7 +102,9 @@
     this->ended();
 }
 
-bool ProxyVm::isReady() const { return !this->isStopping && this->proxy.isConfigured(); }
+bool ProxyVm::isIsolated() const { return this->follower.isStoreLost() && this->peers.hearsFewPeers(); }
+
+bool ProxyVm::isReady() const { return !this->isStopping && this->proxy.isConfigured() && !this->isIsolated(); }
 
 HttpResponse ProxyVm::answerReady(const HttpRequest&) const { return HttpResponse { this->isReady() ? 200U : 503U, "text/plain", {}, {} }; }
 
--- a/foxtailtrail/proxy/ProxyVm.h
+++ b/foxtailtrail/proxy/ProxyVm.h
@@ -40,6 +40,8 @@
     HttpResponse answerReady(const HttpRequest&) const;
     HttpResponse answerPeer(const HttpRequest&) const;
     bool isReady() const;
+    // Cut off from the store and from most other VMs.
+    bool isIsolated() const;
 
     FiberThread& thread;
     std::string settingsFile;
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -41,6 +41,8 @@
     // Sets who examines groups whose primary is in doubt.
     void setExaminer(Examine examiner) { this->examine = std::move(examiner); }
 
+    // Sets who knows whether this VM is cut off.
+    void setIsolationCheck(std::function<bool()> check) { this->isolated = std::move(check); }
     // Sets who asks for grants of quotas; called when one may be due.
     void setQuotaTick(std::function<void()> tick) { this->quotaTick = std::move(tick); }
 
@@ -87,6 +89,7 @@
     std::shared_ptr<ServerPool> pool(const BackendServerId&) override;
     Distance distanceTo(const ServerEntry&) const override;
     const BackendCodec& backendCodec() const override { return this->backends; }
+    bool isIsolated() const override { return this->isolated && this->isolated(); }
     void examineGroup(const ServiceName&, std::string_view reason) override;
 
 private:
@@ -115,6 +118,7 @@
     boost::asio::steady_timer sweepTimer;
     Examine examine;
     std::function<void()> quotaTick;
+    std::function<bool()> isolated;
     std::shared_ptr<const RouteTable> table;
     std::list<ConfigurationWaiter> configurationWaiters;
     ServerDirectory servers;
--- a/foxtailtrail/proxy/Stream.cpp
+++ b/foxtailtrail/proxy/Stream.cpp
@@ -1,9 +1,10 @@
 #include "foxtailtrail/proxy/Stream.h"
 
+#include "foxtailtrail/net/KeepAlive.h"
+
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <netinet/tcp.h>
 #include <utility>
 
 namespace foxtail {
@@ -15,11 +16,6 @@
     constexpr size_t readChunk = size_t { 32 } * 1024;
     // An answer that the other side does not take is kept up to this size.
     constexpr size_t maxPendingBytes = size_t { 4 } << 20;
-    // A peer that vanished without a reset is noticed by keep-alive probes after about four seconds.
-    constexpr int keepAliveIdleSeconds = 2;
-    constexpr int keepAliveIntervalSeconds = 1;
-    constexpr int keepAliveProbes = 2;
-    constexpr int userTimeoutMilliseconds = 4000;
 
     // Shared by all connections of the thread, as a read is handled before the next one starts.
     std::array<char, readChunk>& scratch()
@@ -28,8 +24,6 @@
         return buffer;
     }
 
-    void setOption(int descriptor, int level, int name, int value) { setsockopt(descriptor, level, name, &value, sizeof(value)); }
-
 }
 
 Stream::Stream(boost::asio::io_context& context)
@@ -46,13 +40,7 @@
 {
     boost::system::error_code ignored;
     this->socket.non_blocking(true, ignored);
-    const int descriptor = this->socket.native_handle();
-    setOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
-    setOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
-    setOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMilliseconds);
+    configureConnection(this->socket.native_handle());
     this->waitForBytes();
 }
 
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -214,6 +214,16 @@
         const std::optional<HeldTurn> turn = this->duty.claim();
         if (!turn)
             return;
+        // The view of a VM that was cut off may be older than the last promotion.
+        const std::optional<LeaderView> before = this->proxy.directory().leader(this->service);
+        const Result<void> refreshed = this->duty.refresh();
+        const std::optional<LeaderView> after = this->proxy.directory().leader(this->service);
+        if (!refreshed || (after != before && after && after->settled)) {
+            logEvent(LogLevel::Info, "promotion not needed",
+                { { "service", this->service.value }, { "primary", after ? after->server.value : "" } });
+            this->duty.endTurn(*turn);
+            return;
+        }
         Term term;
         for (const ProbedStatus& status : statuses)
             term = std::max({ term, status.term, status.pausedFor });
@@ -360,11 +370,12 @@
     TimePoint pausedAt {};
 };
 
-SuccessionDuty::SuccessionDuty(SessionProxy& proxy, SharedStore& store, PromotionOrders& orders, Rank rank)
+SuccessionDuty::SuccessionDuty(SessionProxy& proxy, SharedStore& store, PromotionOrders& orders, Rank rank, Refresh refresh)
     : proxy(proxy)
     , store(store)
     , orders(orders)
     , rank(std::move(rank))
+    , refresh(std::move(refresh))
 {
 }
 
--- a/foxtailtrail/proxy/SuccessionDuty.h
+++ b/foxtailtrail/proxy/SuccessionDuty.h
@@ -21,7 +21,10 @@
     // The place of this VM in the order of those that examine a group.
     using Rank = std::function<size_t(std::string_view key)>;
 
-    SuccessionDuty(SessionProxy&, SharedStore&, PromotionOrders&, Rank);
+    // Reads the records of promotions from the store.
+    using Refresh = std::function<Result<void>()>;
+
+    SuccessionDuty(SessionProxy&, SharedStore&, PromotionOrders&, Rank, Refresh);
 
     // Starts an examination unless one is under way or has just ended.
     void examine(const ServiceName&, std::string_view reason);
@@ -40,6 +43,7 @@
     SharedStore& store;
     PromotionOrders& orders;
     Rank rank;
+    Refresh refresh;
     std::map<ServiceName, Progress> progress;
 };
 
