Ask for quota by need, and wait longer on feeds

Change: a request names the organisations that are short and asks for what waits plus the expected demand; feeds wait 7 to 12 s (connections have keep-alive); registrations are collected for 0.4 s.

--- a/foxtailtrail/limits/QuotaShare.cpp
+++ b/foxtailtrail/limits/QuotaShare.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-    // Requests are at least this far apart.
+    // Requests are at least this far apart; in a large fleet further, to bound the work of the ledger.
     constexpr Duration minAskInterval = std::chrono::milliseconds(60);
+    constexpr Duration minAskIntervalLarge = std::chrono::milliseconds(120);
+    constexpr size_t largeFleet = 24;
     // A VM asks at least this often, which keeps its part of the rates lent to the ledger.
     constexpr Duration maxAskInterval = std::chrono::milliseconds(700);
     // A grant is sized for the expected demand of this time.
@@ -20,8 +22,9 @@
     constexpr double shortShare = 0.2;
     // How long operations are refused at once after such a grant.
     constexpr Duration shortTime = std::chrono::milliseconds(150);
-    // Weight of the newest interval in the demand.
+    // Weight of the newest interval in the demand, for intervals of the longest kind, and the lower bound for a rise.
     constexpr double demandWeight = 0.5;
+    constexpr double risingDemandWeight = 0.3;
     // The part of the permitted excess that the burst of all VMs' own parts may take.
     constexpr double ownBurstShareOfExcess = 0.2;
     // Without a grant for this long, the VM uses its own part.
@@ -59,24 +62,34 @@
     if (!ledgerAnswers && now >= holding.usableUntil)
         return this->takeOwnPart(holding, limit, fleetSize, now) ? QuotaVerdict::Admitted : QuotaVerdict::Refused;
     holding.ownFilledAt = now;
-    return now < holding.shortUntil ? QuotaVerdict::Refused : QuotaVerdict::Wait;
+    if (now < holding.shortUntil)
+        return QuotaVerdict::Refused;
+    if (!hasWaited)
+        holding.waiting += 1;
+    return QuotaVerdict::Wait;
 }
 
 std::vector<QuotaAsk> QuotaShare::asks(TimePoint now)
 {
     const double elapsed = this->lastAsk == TimePoint {} ? 1.0 : std::max(0.05, std::chrono::duration<double>(now - this->lastAsk).count());
+    const double usualWeight = std::min(1.0, demandWeight * elapsed / std::chrono::duration<double>(maxAskInterval).count());
     std::vector<QuotaAsk> asks;
     for (auto& [organisation, holding] : this->holdings) {
+        // A rise is followed faster than a fall.
         const double observed = holding.arrivals / elapsed;
-        const double weight = std::min(1.0, demandWeight * elapsed / std::chrono::duration<double>(maxAskInterval).count());
-        holding.demandPerSecond += (observed > holding.demandPerSecond ? std::max(weight, 0.3) : weight) * (observed - holding.demandPerSecond);
+        const double weight = observed > holding.demandPerSecond ? std::max(usualWeight, risingDemandWeight) : usualWeight;
+        holding.demandPerSecond += weight * (observed - holding.demandPerSecond);
         holding.arrivals = 0;
-        holding.needsMore = false;
-        holding.lastWanted = holding.demandPerSecond * grantCoverSeconds + grantReserve;
-        const double unused = now < holding.usableUntil ? holding.granted : 0;
-        asks.push_back({ organisation, holding.lastWanted, unused });
+        if (!holding.needsMore)
+            continue;
+        // An organisation with rare operations here gets one token for each, so that few lie unused in a large fleet.
+        const double demand = holding.demandPerSecond;
+        holding.lastWanted = holding.waiting + demand * grantCoverSeconds + std::min(grantReserve, demand);
+        asks.push_back({ organisation, holding.lastWanted, now < holding.usableUntil ? holding.granted : 0 });
         // What is returned must not be used while the request is on its way.
         holding.granted = 0;
+        holding.needsMore = false;
+        holding.waiting = 0;
     }
     return asks;
 }
@@ -92,9 +105,9 @@
     }
 }
 
-bool QuotaShare::isAskDue(TimePoint now) const
+bool QuotaShare::isAskDue(size_t fleetSize, TimePoint now) const
 {
-    if (now < this->lastAsk + minAskInterval)
+    if (now < this->lastAsk + (fleetSize < largeFleet ? minAskInterval : minAskIntervalLarge))
         return false;
     if (now >= this->lastAsk + maxAskInterval)
         return true;
--- a/foxtailtrail/limits/QuotaShare.h
+++ b/foxtailtrail/limits/QuotaShare.h
@@ -33,7 +33,7 @@
     void take(const std::vector<QuotaGrant>&, TimePoint requestSentAt, TimePoint now);
 
     // Whether a new request is due: an organisation is short of tokens, or the last request is long ago.
-    bool isAskDue(TimePoint now) const;
+    bool isAskDue(size_t fleetSize, TimePoint now) const;
     // The request was sent, so the next one is due later.
     void noteAsked(TimePoint now);
 
@@ -48,6 +48,8 @@
         TimePoint shortUntil {};
         double lastWanted = 0;
         bool needsMore = false;
+        // Operations that wait for the next grant.
+        double waiting = 0;
         // The VM's own part, used without a ledger.
         double ownLevel = 0;
         TimePoint ownFilledAt {};
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -1,20 +1,27 @@
 #include "foxtailtrail/proxy/ControlFollower.h"
 
+#include "foxtailtrail/base/Hash.h"
 #include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/net/FiberThread.h"
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/FleetRows.h"
 #include "foxtailtrail/server/Log.h"
 
+#include <algorithm>
 #include <memory>
+#include <random>
 #include <utility>
 
 namespace foxtail {
 
 namespace {
 
-    // A feed that has gone silent is noticed after its wait, so the wait bounds the age of what this VM knows.
-    constexpr Duration feedWait = std::chrono::milliseconds(4000);
+    // Each call of a feed is paid for. Connections that go silent are noticed by keep-alive within three seconds; the wait is the
+    // second bound, and it varies so that the feeds of the VMs don't end together.
+    constexpr int feedWaitMinMilliseconds = 7000;
+    constexpr int feedWaitMaxMilliseconds = 12000;
+    // VMs register at the same time, so their rows are collected for a moment.
+    constexpr Duration registrationPause = std::chrono::milliseconds(400);
     constexpr Duration listTimeout = std::chrono::milliseconds(1000);
     // Pause after a failed call; doubled up to the longest one.
     constexpr Duration firstPause = std::chrono::milliseconds(100);
@@ -50,10 +57,12 @@
     bool isLost = false;
     uint64_t version = 0;
     Duration pause = firstPause;
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(stableHash(this->proxy.settings().vmId.value + name)));
+    std::uniform_int_distribution<int> waits(feedWaitMinMilliseconds, feedWaitMaxMilliseconds);
     // Runs until the process ends.
     while (true) {
         const Result<RowSet> rows
-            = isListed ? this->store.follow(table, version, feedWait) : this->store.list(table, now() + listTimeout);
+            = isListed ? this->store.follow(table, version, std::chrono::milliseconds(waits(random))) : this->store.list(table, now() + listTimeout);
         if (rows) {
             if (std::exchange(isLost, false)) {
                 --this->tablesLost;
@@ -65,6 +74,11 @@
             isListed = true;
             if (table == StoreTable::Fleet && !this->isRegistered)
                 this->registerSelf();
+            const bool onlyRegistrations = table == StoreTable::Fleet && !rows.value().rows.empty()
+                && std::all_of(rows.value().rows.begin(), rows.value().rows.end(),
+                    [](const TableRow& row) { return row.removed || decodePeer(row.key, row.value); });
+            if (onlyRegistrations)
+                sleepFor(registrationPause);
             continue;
         }
         if (rows.error().kind == ErrorKind::VersionConflict) {
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -174,7 +174,7 @@
             silent->second.avoidUntil = now + avoidance;
     }
     QuotaShare& share = this->proxy.quota();
-    if (!share.isAskDue(now))
+    if (!share.isAskDue(this->proxy.fleetSize(), now))
         return;
     const std::vector<QuotaAsk> asks = share.asks(now);
     share.noteAsked(now);
