--- /dev/null
+++ b/standins/platform/LineGroup.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "standins/TcpListener.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace foxtail::standins {
+
+// One run of a caller's statement on a backend server.
+struct StatementRecord {
+    std::string server;
+    std::string organisation;
+    std::string id;
+    // The statement with the names of prepared statements replaced by their shapes.
+    std::string text;
+    // The session values that the connection held.
+    std::map<std::string, std::string> values;
+};
+
+// A committed write.
+struct LogEntry {
+    uint64_t term = 0;
+    uint64_t number = 0;
+    std::string id;
+    std::string item;
+    std::string data;
+};
+
+// A group of three backend servers that speak the platform's line protocol: a primary and two replicas with a replicated log. All
+// of it runs in this process; each server listens on a port of its own.
+class LineGroup {
+public:
+    static constexpr size_t serverCount = 3;
+    // Told of every statement of a caller that a server runs, while the group is locked.
+    using Observer = std::function<void(const StatementRecord&)>;
+
+    LineGroup(std::string service, Observer);
+    ~LineGroup();
+
+    const std::string& service() const { return this->serviceName; }
+    std::string serverId(size_t server) const;
+    // The entry that a server writes to the shared list.
+    std::string entry(size_t server);
+
+    // Makes a server the primary of the next term. Returns the HTTP status for the order.
+    unsigned promote(const std::string& id);
+    // Ends a server's process: its port refuses connections. It keeps its log.
+    void crash(size_t server);
+    void restart(size_t server);
+    // The server accepts connections but answers nothing.
+    void setDark(size_t server, bool dark);
+    // How much later a replica applies what it has received.
+    void setLag(size_t server, std::chrono::milliseconds);
+    // A deaf replica receives nothing.
+    void setDeaf(size_t server, bool deaf);
+    // The share of statements whose answers are lost after the run.
+    void setLostShare(double share);
+
+    std::optional<size_t> primary();
+    // The log of the present primary.
+    std::vector<LogEntry> primaryLog();
+    size_t connectionCount(size_t server);
+    // Every byte that the servers have received, for the search for keys.
+    std::string receivedBytes();
+
+private:
+    using Clock = std::chrono::steady_clock;
+    struct Server {
+        std::string id;
+        bool running = true;
+        bool dark = false;
+        bool deaf = false;
+        bool isPrimary = false;
+        uint64_t term = 1;
+        uint64_t pausedFor = 0;
+        std::chrono::milliseconds lag { 2 };
+        std::vector<LogEntry> log;
+        std::vector<Clock::time_point> receivedAt;
+        size_t connections = 0;
+        uint64_t generation = 0;
+        uint16_t port = 0;
+        std::unique_ptr<TcpListener> listener;
+    };
+    struct Connection;
+
+    void serve(size_t server, boost::asio::ip::tcp::socket&);
+    // Handles one line. Returns false when the connection ends.
+    bool handle(Connection&, const std::string& line, std::string& out);
+    bool handleStart(Connection&, const std::string& rest, std::string& out);
+    bool handleQuery(Connection&, const std::string& id, std::string text, std::string& out);
+    void runRead(Connection&, const std::string& id, const std::string& text, const std::string& item, std::string& out);
+    bool runWrites(Connection&, const std::string& id, std::vector<LogEntry> writes, std::string& out);
+    void record(Connection&, const std::string& id, const std::string& text);
+    void ready(Connection&, std::string& out);
+    std::string statusRow(const Server&) const;
+    // Appends to the replicas' logs what they may receive.
+    void replicate();
+    size_t appliedCount(const Server&) const;
+    std::string newDigest(const Server&, const std::string& id);
+
+    std::string serviceName;
+    Observer observer;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::vector<Server> servers;
+    std::string bytes;
+    double lostShare = 0;
+    std::mt19937 random { 7 };
+    bool stopping = false;
+};
+
+}
--- /dev/null
+++ b/standins/platform/RowStore.cpp
@@ -0,0 +1,260 @@
+#include "standins/platform/RowStore.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <openssl/evp.h>
+#include <sstream>
+#include <thread>
+
+namespace foxtail::standins {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr std::chrono::milliseconds silencePoll { 20 };
+
+    std::string encode(const std::string& bytes)
+    {
+        std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+        const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+            reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+        text.resize(static_cast<size_t>(length));
+        return text;
+    }
+
+    std::string decode(const std::string& text)
+    {
+        std::string bytes(text.size() / 4 * 3 + 3, '\0');
+        const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+            reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+        const auto padding = static_cast<size_t>(std::count(text.begin(), text.end(), '='));
+        bytes.resize(static_cast<size_t>(length) - padding);
+        return bytes;
+    }
+
+    std::map<std::string, std::string> parseQuery(const std::string& target)
+    {
+        std::map<std::string, std::string> query;
+        const size_t mark = target.find('?');
+        std::istringstream parts(mark == std::string::npos ? "" : target.substr(mark + 1));
+        std::string part;
+        while (std::getline(parts, part, '&')) {
+            const size_t equals = part.find('=');
+            query[part.substr(0, equals)] = equals == std::string::npos ? "" : part.substr(equals + 1);
+        }
+        return query;
+    }
+
+    int64_t steadyMilliseconds()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+    }
+
+}
+
+RowStore::RowStore(Promote promote)
+    : promote(std::move(promote))
+    , listener(0, [this](boost::asio::ip::tcp::socket& socket) { this->serve(socket); })
+{
+}
+
+RowStore::~RowStore()
+{
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->stopping = true;
+    }
+    this->changed.notify_all();
+    this->listener.stop();
+}
+
+void RowStore::setFaults(const RowStoreFaults& newFaults)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->faults = newFaults;
+}
+
+void RowStore::put(const std::string& table, const std::string& key, const std::string& value)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->rows[{ table, key }] = Row { value, ++this->version, false };
+    this->changed.notify_all();
+}
+
+void RowStore::remove(const std::string& table, const std::string& key)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->rows[{ table, key }] = Row { {}, ++this->version, true };
+    this->changed.notify_all();
+}
+
+void RowStore::compact()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->historyFrom = ++this->version;
+    this->changed.notify_all();
+}
+
+std::vector<PromotionOrder> RowStore::orders()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->received;
+}
+
+uint64_t RowStore::callCount()
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->calls;
+}
+
+void RowStore::serve(boost::asio::ip::tcp::socket& socket)
+{
+    uint64_t number = 0;
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        number = ++this->connections;
+    }
+    beast::flat_buffer buffer;
+    while (true) {
+        Request request;
+        beast::error_code code;
+        http::read(socket, buffer, request, code);
+        if (code)
+            return;
+        Answer answer;
+        bool rejected = false;
+        std::chrono::milliseconds slow { 0 };
+        {
+            std::unique_lock<std::mutex> lock(this->mutex);
+            ++this->calls;
+            while (this->faults.silent && !this->stopping)
+                this->changed.wait_for(lock, silencePoll);
+            rejected = this->faults.busy
+                || (this->faults.rejectedShare > 0 && static_cast<double>(number * 7919 % 100) < this->faults.rejectedShare * 100);
+            slow = this->faults.slow;
+        }
+        if (slow.count() > 0)
+            std::this_thread::sleep_for(slow);
+        answer = rejected ? Answer { 503, "{}", false } : this->answer(request);
+        if (answer.lost)
+            return;
+        http::response<http::string_body> response(static_cast<http::status>(answer.status), 11);
+        response.set(http::field::content_type, "application/json");
+        response.body() = answer.body;
+        response.prepare_payload();
+        http::write(socket, response, code);
+        if (code)
+            return;
+    }
+}
+
+RowStore::Answer RowStore::answer(const Request& request)
+{
+    const std::string target(request.target());
+    const std::string path = target.substr(0, target.find('?'));
+    if (path == "/rows-get")
+        return this->list(parseQuery(target));
+    if (path == "/rows-feed")
+        return this->follow(parseQuery(target));
+    if (path == "/rows-tx")
+        return this->transact(request.body());
+    if (path == "/promote")
+        return this->promoteServer(request);
+    return { 404, "{}", false };
+}
+
+json::object RowStore::rowObject(const std::string& table, const std::string& key, const Row& row) const
+{
+    json::object object { { "table", table }, { "part", "" }, { "key", key }, { "ver", row.version } };
+    if (row.removed)
+        object["tombstone"] = true;
+    else
+        object["value"] = encode(row.value);
+    return object;
+}
+
+json::object RowStore::answerObject() const { return { { "ver", this->version }, { "now_ms", steadyMilliseconds() } }; }
+
+RowStore::Answer RowStore::list(const std::map<std::string, std::string>& query)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    json::array found;
+    for (const auto& [name, row] : this->rows) {
+        if (name.first == query.at("table") && !row.removed)
+            found.push_back(this->rowObject(name.first, name.second, row));
+    }
+    json::object answer = this->answerObject();
+    answer["rows"] = std::move(found);
+    answer["has_more"] = false;
+    return { 200, json::serialize(answer), false };
+}
+
+RowStore::Answer RowStore::follow(const std::map<std::string, std::string>& query)
+{
+    const uint64_t after = std::stoull(query.at("after"));
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoi(query.at("wait_ms")));
+    std::unique_lock<std::mutex> lock(this->mutex);
+    while (true) {
+        if (after < this->historyFrom)
+            return { 410, "{}", false };
+        std::map<uint64_t, json::object> found;
+        for (const auto& [name, row] : this->rows) {
+            if (name.first == query.at("table") && row.version > after)
+                found.emplace(row.version, this->rowObject(name.first, name.second, row));
+        }
+        if (!found.empty() || this->stopping || std::chrono::steady_clock::now() >= deadline) {
+            json::array list;
+            for (auto& [rowVersion, object] : found)
+                list.push_back(std::move(object));
+            json::object answer = this->answerObject();
+            answer["rows"] = std::move(list);
+            return { 200, json::serialize(answer), false };
+        }
+        this->changed.wait_until(lock, deadline);
+    }
+}
+
+RowStore::Answer RowStore::transact(const std::string& body)
+{
+    const json::object change = json::parse(body).as_object();
+    std::unique_lock<std::mutex> lock(this->mutex);
+    const bool lost = std::uniform_real_distribution<double>(0, 1)(this->random) < this->faults.lostShare;
+    if (lost && this->faults.lostDelay.count() > 0) {
+        const std::chrono::milliseconds delay = this->faults.lostDelay;
+        lock.unlock();
+        std::this_thread::sleep_for(delay);
+        lock.lock();
+    }
+    const auto nameOf = [](const json::object& row) {
+        return std::pair(std::string(std::string_view(row.at("table").as_string())), std::string(std::string_view(row.at("key").as_string())));
+    };
+    for (const json::value& each : change.at("expect").as_array()) {
+        const auto found = this->rows.find(nameOf(each.as_object()));
+        const uint64_t current = found == this->rows.end() || found->second.removed ? 0 : found->second.version;
+        if (current != each.at("ver").to_number<uint64_t>())
+            return { 412, "{\"rows\":[]}", lost };
+    }
+    ++this->version;
+    for (const json::value& each : change.at("puts").as_array())
+        this->rows[nameOf(each.as_object())]
+            = Row { decode(std::string(std::string_view(each.at("value").as_string()))), this->version, false };
+    this->changed.notify_all();
+    return { 200, json::serialize(this->answerObject()), lost };
+}
+
+RowStore::Answer RowStore::promoteServer(const Request& request)
+{
+    const json::object body = json::parse(request.body()).as_object();
+    const PromotionOrder order { std::string(std::string_view(body.at("service").as_string())),
+        std::string(std::string_view(body.at("id").as_string())), std::string(request["X-Duty-Holder"]),
+        std::stoull(std::string(request["X-Fencing-Token"])), std::chrono::steady_clock::now() };
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        this->received.push_back(order);
+    }
+    return { this->promote(order), "{}", false };
+}
+
+}
--- /dev/null
+++ b/tests/failover/SuccessionTest.cpp
@@ -0,0 +1,200 @@
+#include "foxtailtrail/failover/DutyTurn.h"
+#include "foxtailtrail/failover/SuccessionPlan.h"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+
+namespace foxtail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    ProbedStatus status(const std::string& id, ProbeOutcome outcome, bool primary, uint64_t received)
+    {
+        ProbedStatus probed;
+        probed.server = BackendServerId(id);
+        probed.outcome = outcome;
+        probed.isPrimary = primary;
+        probed.term = Term { 1 };
+        probed.received = { Term { 1 }, Position { received } };
+        return probed;
+    }
+
+    const std::optional<BackendServerId> primaryId = BackendServerId("p");
+
+    SuccessionCause judge(const ProbedStatus& primary, const ProbedStatus& replica, bool settled = true, bool stalled = false)
+    {
+        return judgeSuccession({ primary, replica }, primaryId, settled, stalled);
+    }
+
+    // Each state of the primary with an answering replica, as rows of a matrix.
+    TEST(SuccessionPlanTest, ThePrimaryIsReplacedOnlyForACause)
+    {
+        const ProbedStatus replica = status("r", ProbeOutcome::Answered, false, 5);
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Answered, true, 5), replica), SuccessionCause::None);
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Silent, false, 0), replica), SuccessionCause::PrimaryLost);
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Refused, false, 0), replica), SuccessionCause::PrimaryLost);
+        // A server at its connection cap resets new connections and is not lost (wattle quiet-1, first run).
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Full, false, 0), replica), SuccessionCause::None);
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Answered, false, 5), replica), SuccessionCause::PrimaryLost);
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Answered, false, 5), replica, false), SuccessionCause::Unfinished);
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Answered, true, 5), replica, true, true), SuccessionCause::CommitsStalled);
+        ProbedStatus leaving = status("p", ProbeOutcome::Answered, true, 5);
+        leaving.draining = true;
+        EXPECT_EQ(judge(leaving, replica), SuccessionCause::PrimaryLeaving);
+        EXPECT_EQ(judgeSuccession({ replica }, std::nullopt, true, false), SuccessionCause::NoPrimary);
+    }
+
+    // Guards against a VM that replaces a working primary because its own links are broken.
+    TEST(SuccessionPlanTest, NobodyIsReplacedWhenNobodyAnswers)
+    {
+        const ProbedStatus silent = status("r", ProbeOutcome::Silent, false, 0);
+        EXPECT_EQ(judge(status("p", ProbeOutcome::Silent, false, 0), silent), SuccessionCause::None);
+    }
+
+    // Guards against the loss of acknowledged commits that only one replica holds.
+    TEST(SuccessionPlanTest, TheSuccessorHasTheLongestLog)
+    {
+        const SuccessorChoice choice = chooseSuccessor(
+            { status("a", ProbeOutcome::Answered, false, 7), status("b", ProbeOutcome::Answered, false, 9) }, std::nullopt, false);
+        EXPECT_TRUE(choice.complete);
+        EXPECT_EQ(choice.successor, BackendServerId("b"));
+    }
+
+    // Guards against a promotion while a replica that may hold more could not be asked (kongres trouble-3: 40 commits lost).
+    TEST(SuccessionPlanTest, AMissingReplicaBlocksThePromotionUntilItIsLost)
+    {
+        const ProbedStatus answering = status("a", ProbeOutcome::Answered, false, 7);
+        for (const ProbeOutcome outcome : { ProbeOutcome::Silent, ProbeOutcome::Refused, ProbeOutcome::Full }) {
+            const std::vector<ProbedStatus> replicas { answering, status("b", outcome, false, 0) };
+            EXPECT_FALSE(chooseSuccessor(replicas, std::nullopt, false).successor) << static_cast<int>(outcome);
+            const bool mayBeLost = outcome != ProbeOutcome::Full;
+            EXPECT_EQ(chooseSuccessor(replicas, std::nullopt, true).successor.has_value(), mayBeLost) << static_cast<int>(outcome);
+            // A known acknowledged commit that the candidate lacks is on the missing replica.
+            EXPECT_FALSE(chooseSuccessor(replicas, LogPoint { Term { 1 }, Position { 8 } }, true).successor);
+        }
+    }
+
+    // Guards against a leaving replica that takes the only copy of a commit with it.
+    TEST(SuccessionPlanTest, ALeavingReplicaIsAskedButNotChosen)
+    {
+        ProbedStatus leaving = status("b", ProbeOutcome::Answered, false, 9);
+        leaving.draining = true;
+        EXPECT_FALSE(chooseSuccessor({ status("a", ProbeOutcome::Answered, false, 7), leaving }, std::nullopt, true).successor);
+        EXPECT_EQ(chooseSuccessor({ status("a", ProbeOutcome::Answered, false, 9), leaving }, std::nullopt, false).successor, BackendServerId("a"));
+    }
+
+    // Guards against two holders of one number.
+    TEST(DutyTurnTest, ATurnIsClaimedOnlyAfterTheLastOne)
+    {
+        const std::optional<TurnRecord> first = claimTurn(std::nullopt, VmId("a"), 1000);
+        ASSERT_TRUE(first);
+        EXPECT_EQ(first->fence, 1U);
+        EXPECT_FALSE(claimTurn(first, VmId("b"), 1000 + 3999));
+        // An earlier process of the same name may have an order on its way.
+        EXPECT_FALSE(claimTurn(first, VmId("a"), 1000 + 3999));
+        const std::optional<TurnRecord> second = claimTurn(first, VmId("b"), 1000 + 4000);
+        ASSERT_TRUE(second);
+        EXPECT_EQ(second->fence, 2U);
+        EXPECT_EQ(claimTurn(endTurn(*second, 6000), VmId("a"), 6000)->fence, 3U);
+    }
+
+    // A world of VMs that claim turns in a store whose answers get lost and whose changes are made late, and that freeze at any
+    // moment; each sends orders only while its turn lets it. Orders arrive up to 1.2 s late.
+    struct TurnWorld {
+        explicit TurnWorld(uint32_t seed)
+            : random(seed)
+        {
+        }
+
+        struct LateChange {
+            int64_t at = 0;
+            uint64_t expected = 0;
+            TurnRecord record;
+        };
+        struct Vm {
+            std::optional<HeldTurn> turn;
+            int64_t frozenUntil = 0;
+        };
+
+        // Makes a change if its condition still holds.
+        bool apply(uint64_t expected, const TurnRecord& record)
+        {
+            if (this->version != expected)
+                return false;
+            ++this->version;
+            this->row = record;
+            return true;
+        }
+
+        void step(int64_t now)
+        {
+            for (auto late = this->late.begin(); late != this->late.end();) {
+                if (late->at > now) {
+                    ++late;
+                    continue;
+                }
+                this->apply(late->expected, late->record);
+                late = this->late.erase(late);
+            }
+            for (size_t index = 0; index < this->vms.size(); ++index)
+                this->act(index, now);
+        }
+
+        void act(size_t index, int64_t now)
+        {
+            Vm& vm = this->vms[index];
+            if (now < vm.frozenUntil)
+                return;
+            if (this->random() % 200 == 0)
+                vm.frozenUntil = now + static_cast<int64_t>(this->random() % 6000);
+            const TimePoint time { milliseconds(now) };
+            if (vm.turn && vm.turn->mayActAt(time) && this->random() % 4 == 0) {
+                // An order takes up to 1.2 s to arrive.
+                this->orders.emplace(now + static_cast<int64_t>(this->random() % 1200), std::pair(vm.turn->record.fence, index));
+                return;
+            }
+            if (this->random() % 20 != 0)
+                return;
+            const std::optional<TurnRecord> claim = claimTurn(this->row, VmId(std::to_string(index)), now);
+            if (!claim)
+                return;
+            const uint32_t luck = this->random() % 10;
+            if (luck == 0) {
+                this->late.push_back({ now + static_cast<int64_t>(this->random() % 6000), this->version, *claim });
+            } else if (this->apply(this->version, *claim) && luck > 1) {
+                // The answer takes up to a second; the acting time counts from the claim.
+                vm.turn = HeldTurn { *claim, this->version, time + turnActingTime };
+            }
+        }
+
+        std::mt19937 random;
+        std::optional<TurnRecord> row;
+        uint64_t version = 0;
+        std::vector<LateChange> late;
+        std::vector<Vm> vms { 3 };
+        std::multimap<int64_t, std::pair<uint64_t, size_t>> orders;
+    };
+
+    // Guards against orders with a lower number than one seen before, and against two holders with one number.
+    TEST(DutyTurnTest, OrdersArriveWithNumbersThatNeverFallAndBelongToOneHolder)
+    {
+        for (uint32_t seed = 0; seed < 10'000; ++seed) {
+            TurnWorld world(seed);
+            for (int64_t now = 0; now < 20'000; now += 50)
+                world.step(now);
+            uint64_t newest = 0;
+            std::map<uint64_t, size_t> holders;
+            for (const auto& [arrival, order] : world.orders) {
+                ASSERT_GE(order.first, newest) << "seed " << seed;
+                newest = order.first;
+                ASSERT_EQ(holders.emplace(order.first, order.second).first->second, order.second) << "seed " << seed;
+            }
+        }
+    }
+
+}
+
+}
--- /dev/null
+++ b/tests/fleet/Fleet.cpp
@@ -0,0 +1,290 @@
+#include "tests/fleet/Fleet.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace foxtail::fleet {
+
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+    const std::string binaryFolder = FOXTAIL_BINARY_FOLDER;
+    // A caller gives up an answer after this time; no limit of the sample configuration is longer.
+    constexpr timeval answerTimeout { 8, 0 };
+
+    std::string firstWord(std::string& text)
+    {
+        const size_t blank = text.find(' ');
+        std::string word = text.substr(0, blank);
+        text = blank == std::string::npos ? "" : text.substr(blank + 1);
+        return word;
+    }
+
+}
+
+Caller::Caller(uint16_t port)
+    : socket(context)
+{
+    boost::system::error_code code;
+    this->socket.connect(Tcp::endpoint(boost::asio::ip::address_v4::loopback(), port), code);
+    this->connected = !code;
+    if (!this->connected)
+        return;
+    this->socket.set_option(Tcp::no_delay(true), code);
+    setsockopt(this->socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &answerTimeout, sizeof(answerTimeout));
+}
+
+void Caller::sendRaw(const std::string& bytes)
+{
+    boost::system::error_code code;
+    boost::asio::write(this->socket, boost::asio::buffer(bytes), code);
+}
+
+std::optional<std::string> Caller::readLine()
+{
+    boost::system::error_code code;
+    boost::asio::read_until(this->socket, this->buffer, "\r\n", code);
+    if (code)
+        return std::nullopt;
+    std::istream stream(&this->buffer);
+    std::string line;
+    std::getline(stream, line);
+    line.pop_back();
+    return line;
+}
+
+Reply Caller::readReply()
+{
+    Reply reply;
+    while (true) {
+        const std::optional<std::string> line = this->readLine();
+        if (!line) {
+            // An error that ends the connection is not followed by a state.
+            reply.broken = reply.error.empty();
+            return reply;
+        }
+        std::string rest = *line;
+        const std::string word = firstWord(rest);
+        if (word == "ROW") {
+            reply.rows.push_back(rest);
+        } else if (word == "DONE") {
+            reply.digest = rest;
+        } else if (word == "ERROR") {
+            reply.error = firstWord(rest);
+            reply.detail = rest;
+        } else if (word == "READY") {
+            reply.state = rest.at(0);
+            firstWord(rest);
+            reply.position = rest;
+            return reply;
+        }
+    }
+}
+
+Reply Caller::start(const std::string& database, const std::string& key)
+{
+    this->sendRaw("START " + database + " " + key + "\r\n");
+    return this->readReply();
+}
+
+Reply Caller::query(const std::string& id, const std::string& text)
+{
+    this->sendRaw("QUERY " + id + " " + text + "\r\n");
+    return this->readReply();
+}
+
+void Caller::close()
+{
+    boost::system::error_code code;
+    this->socket.close(code);
+}
+
+Fleet::Fleet(size_t vmCount)
+{
+    std::string pattern = std::filesystem::temp_directory_path().string() + "/foxtail-fleet-XXXXXX";
+    this->folder = mkdtemp(pattern.data());
+    this->lineGroup = std::make_unique<standins::LineGroup>("groupa", [this](const standins::StatementRecord& record) {
+        const std::lock_guard<std::mutex> lock(this->recordMutex);
+        this->statementRecords.push_back(record);
+    });
+    this->rowStore = std::make_unique<standins::RowStore>(
+        [this](const standins::PromotionOrder& order) {
+            const unsigned status = this->lineGroup->promote(order.server);
+            this->listServers();
+            return status;
+        });
+    this->pickPorts(vmCount);
+    this->organisations = { { "orga", { "key-of-orga" } }, { "orgb", { "key-of-orgb" } } };
+    this->publish();
+    this->listServers();
+    for (size_t vm = 0; vm < vmCount; ++vm)
+        this->startVm(vm);
+}
+
+Fleet::~Fleet()
+{
+    for (const auto& [vm, pid] : this->processes) {
+        kill(pid, SIGCONT);
+        kill(pid, SIGKILL);
+    }
+    for (const auto& [vm, pid] : this->processes)
+        waitpid(pid, nullptr, 0);
+    this->rowStore.reset();
+    this->lineGroup.reset();
+    std::filesystem::remove_all(this->folder);
+}
+
+void Fleet::pickPorts(size_t vmCount)
+{
+    // All ports are held together and then freed, so that they differ.
+    boost::asio::io_context context;
+    std::vector<Tcp::acceptor> held;
+    std::vector<boost::asio::ip::udp::socket> heldDatagrams;
+    const auto loopback = boost::asio::ip::address_v4::loopback();
+    const auto pick = [&] {
+        held.emplace_back(context, Tcp::endpoint(loopback, 0));
+        return held.back().local_endpoint().port();
+    };
+    for (size_t vm = 0; vm < vmCount; ++vm) {
+        heldDatagrams.emplace_back(context, boost::asio::ip::udp::endpoint(loopback, 0));
+        this->ports.push_back({ pick(), pick(), pick(), heldDatagrams.back().local_endpoint().port(), pick() });
+    }
+}
+
+std::string Fleet::settingsFile(size_t vm) const { return this->folder + "/vm" + std::to_string(vm) + ".yaml"; }
+
+void Fleet::publish()
+{
+    ++this->configurationVersion;
+    std::ostringstream out;
+    out << "{\"version\":" << this->configurationVersion << R"(,"routes":[)";
+    const auto route = [&](const std::string& database, const std::string& type, const std::string& more) {
+        out << R"({"name":"r","host":")" << database << R"(","prefix":"/","type":")" << type
+            << R"(","timeout_ms":4000,"objective_ms":800,"priority":1,"service":"groupa","max_attempts":2,"public":false)" << more << "},";
+    };
+    for (const std::string& database : this->extraDatabases)
+        route(database, "primary", "");
+    route("strict", "primary", "");
+    route("bounded", "bounded_staleness", R"(,"max_staleness_ms":1500)");
+    route("own", "read_your_writes", R"(,"max_staleness_ms":2500)");
+    out.seekp(-1, std::ios_base::cur);
+    out << R"(],"services":[{"name":"groupa","health_path":"/health","max_conns":40,"sync_replicas":1}],"limits":{"tx_idle_ms":3000},"tenants":[)";
+    for (size_t index = 0; index < this->organisations.size(); ++index) {
+        const OrganisationEntry& entry = this->organisations[index];
+        out << (index > 0 ? "," : "") << R"({"name":")" << entry.name << R"(","api_keys":[)";
+        for (size_t key = 0; key < entry.keys.size(); ++key)
+            out << (key > 0 ? "," : "") << '"' << entry.keys[key] << '"';
+        out << R"(],"priority":1,"rate_per_s":)" << entry.ratePerSecond << R"(,"burst":)" << entry.burst << "}";
+    }
+    out << "]}";
+    this->rowStore->put("op", "config", out.str());
+}
+
+void Fleet::listServers()
+{
+    for (size_t server = 0; server < standins::LineGroup::serverCount; ++server)
+        this->rowStore->put("servers", this->lineGroup->serverId(server), this->lineGroup->entry(server));
+}
+
+void Fleet::unlistServer(size_t server) { this->rowStore->remove("servers", this->lineGroup->serverId(server)); }
+
+void Fleet::startVm(size_t vm)
+{
+    const Ports& own = this->ports[vm];
+    std::ofstream settings(this->settingsFile(vm));
+    settings << "vm: {id: vm" << vm << ", dataCentre: zone-a, region: region-a, regions: {zone-a: region-a}, logLevel: info}\n"
+             << "listen: {callers: '127.0.0.1:" << own.callers << "', ready: '127.0.0.1:" << own.ready << "', peers: '127.0.0.1:" << own.peers
+             << "', datagramPort: " << own.datagrams << ", metricsPort: " << own.metrics << "}\n"
+             << "platform: {store: '127.0.0.1:" << this->rowStore->port() << "', promotions: '127.0.0.1:" << this->rowStore->port()
+             << "', seeds: ['127.0.0.1:" << this->ports[0].peers << "']}\n"
+             << "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
+    settings.close();
+    std::string program = binaryFolder + "/foxtailtrail";
+    std::string subcommand = "proxy";
+    std::string file = this->settingsFile(vm);
+    const std::vector<char*> words { program.data(), subcommand.data(), file.data(), nullptr };
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    constexpr int flags = O_WRONLY | O_CREAT | O_APPEND;
+    const std::string log = this->folder + "/vm" + std::to_string(vm) + ".log";
+    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), flags, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    pid_t pid = 0;
+    const int failure = posix_spawn(&pid, words[0], &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (failure != 0)
+        throw std::runtime_error("cannot start VM " + std::to_string(vm));
+    this->processes[vm] = pid;
+}
+
+void Fleet::signalVm(size_t vm, int number) { kill(this->processes.at(vm), number); }
+
+void Fleet::killVm(size_t vm)
+{
+    const pid_t pid = this->processes.at(vm);
+    kill(pid, SIGCONT);
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+    this->processes.erase(vm);
+}
+
+int Fleet::waitForVm(size_t vm)
+{
+    int status = 0;
+    waitpid(this->processes.at(vm), &status, 0);
+    this->processes.erase(vm);
+    return status;
+}
+
+unsigned Fleet::readiness(size_t vm)
+{
+    Caller probe(this->ports[vm].ready);
+    if (!probe.isConnected())
+        return 0;
+    probe.sendRaw("GET /ready HTTP/1.1\r\nHost: vm\r\n\r\n");
+    const std::optional<std::string> line = probe.readLine();
+    return line && line->size() > 12 ? static_cast<unsigned>(std::stoul(line->substr(9, 3))) : 0;
+}
+
+bool Fleet::waitUntilReady()
+{
+    return eventually([this] {
+        for (const auto& [vm, pid] : this->processes) {
+            if (this->readiness(vm) != 200)
+                return false;
+        }
+        return true;
+    });
+}
+
+std::string Fleet::logs() const
+{
+    std::string all;
+    for (size_t vm = 0; vm < this->ports.size(); ++vm) {
+        std::ifstream stream(this->folder + "/vm" + std::to_string(vm) + ".log");
+        all.append(std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>());
+    }
+    return all;
+}
+
+std::vector<standins::StatementRecord> Fleet::records()
+{
+    const std::lock_guard<std::mutex> lock(this->recordMutex);
+    return this->statementRecords;
+}
+
+}
--- /dev/null
+++ b/tests/fleet/FleetTest.cpp
@@ -0,0 +1,274 @@
+#include "tests/fleet/Fleet.h"
+
+#include <algorithm>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <set>
+#include <thread>
+
+namespace foxtail::fleet {
+
+namespace {
+
+    // Starts a session at a VM and fails the test when that does not work.
+    void begin(Caller& caller, const std::string& database, const std::string& key = "key-of-orga")
+    {
+        ASSERT_TRUE(caller.isConnected());
+        const Reply reply = caller.start(database, key);
+        ASSERT_TRUE(reply.succeeded()) << reply.error << " " << reply.detail;
+        ASSERT_EQ(reply.state, 'I');
+    }
+
+    // Repeats a statement while the answer proves that it did not run.
+    Reply untilRun(Caller& caller, const std::string& id, const std::string& text)
+    {
+        Reply reply;
+        size_t attempt = 0;
+        eventually([&] {
+            reply = caller.query(id + "-" + std::to_string(attempt++), text);
+            return reply.broken || reply.error != "BUSY";
+        });
+        return reply;
+    }
+
+    class FleetTest : public testing::Test {
+    protected:
+        FleetTest()
+            : fleet(3)
+        {
+        }
+        void SetUp() override { ASSERT_TRUE(this->fleet.waitUntilReady()) << this->fleet.logs(); }
+
+        Fleet fleet;
+    };
+
+    // Guards against a path that does not serve at all: the three types of route, on each VM.
+    TEST_F(FleetTest, AReadSeesTheWriteOfItsSessionOnEveryRouteAndVm)
+    {
+        size_t number = 1;
+        for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+            for (const char* database : { "strict", "own", "bounded" }) {
+                Caller caller(this->fleet.callerPort(vm));
+                begin(caller, database);
+                const std::string item = "i" + std::to_string(number);
+                const Reply written = untilRun(caller, "w" + std::to_string(number), "WRITE " + item + " " + std::to_string(number));
+                ASSERT_TRUE(written.succeeded()) << written.error << " " << written.detail;
+                if (std::string(database) != "bounded") {
+                    const Reply read = untilRun(caller, "r" + std::to_string(number), "READ " + item);
+                    ASSERT_TRUE(read.succeeded()) << read.error << " " << read.detail;
+                    EXPECT_EQ(read.rows, std::vector<std::string> { std::to_string(number) });
+                    EXPECT_NE(read.digest, "-");
+                }
+                ++number;
+            }
+        }
+    }
+
+    // Guards against statements of one session that run with the values or prepared statements of another on a shared connection.
+    TEST_F(FleetTest, SessionsThatShareConnectionsKeepTheirValuesAndPreparedStatements)
+    {
+        Caller first(this->fleet.callerPort(0));
+        Caller second(this->fleet.callerPort(0));
+        begin(first, "strict");
+        begin(second, "strict");
+        EXPECT_EQ(first.query("a1", "SET colour red").digest, "-");
+        EXPECT_EQ(second.query("b1", "SET shade dark").digest, "-");
+        EXPECT_TRUE(first.query("a2", "PREPARE s WRITE qa").succeeded());
+        EXPECT_TRUE(second.query("b2", "PREPARE s READ qb").succeeded());
+        for (int round = 0; round < 5; ++round) {
+            ASSERT_TRUE(untilRun(first, "a3" + std::to_string(round), "EXECUTE s x " + std::to_string(round)).succeeded());
+            ASSERT_TRUE(untilRun(second, "b3" + std::to_string(round), "EXECUTE s x").succeeded());
+        }
+        for (const standins::StatementRecord& record : this->fleet.records()) {
+            const bool ofFirst = record.id[0] == 'a';
+            const std::map<std::string, std::string> expected
+                = ofFirst ? std::map<std::string, std::string> { { "colour", "red" } } : std::map<std::string, std::string> { { "shade", "dark" } };
+            EXPECT_EQ(record.values, expected) << record.id;
+            EXPECT_TRUE(record.text.starts_with(ofFirst ? "EXECUTE qa" : "EXECUTE qb")) << record.text;
+        }
+    }
+
+    // Guards against a transaction that is not rolled back, is committed twice, or sees less than its own writes.
+    TEST_F(FleetTest, TransactionsCommitOnceOrNotAtAll)
+    {
+        Caller caller(this->fleet.callerPort(1));
+        begin(caller, "strict");
+        ASSERT_TRUE(untilRun(caller, "t0", "WRITE y 0").succeeded());
+        ASSERT_EQ(caller.query("t1", "BEGIN").state, 'T');
+        ASSERT_TRUE(caller.query("t2", "WRITE y 1").succeeded());
+        EXPECT_EQ(caller.query("t3", "READ y").rows, std::vector<std::string> { "1" });
+        const Reply committed = caller.query("t4", "COMMIT");
+        ASSERT_TRUE(committed.succeeded()) << committed.error;
+        EXPECT_EQ(committed.state, 'I');
+        ASSERT_EQ(caller.query("t5", "BEGIN").state, 'T');
+        ASSERT_TRUE(caller.query("t6", "WRITE y 2").succeeded());
+        EXPECT_EQ(caller.query("t7", "ROLLBACK").state, 'I');
+        EXPECT_EQ(untilRun(caller, "t8", "READ y").rows, std::vector<std::string> { "1" });
+    }
+
+    // Guards against a key that goes on working, and against a key that reaches a backend server.
+    TEST_F(FleetTest, AWithdrawnKeyStopsWorkingForConnectedCallers)
+    {
+        Caller caller(this->fleet.callerPort(2));
+        begin(caller, "strict", "key-of-orgb");
+        ASSERT_TRUE(untilRun(caller, "k1", "WRITE k 1").succeeded());
+        this->fleet.organisations[1].keys = { "another-key-of-orgb" };
+        this->fleet.publish();
+        int number = 0;
+        EXPECT_TRUE(eventually([&] { return caller.query("k2" + std::to_string(number++), "READ k").error == "NOAUTH"; }));
+        Caller late(this->fleet.callerPort(2));
+        EXPECT_EQ(late.start("strict", "key-of-orgb").error, "NOAUTH");
+        for (const standins::StatementRecord& record : this->fleet.records())
+            EXPECT_EQ(record.organisation, "orgb");
+        EXPECT_EQ(this->fleet.group().receivedBytes().find("key-of"), std::string::npos);
+        EXPECT_EQ(this->fleet.logs().find("key-of"), std::string::npos);
+    }
+
+    // Guards against VMs that admit more than the fleet-wide rate together.
+    TEST_F(FleetTest, TheQuotaOfAnOrganisationHoldsOverAllVms)
+    {
+        this->fleet.organisations.push_back({ "orgc", { "key-of-orgc" }, 20, 20 });
+        this->fleet.publish();
+        const auto stopAt = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        std::atomic<size_t> served = 0;
+        std::vector<std::thread> callers;
+        for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+            callers.emplace_back([&, vm] {
+                size_t number = 0;
+                while (std::chrono::steady_clock::now() < stopAt) {
+                    Caller caller(this->fleet.callerPort(vm));
+                    if (caller.start("strict", "key-of-orgc").broken)
+                        continue;
+                    const std::string id = "q" + std::to_string(vm) + "-" + std::to_string(number++);
+                    if (caller.query(id, "READ q").succeeded())
+                        ++served;
+                    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                }
+            });
+        }
+        for (std::thread& caller : callers)
+            caller.join();
+        // Bound of one window of 5 s: (20 * 5 + 20) * 1.1 + 20.
+        EXPECT_LE(served.load(), 152U);
+        EXPECT_GE(served.load(), 40U);
+    }
+
+    // Guards against a failed primary that is not replaced, and against acknowledged writes that its successor lacks.
+    TEST_F(FleetTest, ACrashedPrimaryIsReplacedWithoutLosingAcknowledgedWrites)
+    {
+        Caller caller(this->fleet.callerPort(0));
+        begin(caller, "strict");
+        std::set<std::string> acknowledged;
+        for (int number = 0; number < 20; ++number) {
+            const std::string id = "c" + std::to_string(number);
+            if (untilRun(caller, id, "WRITE c " + std::to_string(number)).succeeded())
+                acknowledged.insert(std::to_string(number));
+        }
+        ASSERT_EQ(acknowledged.size(), 20U);
+        this->fleet.group().crash(0);
+        const Reply after = untilRun(caller, "after", "WRITE c 100");
+        EXPECT_TRUE(after.succeeded()) << after.error << " " << after.detail << "\n" << this->fleet.logs();
+        EXPECT_NE(this->fleet.group().primary(), std::optional<size_t>(0));
+        std::set<std::string> kept;
+        for (const standins::LogEntry& entry : this->fleet.group().primaryLog())
+            kept.insert(entry.data);
+        EXPECT_TRUE(std::includes(kept.begin(), kept.end(), acknowledged.begin(), acknowledged.end()));
+        // Numbers of orders never fall, and one number belongs to one holder.
+        uint64_t last = 0;
+        std::map<uint64_t, std::string> holders;
+        for (const standins::PromotionOrder& order : this->fleet.store().orders()) {
+            EXPECT_GE(order.fence, last);
+            last = order.fence;
+            EXPECT_EQ(holders.emplace(order.fence, order.holder).first->second, order.holder);
+        }
+        EXPECT_GE(last, 1U);
+    }
+
+    // Guards against a planned stop that cuts off a request or keeps the VM in rotation.
+    TEST_F(FleetTest, AStoppingVmFinishesItsRequestsAndReportsNotReady)
+    {
+        Caller idle(this->fleet.callerPort(0));
+        Caller working(this->fleet.callerPort(0));
+        begin(idle, "strict");
+        begin(working, "strict");
+        ASSERT_EQ(untilRun(working, "s1", "BEGIN").state, 'T');
+        ASSERT_TRUE(working.query("s2", "WRITE s 1").succeeded());
+        this->fleet.signalVm(0, SIGTERM);
+        EXPECT_TRUE(eventually([&] { return this->fleet.readiness(0) == 503; }));
+        EXPECT_TRUE(working.query("s3", "COMMIT").succeeded());
+        // A session outside of a transaction is closed without an answer to nothing.
+        EXPECT_FALSE(idle.readLine().has_value());
+        EXPECT_EQ(this->fleet.waitForVm(0), 0);
+    }
+
+    // Guards against a VM that learns of changes only from the store: the store turns some connections away.
+    TEST_F(FleetTest, AConfigurationReachesVmsThatTheStoreRejects)
+    {
+        standins::RowStoreFaults faults;
+        faults.rejectedShare = 0.5;
+        this->fleet.store().setFaults(faults);
+        this->fleet.extraDatabases.emplace_back("fresh");
+        this->fleet.publish();
+        for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+            EXPECT_TRUE(eventually([&] {
+                Caller caller(this->fleet.callerPort(vm));
+                return caller.start("fresh", "key-of-orga").succeeded();
+            })) << "vm" << vm;
+        }
+    }
+
+    // Guards against a VM that cannot start serving while the store turns it away, although its peers have the configuration.
+    TEST_F(FleetTest, AVmThatTheStoreRejectsStartsWithTheConfigurationOfItsPeers)
+    {
+        this->fleet.killVm(2);
+        standins::RowStoreFaults faults;
+        faults.busy = true;
+        this->fleet.store().setFaults(faults);
+        this->fleet.startVm(2);
+        EXPECT_TRUE(eventually([&] { return this->fleet.readiness(2) == 200; })) << this->fleet.logs();
+        Caller caller(this->fleet.callerPort(2));
+        EXPECT_EQ(caller.start("strict", "no-such-key").error, "NOAUTH");
+    }
+
+    // Guards against entries of other writers that end the process or hide the servers that are there.
+    TEST_F(FleetTest, UnreadableRowsAreSkipped)
+    {
+        this->fleet.store().put("servers", "x-1", "not json");
+        this->fleet.store().put("servers", "x-2", R"({"service":"groupa","addr":7,"zone":"z"})");
+        this->fleet.store().put("servers", "x-3",
+            R"({"service":"groupa","addr":"127.0.0.1:1","zone":"z","slots":1,"state":"odd","db_role":"primary","seq":1})");
+        this->fleet.store().put("foxtail-fleet", "leader/groupa", "{}");
+        this->fleet.store().compact();
+        Caller caller(this->fleet.callerPort(1));
+        begin(caller, "strict");
+        EXPECT_TRUE(untilRun(caller, "m1", "WRITE m 1").succeeded());
+    }
+
+    // Guards against malformed input that crashes a VM or is passed on to a backend server.
+    TEST_F(FleetTest, MalformedInputIsRefused)
+    {
+        Caller unstarted(this->fleet.callerPort(0));
+        EXPECT_EQ(unstarted.query("f0", "READ x").error, "MALFORMED");
+        Caller unknown(this->fleet.callerPort(0));
+        EXPECT_EQ(unknown.start("nowhere", "key-of-orga").error, "NODB");
+        Caller caller(this->fleet.callerPort(0));
+        begin(caller, "strict");
+        for (const char* text : { "STATUS", "AFTER 1.1 READ x", "DEMOTE 9", "RESET", "READ", "NONSENSE", "PREPARE s", "EXECUTE" })
+            EXPECT_EQ(caller.query("f1", text).error, "MALFORMED") << text;
+        EXPECT_EQ(caller.query("f2", "EXECUTE none x").error, "NOSTMT");
+        EXPECT_EQ(caller.query("f3", "COMMIT").error, "MALFORMED");
+        caller.sendRaw("QUERY f4 READ a\nQUERY f5 READ b\r\n");
+        const std::optional<std::string> line = caller.readLine();
+        EXPECT_TRUE(line && line->starts_with("ERROR MALFORMED"));
+        Caller large(this->fleet.callerPort(0));
+        large.sendRaw(std::string((size_t { 1 } << 20) + 2, 'x'));
+        const std::optional<std::string> tooLarge = large.readLine();
+        EXPECT_TRUE(tooLarge && tooLarge->starts_with("ERROR TOOLARGE"));
+        for (const standins::StatementRecord& record : this->fleet.records())
+            EXPECT_FALSE(record.id.starts_with("f")) << record.text;
+        EXPECT_EQ(this->fleet.readiness(0), 200U);
+    }
+
+}
+
+}
--- /dev/null
+++ b/tests/limits/QuotaTest.cpp
@@ -0,0 +1,208 @@
+#include "foxtailtrail/limits/QuotaLedger.h"
+#include "foxtailtrail/limits/QuotaShare.h"
+
+#include <deque>
+#include <gtest/gtest.h>
+#include <optional>
+#include <random>
+
+namespace foxtail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    const QuotaBounds bounds { std::chrono::seconds(5), 0.1, 20 };
+
+    // A fleet whose VMs ask the ledgers that they believe in. Datagrams get lost, VMs freeze, restart and are cut off, and views of
+    // who lends differ.
+    struct QuotaFleet {
+        QuotaFleet(uint32_t seed, size_t vmCount, OrganisationLimit organisationLimit, double load)
+            : random(seed)
+            , limit(std::move(organisationLimit))
+            , arrivalsPerMillisecond(load * limit.ratePerSecond / 1000 / static_cast<double>(vmCount))
+        {
+            for (size_t index = 0; index < vmCount; ++index)
+                this->vms.emplace_back();
+        }
+
+        struct Message {
+            int64_t at = 0;
+            int64_t sentAt = 0;
+            uint64_t number = 0;
+            std::vector<QuotaGrant> grants;
+        };
+        struct Vm {
+            QuotaShare share { bounds };
+            QuotaLedger ledger { bounds };
+            int64_t frozenUntil = 0;
+            int64_t cutUntil = 0;
+            size_t lender = 0;
+            uint64_t number = 0;
+            bool outstanding = false;
+            int64_t askedAt = 0;
+            std::deque<Message> inbox;
+            size_t waiting = 0;
+        };
+
+        double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+        void trouble(Vm& vm, int64_t now)
+        {
+            const uint32_t luck = this->random() % 4000;
+            if (luck == 0)
+                vm.frozenUntil = now + static_cast<int64_t>(this->random() % 4000);
+            if (luck == 1)
+                vm.cutUntil = now + static_cast<int64_t>(this->random() % 8000);
+            if (luck == 2) {
+                // A restart forgets everything.
+                vm.share = QuotaShare(bounds);
+                vm.ledger = QuotaLedger(bounds);
+                vm.inbox.clear();
+                vm.outstanding = false;
+                vm.frozenUntil = now + 300;
+            }
+            if (luck == 3)
+                vm.lender = this->random() % this->vms.size();
+        }
+
+        void ask(size_t index, int64_t now)
+        {
+            Vm& vm = this->vms[index];
+            const TimePoint time { milliseconds(now) };
+            if (vm.outstanding && now < vm.askedAt + 250)
+                return;
+            vm.outstanding = false;
+            if (!vm.share.isAskDue(this->vms.size(), time))
+                return;
+            const std::vector<QuotaAsk> asks = vm.share.asks(time);
+            vm.share.noteAsked(time);
+            vm.outstanding = true;
+            vm.askedAt = now;
+            ++vm.number;
+            Vm& lender = this->vms[vm.lender];
+            const bool reaches = now >= vm.cutUntil && now >= lender.cutUntil && now >= lender.frozenUntil && this->uniform() > 0.05;
+            if (!reaches)
+                return;
+            const std::vector<QuotaGrant> grants = lender.ledger.grant(VmId(std::to_string(index)), asks, { this->limit }, this->vms.size(), time);
+            if (this->uniform() > 0.05)
+                vm.inbox.push_back({ now + 1 + static_cast<int64_t>(this->random() % 30), now, vm.number, grants });
+        }
+
+        void admit(Vm& vm, int64_t now, bool hasWaited)
+        {
+            const TimePoint time { milliseconds(now) };
+            const QuotaVerdict verdict = vm.share.admit(this->limit, this->vms.size(), time, hasWaited);
+            if (verdict == QuotaVerdict::Admitted)
+                this->admitted.push_back(now);
+            else if (verdict == QuotaVerdict::Wait && !hasWaited)
+                ++vm.waiting;
+            else if (verdict == QuotaVerdict::Refused)
+                ++this->refused;
+            ++this->asked;
+        }
+
+        void step(int64_t now, bool withTrouble)
+        {
+            for (size_t index = 0; index < this->vms.size(); ++index) {
+                Vm& vm = this->vms[index];
+                if (withTrouble)
+                    this->trouble(vm, now);
+                if (now < vm.frozenUntil)
+                    continue;
+                const TimePoint time { milliseconds(now) };
+                while (!vm.inbox.empty() && vm.inbox.front().at <= now) {
+                    const Message message = vm.inbox.front();
+                    vm.inbox.pop_front();
+                    if (!vm.outstanding || message.number != vm.number)
+                        continue;
+                    vm.outstanding = false;
+                    vm.share.take(message.grants, TimePoint(milliseconds(message.sentAt)), time);
+                    for (size_t waiting = std::exchange(vm.waiting, 0); waiting > 0; --waiting)
+                        this->admit(vm, now, true);
+                }
+                if (this->uniform() < this->arrivalsPerMillisecond)
+                    this->admit(vm, now, false);
+                this->ask(index, now);
+            }
+        }
+
+        // The most operations admitted in any window.
+        size_t worstWindow() const
+        {
+            size_t worst = 0;
+            size_t first = 0;
+            for (size_t last = 0; last < this->admitted.size(); ++last) {
+                while (this->admitted[last] - this->admitted[first] >= 5000)
+                    ++first;
+                worst = std::max(worst, last - first + 1);
+            }
+            return worst;
+        }
+
+        std::mt19937 random;
+        OrganisationLimit limit;
+        double arrivalsPerMillisecond;
+        std::vector<Vm> vms;
+        std::vector<int64_t> admitted;
+        size_t asked = 0;
+        size_t refused = 0;
+    };
+
+    double permitted(const OrganisationLimit& limit) { return (limit.ratePerSecond * 5 + limit.burst) * 1.1 + 20; }
+
+    // Guards against windows over the quota through losses, freezes, cuts, restarts and several ledgers at once.
+    TEST(QuotaTest, NoWindowExceedsTheBoundUnderTrouble)
+    {
+        for (uint32_t seed = 0; seed < 400; ++seed) {
+            const double rate = 5 + (seed * 37 % 150);
+            const OrganisationLimit limit { OrganisationId("o"), rate, rate };
+            QuotaFleet fleet(seed, 3 + seed % 10, limit, 1 + seed % 7);
+            for (int64_t now = 0; now < 20'000; now += 1)
+                fleet.step(now, true);
+            ASSERT_LE(static_cast<double>(fleet.worstWindow()), permitted(limit)) << "seed " << seed << " rate " << rate;
+        }
+    }
+
+    // Guards against refusals of organisations that stay below their rate.
+    TEST(QuotaTest, AnOrganisationBelowItsRateIsRarelyRefused)
+    {
+        size_t asked = 0;
+        size_t refused = 0;
+        for (uint32_t seed = 0; seed < 40; ++seed) {
+            const OrganisationLimit limit { OrganisationId("o"), 60, 60 };
+            QuotaFleet fleet(seed, 9, limit, 0.625);
+            for (int64_t now = 0; now < 20'000; now += 1)
+                fleet.step(now, false);
+            asked += fleet.asked;
+            refused += fleet.refused;
+        }
+        // The target of docs/design.md: under 0.1%.
+        EXPECT_LT(static_cast<double>(refused), 0.001 * static_cast<double>(asked)) << refused << " of " << asked;
+    }
+
+    // Guards against a grant that is used after a freeze.
+    TEST(QuotaTest, AGrantExpiresByTheTimeOfItsRequest)
+    {
+        QuotaShare share(bounds);
+        const OrganisationLimit limit { OrganisationId("o"), 10, 10 };
+        share.take({ { limit.organisation, 5 } }, TimePoint(milliseconds(0)), TimePoint(milliseconds(10)));
+        EXPECT_EQ(share.admit(limit, 9, TimePoint(milliseconds(1199))), QuotaVerdict::Admitted);
+        EXPECT_NE(share.admit(limit, 9, TimePoint(milliseconds(1200))), QuotaVerdict::Admitted);
+    }
+
+    // Guards against a VM that refuses everything while it is cut off from all ledgers.
+    TEST(QuotaTest, AVmWithoutALedgerUsesItsOwnPart)
+    {
+        QuotaShare share(bounds);
+        const OrganisationLimit limit { OrganisationId("o"), 90, 90 };
+        size_t admitted = 0;
+        for (int64_t now = 0; now < 5000; now += 10)
+            admitted += share.admit(limit, 9, TimePoint(milliseconds(now))) == QuotaVerdict::Admitted ? 1 : 0;
+        EXPECT_GE(admitted, 45U);
+        EXPECT_LE(admitted, 56U);
+    }
+
+}
+
+}
--- /dev/null
+++ b/tests/platform/LineProtocolTest.cpp
@@ -0,0 +1,163 @@
+#include "platform/Declarations.h"
+#include "platform/LineProtocol.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace foxtail::platform {
+
+namespace {
+
+    CallerMessage takeOne(std::string text)
+    {
+        std::string_view bytes = text;
+        const std::optional<CallerMessage> message = LineCallerCodec().take(bytes);
+        EXPECT_TRUE(message.has_value());
+        EXPECT_TRUE(bytes.empty());
+        return message.value_or(CallerMessage {});
+    }
+
+    TEST(LineProtocolTest, ReadsTheMessagesOfCallers)
+    {
+        const CallerMessage start = takeOne("START db key\r\n");
+        EXPECT_EQ(start.kind, CallerMessageKind::Start);
+        EXPECT_EQ(start.database, "db");
+        EXPECT_EQ(start.key, "key");
+        const CallerMessage write = takeOne("QUERY id1 WRITE item some data\r\n");
+        EXPECT_EQ(write.kind, CallerMessageKind::Query);
+        EXPECT_EQ(write.id, "id1");
+        EXPECT_EQ(write.statement.kind, StatementKind::Write);
+        EXPECT_EQ(write.statement.text, "WRITE item some data");
+        const CallerMessage prepare = takeOne("QUERY id2 PREPARE s WRITE the shape\r\n");
+        EXPECT_EQ(prepare.statement.kind, StatementKind::Prepare);
+        EXPECT_TRUE(prepare.statement.writes);
+        EXPECT_EQ(prepare.statement.argument, "the shape");
+        EXPECT_EQ(takeOne("TERMINATE\r\n").kind, CallerMessageKind::Terminate);
+    }
+
+    // Guards against orders and positions that a caller slips through to a backend server.
+    TEST(LineProtocolTest, StatementsThatOnlyThisVmMaySendAreMalformed)
+    {
+        for (const char* text : { "STATUS", "PAUSE 3", "RESUME", "DEMOTE 4", "RESET", "AFTER 1.2 READ x", "AFTER 1.2 BEGIN READ", "BEGIN WRITE",
+                 "COMMIT now", "READ", "WRITE", "PREPARE s", "PREPARE s BOTH x", "EXECUTE s", "CLOSE", "SET", "" })
+            EXPECT_EQ(parseStatement(text).kind, StatementKind::Malformed) << text;
+        EXPECT_EQ(takeOne("QUERY - READ x\r\n").kind, CallerMessageKind::Malformed);
+        // A lone line feed could end the line early at a backend server.
+        EXPECT_EQ(takeOne("QUERY a READ x\nQUERY b WRITE y 1\r\n").kind, CallerMessageKind::Malformed);
+        EXPECT_EQ(takeOne("QUERY a READ x\rY\r\n").kind, CallerMessageKind::Malformed);
+    }
+
+    TEST(LineProtocolTest, AMessageOverTheLimitIsTooLarge)
+    {
+        std::string text((size_t { 1 } << 20) + 1, 'x');
+        std::string_view bytes = text;
+        EXPECT_EQ(LineCallerCodec().take(bytes)->kind, CallerMessageKind::TooLarge);
+        const std::string short_ = "QUERY a READ x";
+        bytes = short_;
+        EXPECT_FALSE(LineCallerCodec().take(bytes));
+    }
+
+    // Guards against an error word that promises more than the error kind says.
+    TEST(LineProtocolTest, OnlyErrorsThatDidNotRunPromiseThatNothingIsKept)
+    {
+        constexpr std::array<std::string_view, 6> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY" };
+        for (uint8_t index = 0; index <= static_cast<uint8_t>(ErrorKind::StatementTimedOut); ++index) {
+            const auto kind = static_cast<ErrorKind>(index);
+            std::string out;
+            LineCallerCodec().writeError(out, kind, "text");
+            const std::string word = out.substr(6, out.find(' ', 6) - 6);
+            const bool isPromise = std::find(promises.begin(), promises.end(), word) != promises.end();
+            if (isPromise)
+                EXPECT_EQ(errorKindRow(kind).ran, Ran::No) << errorKindRow(kind).name;
+        }
+    }
+
+    TEST(LineProtocolTest, ReadsTheMessagesOfBackendServers)
+    {
+        const LineBackendCodec codec;
+        std::string_view bytes = "ROW a b\r\nDONE d.1\r\nREADY T 3.1209\r\nERROR LAGGING text here\r\nREADY I -\r\nJUNK\r\n";
+        EXPECT_EQ(codec.take(bytes)->text, "a b");
+        EXPECT_EQ(codec.take(bytes)->kind, BackendMessageKind::Done);
+        const auto ready = codec.take(bytes);
+        EXPECT_EQ(ready->state, TransactionState::Open);
+        EXPECT_EQ(ready->position, (LogPoint { Term { 3 }, Position { 1209 } }));
+        EXPECT_EQ(codec.take(bytes)->refusal, BackendRefusal::Lagging);
+        EXPECT_FALSE(codec.take(bytes)->position);
+        EXPECT_EQ(codec.take(bytes)->kind, BackendMessageKind::Malformed);
+        const auto status = codec.readStatus("replica 3 3.1209 4 12 2 17");
+        ASSERT_TRUE(status);
+        EXPECT_FALSE(status->isPrimary);
+        EXPECT_EQ(status->pausedFor, Term { 4 });
+        EXPECT_EQ(status->received.position, Position { 1209 });
+        EXPECT_FALSE(codec.readStatus("leader 3 3.1 0"));
+        EXPECT_FALSE(codec.readStatus("replica three 3.1 0"));
+    }
+
+    // Random bytes and random changes of valid messages are read or refused, never more than the input, and never for ever.
+    TEST(LineProtocolTest, AnyBytesAreReadOrRefused)
+    {
+        constexpr std::string_view alphabet = "STARQUEYDON READYWI.T-PXC019\r\n\x00\xff";
+        const std::string valid = "START a b\r\nQUERY 1 READ x\r\nQUERY 2 EXECUTE s x y\r\nREADY I 1.2\r\nDONE -\r\nERROR BUSY x\r\n";
+        for (uint32_t seed = 0; seed < 20'000; ++seed) {
+            std::mt19937 random(seed);
+            std::string text = seed % 2 == 0 ? valid : std::string();
+            for (int change = 0; change < 40; ++change) {
+                const char letter = alphabet[random() % alphabet.size()];
+                if (text.empty() || random() % 3 == 0)
+                    text.insert(text.begin() + static_cast<std::ptrdiff_t>(text.empty() ? 0 : random() % text.size()), letter);
+                else
+                    text[random() % text.size()] = letter;
+            }
+            std::string_view bytes = text;
+            size_t messages = 0;
+            while (LineCallerCodec().take(bytes))
+                ASSERT_LE(++messages, text.size());
+            bytes = text;
+            messages = 0;
+            while (LineBackendCodec().take(bytes))
+                ASSERT_LE(++messages, text.size());
+            LineBackendCodec().readStatus(text);
+        }
+    }
+
+    // Guards against entries of other writers that name a server to use.
+    TEST(DeclarationsTest, EntriesWithFaultsNameNoServer)
+    {
+        const JsonDeclarations declarations;
+        const std::string good = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":3,"state":"ready","db_role":"replica","seq":4,"born":17})";
+        const Result<ServerEntry> entry = declarations.decodeServer("b1", good);
+        ASSERT_TRUE(entry);
+        EXPECT_EQ(entry.value().port, 80);
+        EXPECT_EQ(entry.value().bornMs, 17);
+        const std::vector<std::pair<std::string, std::string>> changes { { R"("s")", "5" }, { "10.0.0.1:80", "10.0.0.1" },
+            { "10.0.0.1:80", "10.0.0.1:99999" }, { "ready", "resting" }, { "replica", "leader" }, { "\"slots\":3", "\"slots\":\"3\"" },
+            { "\"seq\":4", "\"sequence\":4" }, { "\"born\":17", "\"born\":1.5" }, { "{", "[" }, { "\"zone\":\"z\",", "" } };
+        for (const auto& [from, to] : changes) {
+            std::string bad = good;
+            bad.replace(bad.find(from), from.size(), to);
+            EXPECT_FALSE(declarations.decodeServer("b1", bad)) << bad;
+        }
+        EXPECT_FALSE(declarations.decodeServer("b1", "\xff\x00"));
+    }
+
+    TEST(DeclarationsTest, ReadsRoutesGroupsAndKeys)
+    {
+        const Result<RouteTable> table = JsonDeclarations().decodeConfiguration(
+            R"({"version":7,"routes":[{"host":"h1","service":"s","type":"bounded_staleness","timeout_ms":2000,"objective_ms":800,"priority":2,"max_staleness_ms":1500,"public":true},{"host":"h2","service":"s","type":"odd"}],"services":[{"name":"s","max_conns":22,"sync_replicas":1}],"limits":{"tx_idle_ms":3000},"tenants":[{"name":"t","api_keys":["secret"],"rate_per_s":132,"burst":13}]})");
+        ASSERT_TRUE(table);
+        EXPECT_EQ(table.value().version, 7U);
+        ASSERT_NE(table.value().findRoute("h1"), nullptr);
+        EXPECT_TRUE(table.value().findRoute("h1")->open);
+        EXPECT_EQ(table.value().findRoute("h1")->maxStaleness, std::chrono::milliseconds(1500));
+        EXPECT_EQ(table.value().findRoute("h2"), nullptr);
+        EXPECT_EQ(table.value().groups.at("s").maxConnections, 22U);
+        EXPECT_EQ(table.value().transactionIdle, std::chrono::seconds(3));
+        ASSERT_EQ(table.value().keys.size(), 1U);
+        // Keys are held as digests.
+        EXPECT_EQ(table.value().keys.begin()->first.size(), 64U);
+        EXPECT_FALSE(JsonDeclarations().decodeConfiguration("{}"));
+    }
+
+}
+
+}
--- /dev/null
+++ b/tests/session/SessionStateTest.cpp
@@ -0,0 +1,92 @@
+#include "foxtailtrail/session/LinkState.h"
+#include "foxtailtrail/session/SessionState.h"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace foxtail {
+
+namespace {
+
+    using Kind = RestoreStep::Kind;
+
+    // A backend connection that carries out restore steps.
+    struct RemoteLink {
+        std::map<std::string, std::string> values;
+        std::map<std::string, PreparedStatement> prepared;
+
+        void run(const std::vector<RestoreStep>& steps)
+        {
+            for (const RestoreStep& step : steps) {
+                if (step.kind == Kind::Reset) {
+                    this->values.clear();
+                    this->prepared.clear();
+                } else if (step.kind == Kind::Set) {
+                    this->values[step.name] = step.argument;
+                } else {
+                    this->prepared[step.name] = { step.writes, step.argument };
+                }
+            }
+        }
+    };
+
+    // Guards against values of an earlier session that stay on the connection.
+    TEST(LinkStateTest, AValueThatTheSessionLacksIsReset)
+    {
+        LinkState link;
+        SessionState first;
+        first.setValue("a", "1");
+        EXPECT_EQ(link.restore(first, nullptr).size(), 1U);
+        EXPECT_TRUE(link.restore(first, nullptr).empty());
+        SessionState second;
+        second.setValue("b", "2");
+        const std::vector<RestoreStep> expected { { Kind::Reset, {}, {}, false }, { Kind::Set, "b", "2", false } };
+        EXPECT_EQ(link.restore(second, nullptr), expected);
+    }
+
+    // Guards against sessions whose names collide: random sessions share one connection, which always holds exactly the values of
+    // the session and the shape that it executes.
+    TEST(LinkStateTest, TheConnectionAlwaysEqualsTheSession)
+    {
+        for (uint32_t seed = 0; seed < 10'000; ++seed) {
+            std::mt19937 random(seed);
+            LinkState link;
+            RemoteLink remote;
+            std::vector<SessionState> sessions(3);
+            for (int step = 0; step < 30; ++step) {
+                SessionState& session = sessions[random() % sessions.size()];
+                const std::string name = "n" + std::to_string(random() % 3);
+                const std::string argument = "v" + std::to_string(random() % 4);
+                if (random() % 3 == 0)
+                    session.setValue(name, argument);
+                if (random() % 3 == 0)
+                    session.prepare(name, { random() % 2 == 0, argument });
+                if (random() % 8 == 0)
+                    session.closePrepared(name);
+                const PreparedStatement* executed = session.findPrepared(name);
+                remote.run(link.restore(session, executed));
+                ASSERT_EQ(remote.values, session.sessionValues()) << "seed " << seed;
+                if (executed)
+                    ASSERT_EQ(remote.prepared.at(link.linkName(*executed)), *executed) << "seed " << seed;
+            }
+        }
+    }
+
+    TEST(SessionStateTest, ATransactionEndsAsWhatItWas)
+    {
+        SessionState session;
+        session.begin(true, TimePoint {});
+        EXPECT_EQ(session.transaction(), TransactionState::Open);
+        EXPECT_TRUE(session.isReadOnly());
+        session.failTransaction();
+        EXPECT_EQ(session.transaction(), TransactionState::Failed);
+        session.endTransaction();
+        session.begin(false, TimePoint {});
+        EXPECT_FALSE(session.hasWritten());
+        session.noteWrite();
+        EXPECT_TRUE(session.hasWritten());
+    }
+
+}
+
+}
