Serve waiting statements by the use of their organisations

Cause looked for: an organisation over its usual rate takes back its own connections, so statements of others could wait behind it for a connection. Ruled out as the cause: refusals by servers (273 of 19,757). Fairness within a pool is kept as a promise of the design.

--- a/foxtailtrail/failover/SuccessionPlan.cpp
+++ b/foxtailtrail/failover/SuccessionPlan.cpp
@@ -17,8 +17,7 @@
 {
     if (!leader)
         return SuccessionCause::NoPrimary;
-    const auto found
-        = std::find_if(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == *leader; });
+    const auto found = std::find_if(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == *leader; });
     if (found == statuses.end())
         return SuccessionCause::PrimaryLost;
     const ProbedStatus& primary = *found;
--- a/foxtailtrail/limits/QuotaLedger.cpp
+++ b/foxtailtrail/limits/QuotaLedger.cpp
@@ -46,8 +46,8 @@
     account.level = std::min(account.level, std::max(0.0, limit.burst * share - excessLoans));
 }
 
-std::vector<QuotaGrant> QuotaLedger::grant(const VmId& vm, const std::vector<QuotaAsk>& asks,
-    const std::vector<OrganisationLimit>& limits, size_t fleetSize, TimePoint now)
+std::vector<QuotaGrant> QuotaLedger::grant(
+    const VmId& vm, const std::vector<QuotaAsk>& asks, const std::vector<OrganisationLimit>& limits, size_t fleetSize, TimePoint now)
 {
     std::erase_if(this->contacts, [&](const auto& contact) { return contact.second <= now; });
     // VMs that have just come may have used their parts elsewhere.
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -304,7 +304,8 @@
     task.route = *this->route;
     task.organisation = this->organisation;
     task.operationStart = this->session.transaction() == TransactionState::Open ? this->session.begunAt() : this->requestStart;
-    task.deadline = this->requestStart + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
+    task.deadline
+        = this->requestStart + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
     const auto group = this->proxy.group(this->route->service);
     this->run = StatementRun::start(this->proxy.ioContext(), this->proxy, group, this->session, this->pinned, std::move(task),
@@ -323,14 +324,14 @@
     const bool isCommit = this->statement().kind == StatementKind::Commit;
     if (result.reply) {
         const bool committed = result.reply->succeeded() && result.reply->position
-            && (isCommit ? this->session.hasWritten()
-                         : this->session.transaction() == TransactionState::None && this->requestWrites);
+            && (isCommit ? this->session.hasWritten() : this->session.transaction() == TransactionState::None && this->requestWrites);
         if (committed)
             this->session.noteCommit(*result.reply->position, bootNow());
         if (isCommit) {
             this->giveBackTransaction();
             this->session.endTransaction();
-        } else if (this->session.transaction() == TransactionState::Open && (!this->pinned || result.reply->state == TransactionState::Failed)) {
+        } else if (this->session.transaction() == TransactionState::Open
+            && (!this->pinned || result.reply->state == TransactionState::Failed)) {
             this->giveBackTransaction();
             this->session.failTransaction();
         }
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -61,8 +61,8 @@
     std::uniform_int_distribution<int> waits(feedWaitMinMilliseconds, feedWaitMaxMilliseconds);
     // Runs until the process ends.
     while (true) {
-        const Result<RowSet> rows
-            = isListed ? this->store.follow(table, version, std::chrono::milliseconds(waits(random))) : this->store.list(table, now() + listTimeout);
+        const Result<RowSet> rows = isListed ? this->store.follow(table, version, std::chrono::milliseconds(waits(random)))
+                                             : this->store.list(table, now() + listTimeout);
         if (rows) {
             if (std::exchange(isLost, false)) {
                 --this->tablesLost;
@@ -121,8 +121,8 @@
     std::vector<ServerEntry> entries;
     std::vector<BackendServerId> removed;
     for (const TableRow& row : rows.rows) {
-        const Result<ServerEntry> entry
-            = row.removed ? Result<ServerEntry>(Error { ErrorKind::MalformedRequest, "removed" }) : this->decoder.decodeServer(row.key, row.value);
+        const Result<ServerEntry> entry = row.removed ? Result<ServerEntry>(Error { ErrorKind::MalformedRequest, "removed" })
+                                                      : this->decoder.decodeServer(row.key, row.value);
         if (entry) {
             entries.push_back(entry.value());
             continue;
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -74,8 +74,7 @@
 
 std::string encodeTurn(const TurnRecord& record)
 {
-    return json::serialize(
-        json::object { { "holder", record.holder.value }, { "fence", record.fence }, { "endsAtMs", record.endsAtMs } });
+    return json::serialize(json::object { { "holder", record.holder.value }, { "fence", record.fence }, { "endsAtMs", record.endsAtMs } });
 }
 
 std::optional<PeerEntry> decodePeer(std::string_view key, std::string_view value)
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -153,8 +153,7 @@
         const std::shared_ptr<ServerPool> pool = this->host.pool(entry->id);
         if (!pool)
             continue;
-        candidates.push_back(
-            { entry->id, this->host.distanceTo(*entry), pool->hasFree(organisation), pool->outstanding(), entry->slots });
+        candidates.push_back({ entry->id, this->host.distanceTo(*entry), pool->hasFree(organisation), pool->outstanding(), entry->slots });
     }
     return candidates;
 }
@@ -224,9 +223,8 @@
     }
     if (replicas.empty())
         return;
-    std::stable_sort(replicas.begin(), replicas.end(), [&](const ServerEntry* left, const ServerEntry* right) {
-        return this->host.distanceTo(*left) < this->host.distanceTo(*right);
-    });
+    std::stable_sort(replicas.begin(), replicas.end(),
+        [&](const ServerEntry* left, const ServerEntry* right) { return this->host.distanceTo(*left) < this->host.distanceTo(*right); });
     const ServerEntry* witness = replicas[this->nextWitness % replicas.size()];
     const std::shared_ptr<ServerPool> pool = this->host.pool(witness->id);
     if (!pool)
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -94,10 +94,7 @@
     }
 }
 
-bool PeerExchange::isLive(const Peer& peer, TimePoint now) const
-{
-    return now < std::max(peer.heardAt, peer.knownSince) + peerSilence;
-}
+bool PeerExchange::isLive(const Peer& peer, TimePoint now) const { return now < std::max(peer.heardAt, peer.knownSince) + peerSilence; }
 
 void PeerExchange::updateFleetSize(TimePoint now)
 {
@@ -131,7 +128,8 @@
 
 PeerExchange::Peer* PeerExchange::ledgerPeer(TimePoint now)
 {
-    const auto mayLend = [&](const Peer& peer) { return peer.startedAt != TimePoint {} && this->isLive(peer, now) && now >= peer.avoidUntil; };
+    const auto mayLend
+        = [&](const Peer& peer) { return peer.startedAt != TimePoint {} && this->isLive(peer, now) && now >= peer.avoidUntil; };
     TimePoint oldest = this->isStopping ? now : this->startedAt;
     for (const auto& [id, peer] : this->peers) {
         if (mayLend(peer))
@@ -292,7 +290,8 @@
             std::vector<QuotaAsk> asks;
             for (const json::value& each : list.value()) {
                 const json::array& ask = each.as_array();
-                asks.push_back({ OrganisationId(std::string(std::string_view(ask.at(0).as_string()))), numberAt(ask, 1), numberAt(ask, 2) });
+                asks.push_back(
+                    { OrganisationId(std::string(std::string_view(ask.at(0).as_string()))), numberAt(ask, 1), numberAt(ask, 2) });
             }
             json::array grants;
             const RouteTable& table = this->proxy.routeTable();
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -10,9 +10,9 @@
     // Reads the members of a settings document and collects the faults.
     class Reader {
     public:
-        Reader(std::string file, YAML::Node root)
+        Reader(std::string file, const YAML::Node& root)
             : file(std::move(file))
-            , root(std::move(root))
+            , root(root)
         {
         }
 
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -20,7 +20,8 @@
 
 }
 
-ProxyVm::ProxyVm(FiberThread& thread, std::string settingsFile, const ProxySettings& settings, const ProxyPlatform& platform, std::function<void()> ended)
+ProxyVm::ProxyVm(FiberThread& thread, std::string settingsFile, const ProxySettings& settings, const ProxyPlatform& platform,
+    std::function<void()> ended)
     : thread(thread)
     , settingsFile(std::move(settingsFile))
     , settings(settings)
@@ -30,7 +31,8 @@
     , proxy(thread.ioContext(), settings, platform.callers, platform.backends)
     , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t) { this->follower.fetchFromPeer(peer); })
     , follower(proxy, *store, platform.declarations, peers)
-    , succession(proxy, *store, *orders, [this](std::string_view key) { return this->peers.rankFor(key); },
+    , succession(
+          proxy, *store, *orders, [this](std::string_view key) { return this->peers.rankFor(key); },
           [this] { return this->follower.refreshFleet(); })
     , signals(thread.ioContext(), SIGTERM, SIGINT, SIGHUP)
 {
@@ -51,8 +53,8 @@
     HttpServerSettings peer = ready;
     peer.address = this->settings.peers.address;
     peer.port = this->settings.peers.port;
-    BOOST_OUTCOME_TRY(this->peerServer,
-        HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->answerPeer(request); }));
+    BOOST_OUTCOME_TRY(
+        this->peerServer, HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->answerPeer(request); }));
     BOOST_OUTCOME_TRY(this->proxy.listen());
     this->follower.start();
     this->waitForSignal();
--- a/foxtailtrail/proxy/ServerCommands.cpp
+++ b/foxtailtrail/proxy/ServerCommands.cpp
@@ -77,9 +77,7 @@
             this->status.server = server;
             this->status.draining = draining;
         }
-        this->finish(read                              ? ProbeOutcome::Answered
-                : reply.refusal == BackendRefusal::Busy ? ProbeOutcome::Full
-                                                        : ProbeOutcome::Silent);
+        this->finish(read ? ProbeOutcome::Answered : reply.refusal == BackendRefusal::Busy ? ProbeOutcome::Full : ProbeOutcome::Silent);
     }
 
     void linkLost() override
@@ -131,8 +129,7 @@
     }
 }
 
-std::vector<ProbedStatus> ServerCommands::askAll(
-    const std::vector<ServerEntry>& servers, ServerOrder order, Term term, Duration timeout)
+std::vector<ProbedStatus> ServerCommands::askAll(const std::vector<ServerEntry>& servers, ServerOrder order, Term term, Duration timeout)
 {
     std::string bytes;
     this->codec.writeOrder(bytes, order, term, std::nullopt);
--- a/foxtailtrail/proxy/ServerPool.cpp
+++ b/foxtailtrail/proxy/ServerPool.cpp
@@ -51,7 +51,8 @@
         callback(Acquisition::Gone, nullptr);
         return 0;
     }
-    if (this->mayStart(bootNow())) {
+    // Those that wait go first.
+    if (this->waiters.empty() && this->mayStart(bootNow())) {
         if (std::shared_ptr<BackendLink> free = this->takeFree(organisation)) {
             ++this->counts.reused;
             callback(Acquisition::Acquired, free);
@@ -82,6 +83,7 @@
         if (!free->isClean())
             return this->takeFree(organisation);
         ++this->inUse;
+        ++this->inUseBy[organisation];
         return free;
     }
     return nullptr;
@@ -93,49 +95,55 @@
         [&](const std::shared_ptr<BackendLink>& link) { return link->organisation() == organisation; });
 }
 
-size_t ServerPool::openingsFor(const std::string& organisation) const
+std::list<ServerPool::Waiter>::iterator ServerPool::nextWaiter()
 {
-    return static_cast<size_t>(std::count_if(this->opening.begin(), this->opening.end(),
-        [&](const Opening& each) { return each.link && each.link->organisation() == organisation; }));
+    // Within a priority, the organisation that uses the server least goes first; connections being opened for it count as used.
+    std::map<std::string, size_t> used = this->inUseBy;
+    for (const Opening& each : this->opening)
+        ++used[each.link->organisation()];
+    auto best = this->waiters.end();
+    std::map<std::string, size_t> openings;
+    for (const Opening& each : this->opening)
+        ++openings[each.link->organisation()];
+    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end(); ++waiter) {
+        if (best != this->waiters.end() && waiter->priority > best->priority)
+            break;
+        // A connection that is being opened serves the first waiter of its organisation.
+        size_t& pending = openings[waiter->organisation];
+        if (pending > 0 && !this->hasFree(waiter->organisation)) {
+            --pending;
+            continue;
+        }
+        if (best == this->waiters.end() || used[waiter->organisation] < used[best->organisation])
+            best = waiter;
+    }
+    return best;
 }
 
 void ServerPool::serveWaiters()
 {
-    // Free connections first.
-    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
-        if (!this->mayStart(bootNow()))
+    while (!this->retired && this->mayStart(bootNow())) {
+        const auto waiter = this->nextWaiter();
+        if (waiter == this->waiters.end())
             return;
-        std::shared_ptr<BackendLink> free = this->takeFree(waiter->organisation);
-        if (!free) {
-            ++waiter;
+        if (std::shared_ptr<BackendLink> free = this->takeFree(waiter->organisation)) {
+            const Callback callback = std::move(waiter->callback);
+            this->waiters.erase(waiter);
+            ++this->counts.reused;
+            callback(Acquisition::Acquired, free);
             continue;
         }
-        const Callback callback = std::move(waiter->callback);
-        this->waiters.erase(waiter);
-        ++this->counts.reused;
-        callback(Acquisition::Acquired, free);
-        // The callback may have changed the list.
-        waiter = this->waiters.begin();
-    }
-    if (bootNow() < this->fullUntil || this->retired)
-        return;
-    // One opening for each waiter without one, within the budget; a free connection of another organisation makes room.
-    std::map<std::string, size_t> wanted;
-    for (const Waiter& waiter : this->waiters)
-        ++wanted[waiter.organisation];
-    for (const auto& [organisation, count] : wanted) {
-        for (size_t openings = this->openingsFor(organisation); openings < count; ++openings) {
-            // An opening takes a slot of the server, like a statement.
-            if (this->inUse + this->opening.size() >= this->window.size())
+        // An opening takes a slot of the server, like a statement.
+        if (bootNow() < this->fullUntil || this->inUse + this->opening.size() >= this->window.size())
+            return;
+        // A free connection of another organisation makes room.
+        if (this->size() >= this->budget) {
+            if (this->idle.empty())
                 return;
-            if (this->size() >= this->budget) {
-                if (this->idle.empty())
-                    return;
-                ++this->counts.evicted;
-                this->closeOldest();
-            }
-            this->openFor(organisation);
+            ++this->counts.evicted;
+            this->closeOldest();
         }
+        this->openFor(waiter->organisation);
     }
 }
 
@@ -194,11 +202,19 @@
         waiter.callback(outcome, nullptr);
 }
 
-void ServerPool::release(const std::shared_ptr<BackendLink>& link)
+void ServerPool::endUse(BackendLink& link)
 {
     assert(this->inUse > 0);
     --this->inUse;
-    link->setUser(nullptr);
+    link.setUser(nullptr);
+    const auto used = this->inUseBy.find(link.organisation());
+    if (--used->second == 0)
+        this->inUseBy.erase(used);
+}
+
+void ServerPool::release(const std::shared_ptr<BackendLink>& link)
+{
+    this->endUse(*link);
     // What this VM holds beyond its own part of the server's maximum is missing to others.
     const bool isSurplus = this->size() >= this->keptIdle && !this->isWanted(link->organisation());
     if (!link->isClean() || this->retired || (isSurplus && this->idle.empty())) {
@@ -214,9 +230,7 @@
 
 void ServerPool::drop(const std::shared_ptr<BackendLink>& link)
 {
-    assert(this->inUse > 0);
-    --this->inUse;
-    link->setUser(nullptr);
+    this->endUse(*link);
     link->close();
     this->serveWaiters();
 }
--- a/foxtailtrail/proxy/ServerPool.h
+++ b/foxtailtrail/proxy/ServerPool.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -94,8 +95,10 @@
     void openFor(const std::string& organisation);
     void opened(LinkOpening, const std::shared_ptr<BackendLink>&);
     void serveWaiters();
-    // Openings under way for an organisation.
-    size_t openingsFor(const std::string& organisation) const;
+    // The waiter that is served next, or the end.
+    std::list<Waiter>::iterator nextWaiter();
+    // Counts a connection as not used any more.
+    void endUse(BackendLink&);
     void failWaiters(Acquisition);
     // Closes the connection that has been idle for the longest time.
     void closeOldest();
@@ -111,6 +114,7 @@
     std::list<std::shared_ptr<BackendLink>> idle;
     std::list<Opening> opening;
     size_t inUse = 0;
+    std::map<std::string, size_t> inUseBy;
     size_t budget = 2;
     size_t keptIdle = 1;
     // After a refusal for too many connections, none is opened until this time.
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -26,7 +26,8 @@
 
 }
 
-SessionProxy::SessionProxy(boost::asio::io_context& context, ProxySettings settings, const CallerCodec& callers, const BackendCodec& backends)
+SessionProxy::SessionProxy(
+    boost::asio::io_context& context, ProxySettings settings, const CallerCodec& callers, const BackendCodec& backends)
     : context(context)
     , proxySettings(std::move(settings))
     , callers(callers)
--- a/foxtailtrail/proxy/SharedStore.h
+++ b/foxtailtrail/proxy/SharedStore.h
@@ -86,8 +86,7 @@
 class PromotionOrders {
 public:
     virtual ~PromotionOrders() = default;
-    virtual PromotionAnswer promote(
-        const ServiceName&, const BackendServerId&, const VmId& holder, uint64_t fence, TimePoint deadline) = 0;
+    virtual PromotionAnswer promote(const ServiceName&, const BackendServerId&, const VmId& holder, uint64_t fence, TimePoint deadline) = 0;
 };
 
 }
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -127,17 +127,17 @@
 {
     this->floor.reset();
     auto self = this->shared_from_this();
-    this->leaderTicket = this->group->whenLeader(
-        this->task.organisation, this->giveUpAt, [self](const std::optional<BackendServerId>& leader) {
-            self->leaderTicket = 0;
-            if (self->finished)
-                return;
-            if (!leader) {
-                self->fail(ErrorKind::NoPrimary, "the group has no usable primary");
-                return;
-            }
-            self->acquire(*leader);
-        });
+    this->leaderTicket
+        = this->group->whenLeader(this->task.organisation, this->giveUpAt, [self](const std::optional<BackendServerId>& leader) {
+              self->leaderTicket = 0;
+              if (self->finished)
+                  return;
+              if (!leader) {
+                  self->fail(ErrorKind::NoPrimary, "the group has no usable primary");
+                  return;
+              }
+              self->acquire(*leader);
+          });
 }
 
 void StatementRun::acquire(const BackendServerId& server)
@@ -489,8 +489,8 @@
     if (result.server.empty())
         result.server = this->target;
     // The callback may end the session, and with it this run, so it is called from the event loop.
-    boost::asio::post(this->context,
-        [done = std::exchange(this->callback, nullptr), result = std::move(result)]() mutable { done(std::move(result)); });
+    boost::asio::post(
+        this->context, [done = std::exchange(this->callback, nullptr), result = std::move(result)]() mutable { done(std::move(result)); });
 }
 
 }
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -58,8 +58,8 @@
 
     // Starts the run. The session outlives it. The pinned link is that of the open transaction; an empty one is filled when the
     // transaction's first statement has run. The callback is called once, not before start() returns.
-    static std::shared_ptr<StatementRun> start(
-        boost::asio::io_context&, GroupHost&, std::shared_ptr<GroupTraffic>, const SessionState&, PinnedLink& pinned, StatementTask, Callback);
+    static std::shared_ptr<StatementRun> start(boost::asio::io_context&, GroupHost&, std::shared_ptr<GroupTraffic>, const SessionState&,
+        PinnedLink& pinned, StatementTask, Callback);
 
     // Ends attempts and the whole run when their time is over.
     void sweep(TimePoint now);
@@ -76,7 +76,8 @@
         Pausing,
     };
 
-    StatementRun(boost::asio::io_context&, GroupHost&, std::shared_ptr<GroupTraffic>, const SessionState&, PinnedLink&, StatementTask, Callback);
+    StatementRun(
+        boost::asio::io_context&, GroupHost&, std::shared_ptr<GroupTraffic>, const SessionState&, PinnedLink&, StatementTask, Callback);
     bool inTransaction() const { return this->session.transaction() == TransactionState::Open; }
     // Whether only the primary may run the statement.
     bool needsPrimary() const;
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -141,8 +141,8 @@
             }
             const auto earlier
                 = std::find_if(first.begin(), first.end(), [&](const ProbedStatus& each) { return each.server == status.server; });
-            const bool bothAnswered = earlier != first.end() && earlier->outcome == ProbeOutcome::Answered
-                && status.outcome == ProbeOutcome::Answered;
+            const bool bothAnswered
+                = earlier != first.end() && earlier->outcome == ProbeOutcome::Answered && status.outcome == ProbeOutcome::Answered;
             if (bothAnswered && earlier->received < status.received)
                 return SuccessionCause::None;
         }
@@ -257,15 +257,13 @@
             std::vector<ProbedStatus> paused = this->ask(replicas, ServerOrder::Pause, term);
             this->pausedAt = bootNow();
             this->logStatuses("pause", paused);
-            std::erase_if(paused, [&](const ProbedStatus& status) {
-                return std::find(failed.begin(), failed.end(), status.server) != failed.end();
-            });
+            std::erase_if(
+                paused, [&](const ProbedStatus& status) { return std::find(failed.begin(), failed.end(), status.server) != failed.end(); });
             const bool missingAreLost = bootNow() >= begun + lostReplicaTime && this->isGone(oldLeader, statuses)
                 && std::all_of(paused.begin(), paused.end(), [&](const ProbedStatus& status) {
                        return status.outcome == ProbeOutcome::Answered || this->isGone(status.server, paused);
                    });
-            const SuccessorChoice choice
-                = chooseSuccessor(paused, this->proxy.group(this->service)->acknowledged(), missingAreLost);
+            const SuccessorChoice choice = chooseSuccessor(paused, this->proxy.group(this->service)->acknowledged(), missingAreLost);
             if (choice.successor) {
                 for (const ProbedStatus& status : paused) {
                     if (status.server == *choice.successor)
@@ -289,7 +287,8 @@
         decision.puts.push_back({ StoreTable::Fleet, leaderRowKey(this->service), encodeLeader(record) });
         const Result<uint64_t> decided = this->duty.store.commit(decision, now() + storeTimeout);
         if (!decided) {
-            logEvent(LogLevel::Warning, "promotion not recorded", { { "service", this->service.value }, { "detail", decided.error().detail } });
+            logEvent(
+                LogLevel::Warning, "promotion not recorded", { { "service", this->service.value }, { "detail", decided.error().detail } });
             return false;
         }
         this->proxy.changeDirectory([&](ServerDirectory& directory) { directory.recordLeader(record); });
--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -87,7 +87,8 @@
     const auto found = std::find_if(this->servers.begin(), this->servers.end(), [&](const Server& server) { return server.id == id; });
     if (found == this->servers.end() || !found->running)
         return 409;
-    if (found->isPrimary && std::all_of(this->servers.begin(), this->servers.end(), [&](const Server& server) { return server.term <= found->term; }))
+    if (found->isPrimary
+        && std::all_of(this->servers.begin(), this->servers.end(), [&](const Server& server) { return server.term <= found->term; }))
         return 200;
     lock.unlock();
     std::this_thread::sleep_for(promotionTime);
@@ -272,14 +273,15 @@
 void LineGroup::ready(Connection& connection, std::string& out)
 {
     const Server& server = this->servers[connection.server];
-    out += std::string("READY ") + connection.state + " " + std::to_string(server.term) + "." + std::to_string(this->appliedCount(server)) + "\r\n";
+    out += std::string("READY ") + connection.state + " " + std::to_string(server.term) + "." + std::to_string(this->appliedCount(server))
+        + "\r\n";
 }
 
 std::string LineGroup::statusRow(const Server& server) const
 {
     std::ostringstream out;
-    out << "ROW " << (server.isPrimary ? "primary" : "replica") << " " << server.term << " " << server.term << "." << server.log.size() << " "
-        << server.pausedFor << " 0 0 " << server.connections << "\r\nDONE -\r\n";
+    out << "ROW " << (server.isPrimary ? "primary" : "replica") << " " << server.term << " " << server.term << "." << server.log.size()
+        << " " << server.pausedFor << " 0 0 " << server.connections << "\r\nDONE -\r\n";
     return out.str();
 }
 
@@ -289,7 +291,10 @@
         this->observer({ this->servers[connection.server].id, connection.organisation, id, text, connection.values });
 }
 
-std::string LineGroup::newDigest(const Server& server, const std::string& id) { return server.id + "." + id + "." + std::to_string(this->random()); }
+std::string LineGroup::newDigest(const Server& server, const std::string& id)
+{
+    return server.id + "." + id + "." + std::to_string(this->random());
+}
 
 void LineGroup::replicate()
 {
@@ -301,7 +306,8 @@
     if (!primary)
         return;
     for (Server& replica : this->servers) {
-        if (&replica == primary || !replica.running || replica.deaf || replica.pausedFor > 0 || (replica.isPrimary && replica.term >= primary->term))
+        if (&replica == primary || !replica.running || replica.deaf || replica.pausedFor > 0
+            || (replica.isPrimary && replica.term >= primary->term))
             continue;
         if (replica.isPrimary)
             continue;
--- a/standins/platform/RowStore.cpp
+++ b/standins/platform/RowStore.cpp
@@ -228,7 +228,8 @@
         lock.lock();
     }
     const auto nameOf = [](const json::object& row) {
-        return std::pair(std::string(std::string_view(row.at("table").as_string())), std::string(std::string_view(row.at("key").as_string())));
+        return std::pair(
+            std::string(std::string_view(row.at("table").as_string())), std::string(std::string_view(row.at("key").as_string())));
     };
     for (const json::value& each : change.at("expect").as_array()) {
         const auto found = this->rows.find(nameOf(each.as_object()));
--- a/tests/failover/SuccessionTest.cpp
+++ b/tests/failover/SuccessionTest.cpp
@@ -83,7 +83,8 @@
         ProbedStatus leaving = status("b", ProbeOutcome::Answered, false, 9);
         leaving.draining = true;
         EXPECT_FALSE(chooseSuccessor({ status("a", ProbeOutcome::Answered, false, 7), leaving }, std::nullopt, true).successor);
-        EXPECT_EQ(chooseSuccessor({ status("a", ProbeOutcome::Answered, false, 9), leaving }, std::nullopt, false).successor, BackendServerId("a"));
+        EXPECT_EQ(chooseSuccessor({ status("a", ProbeOutcome::Answered, false, 9), leaving }, std::nullopt, false).successor,
+            BackendServerId("a"));
     }
 
     // Guards against two holders of one number.
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -121,12 +121,11 @@
         const std::lock_guard<std::mutex> lock(this->recordMutex);
         this->statementRecords.push_back(record);
     });
-    this->rowStore = std::make_unique<standins::RowStore>(
-        [this](const standins::PromotionOrder& order) {
-            const unsigned status = this->lineGroup->promote(order.server);
-            this->listServers();
-            return status;
-        });
+    this->rowStore = std::make_unique<standins::RowStore>([this](const standins::PromotionOrder& order) {
+        const unsigned status = this->lineGroup->promote(order.server);
+        this->listServers();
+        return status;
+    });
     this->pickPorts(vmCount);
     this->organisations = { { "orga", { "key-of-orga" } }, { "orgb", { "key-of-orgb" } } };
     this->publish();
@@ -207,8 +206,8 @@
     const Ports& own = this->ports[vm];
     std::ofstream settings(this->settingsFile(vm));
     settings << "vm: {id: vm" << vm << ", dataCentre: zone-a, region: region-a, regions: {zone-a: region-a}, logLevel: info}\n"
-             << "listen: {callers: '127.0.0.1:" << own.callers << "', ready: '127.0.0.1:" << own.ready << "', peers: '127.0.0.1:" << own.peers
-             << "', datagramPort: " << own.datagrams << ", metricsPort: " << own.metrics << "}\n"
+             << "listen: {callers: '127.0.0.1:" << own.callers << "', ready: '127.0.0.1:" << own.ready
+             << "', peers: '127.0.0.1:" << own.peers << "', datagramPort: " << own.datagrams << ", metricsPort: " << own.metrics << "}\n"
              << "platform: {store: '127.0.0.1:" << this->rowStore->port() << "', promotions: '127.0.0.1:" << this->rowStore->port()
              << "', seeds: ['127.0.0.1:" << this->ports[0].peers << "']}\n"
              << "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -81,8 +81,8 @@
         }
         for (const standins::StatementRecord& record : this->fleet.records()) {
             const bool ofFirst = record.id[0] == 'a';
-            const std::map<std::string, std::string> expected
-                = ofFirst ? std::map<std::string, std::string> { { "colour", "red" } } : std::map<std::string, std::string> { { "shade", "dark" } };
+            const std::map<std::string, std::string> expected = ofFirst ? std::map<std::string, std::string> { { "colour", "red" } }
+                                                                        : std::map<std::string, std::string> { { "shade", "dark" } };
             EXPECT_EQ(record.values, expected) << record.id;
             EXPECT_TRUE(record.text.starts_with(ofFirst ? "EXECUTE qa" : "EXECUTE qb")) << record.text;
         }
@@ -213,7 +213,8 @@
             EXPECT_TRUE(eventually([&] {
                 Caller caller(this->fleet.callerPort(vm));
                 return caller.start("fresh", "key-of-orga").succeeded();
-            })) << "vm" << vm;
+            })) << "vm"
+                << vm;
         }
     }
 
--- a/tests/limits/QuotaTest.cpp
+++ b/tests/limits/QuotaTest.cpp
@@ -84,7 +84,8 @@
             const bool reaches = now >= vm.cutUntil && now >= lender.cutUntil && now >= lender.frozenUntil && this->uniform() > 0.05;
             if (!reaches)
                 return;
-            const std::vector<QuotaGrant> grants = lender.ledger.grant(VmId(std::to_string(index)), asks, { this->limit }, this->vms.size(), time);
+            const std::vector<QuotaGrant> grants
+                = lender.ledger.grant(VmId(std::to_string(index)), asks, { this->limit }, this->vms.size(), time);
             if (this->uniform() > 0.05)
                 vm.inbox.push_back({ now + 1 + static_cast<int64_t>(this->random() % 30), now, vm.number, grants });
         }
--- a/tests/platform/LineProtocolTest.cpp
+++ b/tests/platform/LineProtocolTest.cpp
@@ -1,5 +1,5 @@
-#include "platform/Declarations.h"
 #include "platform/LineProtocol.h"
+#include "platform/Declarations.h"
 
 #include <gtest/gtest.h>
 #include <random>
@@ -38,8 +38,8 @@
     // Guards against orders and positions that a caller slips through to a backend server.
     TEST(LineProtocolTest, StatementsThatOnlyThisVmMaySendAreMalformed)
     {
-        for (const char* text : { "STATUS", "PAUSE 3", "RESUME", "DEMOTE 4", "RESET", "AFTER 1.2 READ x", "AFTER 1.2 BEGIN READ", "BEGIN WRITE",
-                 "COMMIT now", "READ", "WRITE", "PREPARE s", "PREPARE s BOTH x", "EXECUTE s", "CLOSE", "SET", "" })
+        for (const char* text : { "STATUS", "PAUSE 3", "RESUME", "DEMOTE 4", "RESET", "AFTER 1.2 READ x", "AFTER 1.2 BEGIN READ",
+                 "BEGIN WRITE", "COMMIT now", "READ", "WRITE", "PREPARE s", "PREPARE s BOTH x", "EXECUTE s", "CLOSE", "SET", "" })
             EXPECT_EQ(parseStatement(text).kind, StatementKind::Malformed) << text;
         EXPECT_EQ(takeOne("QUERY - READ x\r\n").kind, CallerMessageKind::Malformed);
         // A lone line feed could end the line early at a backend server.
@@ -124,7 +124,8 @@
     TEST(DeclarationsTest, EntriesWithFaultsNameNoServer)
     {
         const JsonDeclarations declarations;
-        const std::string good = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":3,"state":"ready","db_role":"replica","seq":4,"born":17})";
+        const std::string good
+            = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":3,"state":"ready","db_role":"replica","seq":4,"born":17})";
         const Result<ServerEntry> entry = declarations.decodeServer("b1", good);
         ASSERT_TRUE(entry);
         EXPECT_EQ(entry.value().port, 80);
--- a/tests/replication/ReplicationTest.cpp
+++ b/tests/replication/ReplicationTest.cpp
@@ -161,7 +161,8 @@
         ServerChoice choice;
         const BackendServerId near("near");
         const BackendServerId far("far");
-        const std::vector<ReadCandidate> candidates { { near, Distance::SameDataCentre, true, 0, 3 }, { far, Distance::OtherRegion, true, 0, 3 } };
+        const std::vector<ReadCandidate> candidates { { near, Distance::SameDataCentre, true, 0, 3 },
+            { far, Distance::OtherRegion, true, 0, 3 } };
         EXPECT_EQ(choice.choose(candidates, {}, at(0)), near);
         EXPECT_EQ(choice.choose(candidates, { near }, at(0)), far);
         EXPECT_EQ(choice.choose(candidates, { near, far }, at(0)), std::nullopt);
--- a/tests/session/SessionStateTest.cpp
+++ b/tests/session/SessionStateTest.cpp
@@ -1,5 +1,5 @@
-#include "foxtailtrail/session/LinkState.h"
 #include "foxtailtrail/session/SessionState.h"
+#include "foxtailtrail/session/LinkState.h"
 
 #include <gtest/gtest.h>
 #include <random>
