Share a server's connections by the placement of VMs and servers

Cause: every VM kept the same part of every server's connections, although reads go to the nearest server, so most were opened for one statement (12 ms of a slot each). Change: a VM's part follows from where VMs and servers stand and who leads.

--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -180,7 +180,7 @@
 void ControlFollower::registerSelf()
 {
     const ProxySettings& settings = this->proxy.settings();
-    const PeerEntry self { settings.vmId, settings.peers, settings.datagramPort };
+    const PeerEntry self { settings.vmId, settings.peers, settings.datagramPort, settings.dataCentre };
     const auto known = this->knownPeers.find(vmRowKey(self.id));
     if (known != this->knownPeers.end() && known->second == self) {
         this->isRegistered = true;
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -25,6 +25,7 @@
         PeerEntry entry;
         entry.id = VmId(std::string(id));
         BOOST_OUTCOME_TRY(entry.control.address, stringMember(object, "address"));
+        BOOST_OUTCOME_TRY(entry.dataCentre.value, stringMember(object, "dataCentre"));
         BOOST_OUTCOME_TRY(const uint64_t control, unsignedMember(object, "controlPort"));
         BOOST_OUTCOME_TRY(const uint64_t datagrams, unsignedMember(object, "datagramPort"));
         entry.control.port = static_cast<uint16_t>(control);
@@ -63,7 +64,8 @@
 std::string encodePeer(const PeerEntry& entry)
 {
     return json::serialize(json::object {
-        { "address", entry.control.address }, { "controlPort", entry.control.port }, { "datagramPort", entry.datagramPort } });
+        { "address", entry.control.address }, { "controlPort", entry.control.port }, { "datagramPort", entry.datagramPort },
+        { "dataCentre", entry.dataCentre.value } });
 }
 
 std::string encodeLeader(const LeaderRecord& record)
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -84,7 +84,7 @@
             updated.emplace(entry.id, Peer { entry, now, TimePoint {}, TimePoint {}, TimePoint {} });
     }
     this->peers = std::move(updated);
-    this->updateFleetSize(now);
+    this->updateFleet(now);
     // New peers learn of this VM at once; in a large fleet the rounds of greetings reach the others.
     size_t greeted = 0;
     const std::string text = this->greeting();
@@ -96,12 +96,14 @@
 
 bool PeerExchange::isLive(const Peer& peer, TimePoint now) const { return now < std::max(peer.heardAt, peer.knownSince) + peerSilence; }
 
-void PeerExchange::updateFleetSize(TimePoint now)
+void PeerExchange::updateFleet(TimePoint now)
 {
-    const auto counted = std::count_if(this->peers.begin(), this->peers.end(),
-        [&](const auto& each) { return now < std::max(each.second.heardAt, each.second.knownSince) + peerForgotten; });
-    if (this->proxy.fleetSize() != static_cast<size_t>(counted) + 1)
-        this->proxy.setFleetSize(static_cast<size_t>(counted) + 1);
+    std::map<DataCentre, size_t> vms { { this->proxy.settings().dataCentre, 1 } };
+    for (const auto& [id, peer] : this->peers) {
+        if (now < std::max(peer.heardAt, peer.knownSince) + peerForgotten)
+            ++vms[peer.entry.dataCentre];
+    }
+    this->proxy.setFleet(std::move(vms));
 }
 
 bool PeerExchange::hearsFewPeers() const
@@ -214,7 +216,7 @@
 
 void PeerExchange::greet()
 {
-    this->updateFleetSize(bootNow());
+    this->updateFleet(bootNow());
     if (this->peers.empty())
         return;
     const std::string text = this->greeting();
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -22,6 +22,7 @@
     // Where it answers requests for the configuration.
     Endpoint control;
     uint16_t datagramPort = 0;
+    DataCentre dataCentre;
     bool operator==(const PeerEntry&) const = default;
 };
 
@@ -66,7 +67,7 @@
     // The VM that lends quotas to this one; null for this VM itself. One of the oldest processes is chosen, so that the loans survive
     // restarts of others.
     Peer* ledgerPeer(TimePoint now);
-    void updateFleetSize(TimePoint now);
+    void updateFleet(TimePoint now);
 
     boost::asio::io_context& context;
     SessionProxy& proxy;
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/proxy/SessionProxy.h"
 
 #include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/scheduling/ConnectionShare.h"
 #include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
@@ -112,6 +113,7 @@
     const auto current = this->groups;
     for (const auto& [service, group] : current)
         group->directoryChanged();
+    this->updateBudgets();
 }
 
 void SessionProxy::examineLeavingPrimaries()
@@ -139,9 +141,14 @@
     }
 }
 
-void SessionProxy::setFleetSize(size_t vms)
+void SessionProxy::setFleet(std::map<DataCentre, size_t> vms)
 {
-    this->vmCount = std::max<size_t>(1, vms);
+    if (vms == this->vmsByDataCentre)
+        return;
+    this->vmsByDataCentre = std::move(vms);
+    this->vmCount = 0;
+    for (const auto& [dataCentre, count] : this->vmsByDataCentre)
+        this->vmCount += count;
     this->updateBudgets();
 }
 
@@ -150,12 +157,18 @@
     if (!this->table)
         return;
     for (const auto& [id, pool] : this->pools) {
-        const auto group = this->table->groups.find(pool->server().service.value);
+        const ServiceName& service = pool->server().service;
+        const auto group = this->table->groups.find(service.value);
         if (group == this->table->groups.end())
             continue;
-        const double part = group->second.maxConnections * trafficShareOfConnections / static_cast<double>(this->vmCount);
-        const auto most = static_cast<size_t>(std::max(2.0, part * budgetOvercommitment));
-        pool->setBudget(most, static_cast<size_t>(std::max(1.0, part)));
+        GroupPlacement placement { this->vmsByDataCentre, this->proxySettings.regions, {} };
+        for (const ServerEntry* entry : this->servers.members(service))
+            placement.servers.push_back(entry->dataCentre);
+        const std::optional<LeaderView> leader = this->servers.leader(service);
+        const double part = trafficShareOfConnections
+            * connectionShare(placement, this->proxySettings.dataCentre, pool->server().dataCentre, leader && leader->server == id,
+                group->second.maxConnections);
+        pool->setBudget(static_cast<size_t>(std::max(2.0, part * budgetOvercommitment)), static_cast<size_t>(std::max(1.0, part)));
     }
 }
 
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -55,8 +55,8 @@
 
     // Changes the directory and tells the groups.
     void changeDirectory(const std::function<void(ServerDirectory&)>&);
-    // Sets the number of VMs that share quotas and connections.
-    void setFleetSize(size_t vms);
+    // Sets the VMs that share quotas and connections, by data centre.
+    void setFleet(std::map<DataCentre, size_t> vms);
     size_t fleetSize() const { return this->vmCount; }
 
     // Admits an operation of the organisation, perhaps after waiting for a grant.
@@ -126,6 +126,7 @@
     std::map<BackendServerId, std::shared_ptr<ServerPool>> pools;
     QuotaShare quotaShare;
     std::list<QuotaWaiter> quotaWaiters;
+    std::map<DataCentre, size_t> vmsByDataCentre;
     size_t vmCount = 1;
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections;
     // The connections with a request or transaction under way.
