Add a soak of real processes, bounded logs and metrics of the session path

Logs go to standard output, are bounded per event and never block (a test fills a pipe). A line a request with server, attempts, configuration version and time. Metrics of the session path by prometheus-cpp.

--- a/foxtailtrail/Main.cpp
+++ b/foxtailtrail/Main.cpp
@@ -100,7 +100,7 @@
             std::cerr << fault << "\n";
         return exitUsage;
     }
-    startLogging(logLevelByName(settings.value().logLevel).value_or(LogLevel::Info), settings.value().vmId.value);
+    startBoundedLogging(logLevelByName(settings.value().logLevel).value_or(LogLevel::Info), settings.value().vmId.value);
     const platform::LineCallerCodec callers;
     const platform::LineBackendCodec backends;
     const platform::JsonDeclarations declarations;
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -93,8 +93,7 @@
 
 void CallerConnection::refuseStart(ErrorKind kind, std::string_view detail)
 {
-    this->proxy.countRefusal(kind);
-    this->logRefusal(kind, detail);
+    this->noteOutcome(kind, detail);
     std::string out;
     this->proxy.callerCodec().writeError(out, kind, detail);
     this->send(out);
@@ -111,6 +110,7 @@
         return;
     }
     this->busy = true;
+    this->requestStart = bootNow();
     this->database = message.database;
     this->keyDigest = sha256Hex(message.key);
     // A VM that has just started waits for its configuration.
@@ -316,6 +316,8 @@
 void CallerConnection::finished(RunResult&& result)
 {
     this->run.reset();
+    this->ranOn = result.server;
+    this->attempts = result.attempts;
     if (this->gone) {
         this->giveBackTransaction();
         this->proxy.forget(*this);
@@ -345,7 +347,6 @@
         else
             this->session.failTransaction();
     }
-    this->proxy.noteFailure(result.error);
     this->answerError(result.error, result.detail);
 }
 
@@ -357,11 +358,10 @@
         for (const std::string& row : reply.rows)
             codec.writeRow(out, row);
         codec.writeDone(out, reply.digest);
-        this->proxy.countServed(bootNow() - this->requestStart);
+        this->noteOutcome(std::nullopt, {});
     } else {
         const ErrorKind kind = errorOf(reply.refusal);
-        this->proxy.countRefusal(kind);
-        this->logRefusal(kind, reply.text);
+        this->noteOutcome(kind, reply.text);
         codec.writeError(out, kind, reply.text);
     }
     this->sendReady(out, reply.position);
@@ -378,8 +378,7 @@
 
 void CallerConnection::answerError(ErrorKind kind, std::string_view detail)
 {
-    this->proxy.countRefusal(kind);
-    this->logRefusal(kind, detail);
+    this->noteOutcome(kind, detail);
     std::string out;
     this->proxy.callerCodec().writeError(out, kind, detail.empty() ? errorKindRow(kind).text : detail);
     this->sendReady(out, std::nullopt);
@@ -456,9 +455,13 @@
     this->proxy.forget(*this);
 }
 
-void CallerConnection::logRefusal(ErrorKind kind, std::string_view detail) const
+void CallerConnection::noteOutcome(const std::optional<ErrorKind>& error, std::string_view detail)
 {
-    this->proxy.logRequest(this->request.id, this->database, this->organisation, kind, detail, bootNow() - this->requestStart);
+    RequestOutcome outcome { this->request.id, this->database, this->organisation, this->ranOn.value, this->attempts, error,
+        std::string(detail), bootNow() - this->requestStart };
+    this->proxy.noteRequest(outcome);
+    this->ranOn = BackendServerId();
+    this->attempts = 0;
 }
 
 }
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -57,7 +57,8 @@
     void requestDone();
     void refuseStart(ErrorKind, std::string_view detail);
     void giveBackTransaction();
-    void logRefusal(ErrorKind, std::string_view detail) const;
+    // Logs and counts the end of the current request.
+    void noteOutcome(const std::optional<ErrorKind>&, std::string_view detail);
     SessionStatement& statement() { return this->request.statement; }
 
     SessionProxy& proxy;
@@ -75,6 +76,9 @@
     // The route and organisation of the current operation.
     std::optional<DatabaseRoute> route;
     std::string organisation;
+    // Where the current request ran last, and how often it was sent.
+    BackendServerId ranOn;
+    uint32_t attempts = 0;
     TimePoint requestStart {};
     TimePoint lastActivity {};
     // The transaction was ended by this VM and the caller has not been told yet.
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -63,9 +63,8 @@
 
 std::string encodePeer(const PeerEntry& entry)
 {
-    return json::serialize(json::object {
-        { "address", entry.control.address }, { "controlPort", entry.control.port }, { "datagramPort", entry.datagramPort },
-        { "dataCentre", entry.dataCentre.value } });
+    return json::serialize(json::object { { "address", entry.control.address }, { "controlPort", entry.control.port },
+        { "datagramPort", entry.datagramPort }, { "dataCentre", entry.dataCentre.value } });
 }
 
 std::string encodeLeader(const LeaderRecord& record)
--- /dev/null
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -0,0 +1,69 @@
+#include "foxtailtrail/proxy/ProxyMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace foxtail {
+
+namespace {
+
+    // Upper bounds of the durations in seconds, from a local answer to the longest time limit.
+    const prometheus::Histogram::BucketBoundaries durationBounds { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 5 };
+
+}
+
+class ProxyMetrics::Implementation {
+public:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests
+        = prometheus::BuildCounter().Name("foxtail_session_requests_total").Help("Requests of sessions by outcome").Register(registry);
+    prometheus::Family<prometheus::Histogram>& durations
+        = prometheus::BuildHistogram().Name("foxtail_session_request_seconds").Help("Time from a request to its answer").Register(registry);
+    prometheus::Family<prometheus::Counter>& openings = prometheus::BuildCounter()
+                                                            .Name("foxtail_backend_openings_total")
+                                                            .Help("Openings of backend connections by end")
+                                                            .Register(registry);
+    prometheus::Family<prometheus::Counter>& promotions
+        = prometheus::BuildCounter().Name("foxtail_session_promotions_total").Help("Promotions carried out by this VM").Register(registry);
+    prometheus::Family<prometheus::Gauge>& state
+        = prometheus::BuildGauge().Name("foxtail_vm_state").Help("State of this VM by name").Register(registry);
+};
+
+ProxyMetrics::ProxyMetrics()
+    : implementation(std::make_unique<Implementation>())
+{
+}
+
+ProxyMetrics::~ProxyMetrics() = default;
+
+void ProxyMetrics::countRequest(const std::optional<ErrorKind>& error, Duration duration)
+{
+    const std::string outcome = error ? std::string(errorKindRow(*error).name) : "served";
+    this->implementation->requests.Add({ { "outcome", outcome } }).Increment();
+    if (!error)
+        this->implementation->durations.Add({}, durationBounds).Observe(std::chrono::duration<double>(duration).count());
+}
+
+void ProxyMetrics::countOpening(std::string_view outcome)
+{
+    this->implementation->openings.Add({ { "end", std::string(outcome) } }).Increment();
+}
+
+void ProxyMetrics::countPromotion() { this->implementation->promotions.Add({}).Increment(); }
+
+std::string ProxyMetrics::exposition(const ProxyGauges& gauges)
+{
+    const auto set = [&](const char* name, double value) { this->implementation->state.Add({ { "name", name } }).Set(value); };
+    set("sessions", static_cast<double>(gauges.sessions));
+    set("backend_connections", static_cast<double>(gauges.backendConnections));
+    set("fleet_size", static_cast<double>(gauges.fleetSize));
+    set("configuration_version", static_cast<double>(gauges.configurationVersion));
+    set("store_reachable", gauges.storeReachable ? 1 : 0);
+    set("ready", gauges.ready ? 1 : 0);
+    return prometheus::TextSerializer().Serialize(this->implementation->registry.Collect());
+}
+
+}
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -55,6 +55,12 @@
     peer.port = this->settings.peers.port;
     BOOST_OUTCOME_TRY(
         this->peerServer, HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->answerPeer(request); }));
+    if (this->settings.metricsPort != 0) {
+        HttpServerSettings metrics = peer;
+        metrics.port = this->settings.metricsPort;
+        BOOST_OUTCOME_TRY(this->metricsServer,
+            HttpServer::listen(this->thread, metrics, [this](const HttpRequest& request) { return this->answerMetrics(request); }));
+    }
     BOOST_OUTCOME_TRY(this->proxy.listen());
     this->follower.start();
     this->waitForSignal();
@@ -101,6 +107,7 @@
     while (bootNow() < end && (bootNow() < begun + rotationDelay || this->proxy.sessionCount() > 0))
         sleepFor(stopPollInterval);
     logEvent(LogLevel::Info, "stopped", { { "sessions", this->proxy.sessionCount() } });
+    flushLog();
     this->ended();
 }
 
@@ -117,6 +124,15 @@
     return HttpResponse { 200, "application/json", {}, this->follower.configurationDocument() };
 }
 
+HttpResponse ProxyVm::answerMetrics(const HttpRequest& request)
+{
+    if (request.target != "/metrics")
+        return HttpResponse { 404, "text/plain", {}, {} };
+    const ProxyGauges gauges { this->proxy.sessionCount(), this->proxy.backendConnections(), this->proxy.fleetSize(),
+        this->proxy.isConfigured() ? this->proxy.routeTable().version : 0, !this->follower.isStoreLost(), this->isReady() };
+    return HttpResponse { 200, "text/plain; version=0.0.4", {}, this->proxy.metrics().exposition(gauges) };
+}
+
 int ProxyVm::run(const std::string& settingsFile, const ProxySettings& settings, const ProxyPlatform& platform)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -130,6 +146,7 @@
     });
     if (!started) {
         logEvent(LogLevel::Error, "start failed", { { "detail", started.error().detail } });
+        flushLog();
         std::_Exit(EXIT_FAILURE);
     }
     future.wait();
--- a/foxtailtrail/proxy/ProxyVm.h
+++ b/foxtailtrail/proxy/ProxyVm.h
@@ -38,6 +38,7 @@
     // Reads the settings file again and applies what may change in a running process.
     void reload();
     HttpResponse answerReady(const HttpRequest&) const;
+    HttpResponse answerMetrics(const HttpRequest&);
     HttpResponse answerPeer(const HttpRequest&) const;
     bool isReady() const;
     // Cut off from the store and from most other VMs.
@@ -55,6 +56,7 @@
     SuccessionDuty succession;
     std::unique_ptr<HttpServer> readyServer;
     std::unique_ptr<HttpServer> peerServer;
+    std::unique_ptr<HttpServer> metricsServer;
     boost::asio::signal_set signals;
     bool isStopping = false;
 };
--- a/foxtailtrail/proxy/ServerPool.cpp
+++ b/foxtailtrail/proxy/ServerPool.cpp
@@ -116,7 +116,7 @@
         if (best != this->waiters.end() && waiter->priority > best->priority)
             break;
         // A connection of the same organisation that is in use is mostly free again before a new one could be opened.
-        const bool mayWait = now < waiter->since + reuseWait && this->inUseBy.count(waiter->organisation) > 0;
+        const bool mayWait = now<waiter->since + reuseWait&& this->inUseBy.count(waiter->organisation)> 0;
         if (mayWait && !this->hasFree(waiter->organisation))
             continue;
         // A connection that is being opened serves the first waiter of its organisation.
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -5,6 +5,7 @@
 #include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -189,6 +190,8 @@
     if (!entry)
         return nullptr;
     auto observer = [this](const BackendServerId& server, LinkOpening how, const std::optional<LogPoint>&) {
+        constexpr std::array<std::string_view, 5> names { "opened", "refused", "unreachable", "full", "misrouted" };
+        this->proxyMetrics.countOpening(names[static_cast<size_t>(how)]);
         if (how == LinkOpening::Opened || how == LinkOpening::TooMany)
             return;
         const ServerEntry* failed = this->servers.find(server);
@@ -250,16 +253,31 @@
 
 void SessionProxy::noteWork(CallerConnection& connection) { this->working.insert(&connection); }
 
-void SessionProxy::countServed(Duration) { ++this->counts.served; }
-
-void SessionProxy::countRefusal(ErrorKind kind) { ++this->counts.refusals[kind]; }
+void SessionProxy::noteRequest(const RequestOutcome& outcome)
+{
+    this->proxyMetrics.countRequest(outcome.error, outcome.elapsed);
+    json::object fields { { "request", outcome.id }, { "database", outcome.database }, { "organisation", outcome.organisation },
+        { "elapsedMs", toMilliseconds(outcome.elapsed) }, { "configuration", this->table ? this->table->version : 0 } };
+    if (outcome.attempts > 0) {
+        fields["server"] = outcome.server;
+        fields["attempts"] = outcome.attempts;
+    }
+    if (!outcome.error) {
+        logEvent(LogLevel::Info, "request served", std::move(fields));
+        return;
+    }
+    fields["error"] = errorKindRow(*outcome.error).name;
+    fields["ran"] = ranName(errorKindRow(*outcome.error).ran);
+    fields["detail"] = outcome.detail;
+    logEvent(LogLevel::Info, "request refused", std::move(fields));
+}
 
-void SessionProxy::logRequest(const std::string& id, const std::string& database, const std::string& organisation, ErrorKind kind,
-    std::string_view detail, Duration elapsed) const
+size_t SessionProxy::backendConnections() const
 {
-    logEvent(LogLevel::Info, "request refused",
-        { { "request", id }, { "database", database }, { "organisation", organisation }, { "error", errorKindRow(kind).name },
-            { "detail", detail }, { "elapsedMs", toMilliseconds(elapsed) } });
+    size_t count = 0;
+    for (const auto& [id, pool] : this->pools)
+        count += pool->size();
+    return count;
 }
 
 void SessionProxy::post(std::function<void()> task) { boost::asio::post(this->context, std::move(task)); }
@@ -284,6 +302,7 @@
 
 void SessionProxy::sweep()
 {
+    flushLog();
     const TimePoint now = bootNow();
     const std::vector<CallerConnection*> active(this->working.begin(), this->working.end());
     for (CallerConnection* connection : active) {
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -6,6 +6,7 @@
 #include "foxtailtrail/proxy/CallerCodec.h"
 #include "foxtailtrail/proxy/CallerConnection.h"
 #include "foxtailtrail/proxy/GroupTraffic.h"
+#include "foxtailtrail/proxy/ProxyMetrics.h"
 #include "foxtailtrail/proxy/ProxySettings.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,10 +22,17 @@
 
 namespace foxtail {
 
-// What the VM has served and refused, for metrics.
-struct ProxyCounters {
-    uint64_t served = 0;
-    std::map<ErrorKind, uint64_t> refusals;
+// How a request of a caller ended, for its log line and the metrics.
+struct RequestOutcome {
+    std::string id;
+    std::string database;
+    std::string organisation;
+    std::string server;
+    uint32_t attempts = 0;
+    // Empty when it was served.
+    std::optional<ErrorKind> error;
+    std::string detail;
+    Duration elapsed { 0 };
 };
 
 // The session path of a VM: callers' connections, the pools of backend connections, and what traffic shows about the groups. All
@@ -72,16 +80,14 @@
     std::shared_ptr<GroupTraffic> group(const ServiceName&);
     void forget(CallerConnection&);
     void noteWork(CallerConnection&);
-    void noteFailure(ErrorKind) { }
-    void countServed(Duration latency);
-    void countRefusal(ErrorKind);
-    // Logs a request that was not served.
-    void logRequest(const std::string& id, const std::string& database, const std::string& organisation, ErrorKind, std::string_view detail,
-        Duration elapsed) const;
+    // Logs and counts a request.
+    void noteRequest(const RequestOutcome&);
     void post(std::function<void()>);
     boost::asio::io_context& ioContext() { return this->context; }
     const CallerCodec& callerCodec() const { return this->callers; }
-    const ProxyCounters& counters() const { return this->counts; }
+    ProxyMetrics& metrics() { return this->proxyMetrics; }
+    // Connections to backend servers, open or being opened.
+    size_t backendConnections() const;
     const ProxySettings& settings() const { return this->proxySettings; }
 
     // GroupHost
@@ -135,7 +141,7 @@
     TimePoint closeIdleFrom {};
     TimePoint endTransactionsAt {};
     bool transactionsEnded = false;
-    ProxyCounters counts;
+    ProxyMetrics proxyMetrics;
 };
 
 }
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -331,6 +331,7 @@
         record.settled = true;
         // The promotion ends the pause of its own server only.
         this->proxy.changeDirectory([&](ServerDirectory& directory) { directory.recordLeader(record); });
+        this->proxy.metrics().countPromotion();
         logEvent(LogLevel::Info, "primary replaced",
             { { "service", this->service.value }, { "server", record.leader.value }, { "term", record.term.value },
                 { "fence", turn.record.fence } });
--- a/foxtailtrail/scheduling/ConnectionShare.cpp
+++ b/foxtailtrail/scheduling/ConnectionShare.cpp
@@ -33,7 +33,8 @@
 
 }
 
-double connectionShare(const GroupPlacement& placement, const DataCentre& vm, const DataCentre& server, bool isPrimary, size_t maxConnections)
+double connectionShare(
+    const GroupPlacement& placement, const DataCentre& vm, const DataCentre& server, bool isPrimary, size_t maxConnections)
 {
     const auto weight = [&](const DataCentre& dataCentre) {
         const double reads = readPart(placement, dataCentre, server);
--- a/foxtailtrail/server/Log.cpp
+++ b/foxtailtrail/server/Log.cpp
@@ -1,5 +1,8 @@
 #include "foxtailtrail/server/Log.h"
 
+#include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/server/LogOutput.h"
+
 #include <array>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
@@ -7,11 +10,12 @@
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <boost/smart_ptr/shared_ptr.hpp>
 #include <iostream>
+#include <memory>
 #include <string>
+#include <unistd.h>
 
 namespace foxtail {
 
@@ -22,8 +26,32 @@
     struct LogState {
         LogLevel level = LogLevel::Info;
         std::string vmId;
+        // Set when the volume is bounded.
+        std::unique_ptr<LogOutput> output;
+        std::unique_ptr<std::ostream> stream;
+        LogBudget budget;
+        TimePoint reportAt {};
     };
 
+    // Between two lines about lines that were left out.
+    constexpr Duration reportInterval = std::chrono::seconds(1);
+
+    TimePoint monotonicNow()
+    {
+        return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    }
+
+    int64_t wholeSeconds(TimePoint time) { return std::chrono::duration_cast<std::chrono::seconds>(time.time_since_epoch()).count(); }
+
+    void addSink(std::ostream& stream, bool flushEachLine)
+    {
+        namespace sinks = boost::log::sinks;
+        auto backend = boost::make_shared<sinks::text_ostream_backend>();
+        backend->add_stream(boost::shared_ptr<std::ostream>(&stream, [](std::ostream*) {}));
+        backend->auto_flush(flushEachLine);
+        boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
+    }
+
     LogState& logState()
     {
         static LogState state;
@@ -43,12 +71,35 @@
 
 void startLogging(LogLevel level, std::string_view vmId)
 {
-    logState() = { level, std::string(vmId) };
-    namespace sinks = boost::log::sinks;
-    auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, [](std::ostream*) {}));
-    backend->auto_flush(true);
-    boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
+    logState().level = level;
+    logState().vmId = vmId;
+    addSink(std::clog, true);
+}
+
+void startBoundedLogging(LogLevel level, std::string_view vmId)
+{
+    LogState& state = logState();
+    state.level = level;
+    state.vmId = vmId;
+    state.output = std::make_unique<LogOutput>(STDOUT_FILENO);
+    state.stream = std::make_unique<std::ostream>(state.output.get());
+    addSink(*state.stream, false);
+}
+
+void flushLog()
+{
+    LogState& state = logState();
+    if (!state.output)
+        return;
+    const TimePoint now = monotonicNow();
+    if (now >= state.reportAt) {
+        state.reportAt = now + reportInterval;
+        for (const auto& [event, count] : state.budget.takeLeftOut())
+            logEvent(LogLevel::Warning, "log lines left out", { { "of", event }, { "count", count }, { "why", "too many in a second" } });
+        if (const uint64_t count = state.output->takeLeftOut(); count > 0)
+            logEvent(LogLevel::Warning, "log lines left out", { { "count", count }, { "why", "the reader is slow" } });
+    }
+    state.output->flush();
 }
 
 void setLogLevel(LogLevel level) { logState().level = level; }
@@ -57,6 +108,8 @@
 {
     if (level < logState().level)
         return;
+    if (logState().output && !logState().budget.admit(event, wholeSeconds(monotonicNow())))
+        return;
     json::object record { { "time", boost::posix_time::to_iso_extended_string(boost::posix_time::microsec_clock::universal_time()) + "Z" },
         { "level", logLevelNames[static_cast<size_t>(level)] }, { "vm", logState().vmId }, { "event", event } };
     for (auto& field : fields)
--- a/foxtailtrail/server/Log.h
+++ b/foxtailtrail/server/Log.h
@@ -21,6 +21,13 @@
 // Sends log records to standard error, one JSON object per line, from the given level on.
 void startLogging(LogLevel, std::string_view vmId);
 
+// Sends log records to standard output from the given level on. Lines are collected until flushLog(), which never blocks; a reader
+// that is slow and an event that repeats too often lose lines, and a later line tells how many. Used by one thread.
+void startBoundedLogging(LogLevel, std::string_view vmId);
+
+// Writes the collected lines. Called often.
+void flushLog();
+
 // Changes the level from which on records are written.
 void setLogLevel(LogLevel);
 
--- /dev/null
+++ b/foxtailtrail/server/LogOutput.cpp
@@ -0,0 +1,71 @@
+#include "foxtailtrail/server/LogOutput.h"
+
+#include <algorithm>
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
+
+namespace foxtail {
+
+namespace {
+
+    // Lines that wait for their reader take at most this much memory.
+    constexpr size_t maxBufferedBytes = size_t { 256 } * 1024;
+    // A pipe that can be written to takes this many bytes without blocking.
+    constexpr size_t atomicWriteBytes = 4096;
+    // Lines of one event in a second.
+    constexpr uint32_t linesPerSecond = 100;
+
+}
+
+std::streamsize LogOutput::xsputn(const char* text, std::streamsize count)
+{
+    const auto size = static_cast<size_t>(count);
+    if (this->buffer.size() + size > maxBufferedBytes)
+        this->leftOut += static_cast<uint64_t>(std::count(text, text + count, '\n'));
+    else
+        this->buffer.append(text, size);
+    return count;
+}
+
+LogOutput::int_type LogOutput::overflow(int_type letter)
+{
+    const char text = traits_type::to_char_type(letter);
+    this->xsputn(&text, 1);
+    return letter;
+}
+
+void LogOutput::flush()
+{
+    size_t written = 0;
+    while (written < this->buffer.size()) {
+        pollfd target { this->descriptor, POLLOUT, 0 };
+        if (poll(&target, 1, 0) != 1 || (target.revents & POLLOUT) == 0)
+            break;
+        const size_t chunk = std::min(atomicWriteBytes, this->buffer.size() - written);
+        const ssize_t count = write(this->descriptor, this->buffer.data() + written, chunk);
+        if (count <= 0)
+            break;
+        written += static_cast<size_t>(count);
+    }
+    this->buffer.erase(0, written);
+}
+
+uint64_t LogOutput::takeLeftOut() { return std::exchange(this->leftOut, 0); }
+
+bool LogBudget::admit(std::string_view event, int64_t second)
+{
+    auto use = this->uses.find(event);
+    if (use == this->uses.end())
+        use = this->uses.emplace(std::string(event), Use {}).first;
+    if (use->second.second != second)
+        use->second = Use { second, 0 };
+    if (++use->second.lines <= linesPerSecond)
+        return true;
+    ++this->leftOut[use->first];
+    return false;
+}
+
+std::map<std::string, uint64_t, std::less<>> LogBudget::takeLeftOut() { return std::exchange(this->leftOut, {}); }
+
+}
--- /dev/null
+++ b/soak/FaultProxy.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "standins/TcpListener.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace foxtail::soak {
+
+// A TCP proxy on loopback that delays, cuts, silences and resets connections to one port.
+class FaultProxy {
+public:
+    explicit FaultProxy(uint16_t targetPort);
+    ~FaultProxy();
+
+    uint16_t port() const { return this->listener->port(); }
+    // Holds up every piece of data.
+    void setDelay(std::chrono::milliseconds delay) { this->delayMs = delay.count(); }
+    // Data in a cut direction waits until the cut heals.
+    void setCut(bool toTarget, bool fromTarget);
+    // The connections that are open now carry nothing any more; new ones work.
+    void silenceOpen();
+    // Ends all open connections.
+    void resetOpen();
+
+private:
+    struct Connection {
+        std::atomic<bool> silent = false;
+        std::atomic<bool> ended = false;
+    };
+    void serve(boost::asio::ip::tcp::socket&);
+    void copy(int from, int to, Connection&, const std::atomic<bool>& cut);
+
+    uint16_t targetPort;
+    std::atomic<int64_t> delayMs = 0;
+    std::atomic<bool> cutToTarget = false;
+    std::atomic<bool> cutFromTarget = false;
+    std::atomic<bool> stopping = false;
+    std::mutex mutex;
+    std::vector<std::shared_ptr<Connection>> connections;
+    std::unique_ptr<standins::TcpListener> listener;
+};
+
+}
--- /dev/null
+++ b/soak/SoakMain.cpp
@@ -0,0 +1,374 @@
+#include "soak/FaultProxy.h"
+#include "soak/Promises.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <queue>
+#include <random>
+
+namespace {
+
+using namespace foxtail;
+using namespace foxtail::soak;
+namespace options = boost::program_options;
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+constexpr size_t vmCount = 4;
+constexpr size_t callerCount = 8;
+constexpr std::chrono::seconds recoveryTime { 20 };
+
+// The real programs with a fault proxy before the store for each VM and before each backend server.
+class World {
+public:
+    explicit World(uint32_t seed)
+        : random(seed)
+        , fleet(vmCount, this->links())
+    {
+    }
+
+    // Injects faults in series that overlap until the time is over, then heals everything.
+    void run(std::chrono::seconds duration)
+    {
+        const auto end = Clock::now() + duration;
+        while (Clock::now() < end) {
+            this->inject();
+            const auto pauseEnd = Clock::now() + milliseconds(100 + this->random() % 900);
+            while (Clock::now() < pauseEnd) {
+                this->heal(false);
+                std::this_thread::sleep_for(milliseconds(20));
+            }
+        }
+        this->heal(true);
+    }
+
+    fleet::Fleet& vms() { return this->fleet; }
+    const std::vector<std::string>& injected() const { return this->log; }
+
+private:
+    struct Cure {
+        Clock::time_point at;
+        std::function<void()> run;
+        bool operator>(const Cure& other) const { return this->at > other.at; }
+    };
+
+    fleet::Fleet::Links links()
+    {
+        return { [this](size_t vm, uint16_t port) {
+                    auto& proxy = this->storeProxies[vm];
+                    if (!proxy)
+                        proxy = std::make_unique<FaultProxy>(port);
+                    return proxy->port();
+                },
+            [this](size_t server, uint16_t port) {
+                auto& proxy = this->serverProxies[server];
+                if (!proxy)
+                    proxy = std::make_unique<FaultProxy>(port);
+                return proxy->port();
+            } };
+    }
+
+    void later(std::function<void()> cure)
+    {
+        this->cures.push({ Clock::now() + milliseconds(200 + this->random() % 3000), std::move(cure) });
+    }
+
+    void heal(bool all)
+    {
+        while (!this->cures.empty() && (all || this->cures.top().at <= Clock::now())) {
+            const Cure cure = this->cures.top();
+            this->cures.pop();
+            cure.run();
+        }
+    }
+
+    size_t pickVm() { return this->random() % vmCount; }
+    size_t pickServer() { return this->random() % standins::LineGroup::serverCount; }
+
+    void inject()
+    {
+        using Fault = void (World::*)();
+        struct Row {
+            const char* name;
+            Fault fault;
+        };
+        constexpr std::array<Row, 13> faults { {
+            { "kill a VM", &World::killVm },
+            { "pause a VM", &World::pauseVm },
+            { "stop a VM", &World::stopVm },
+            { "signal a VM to reload", &World::reloadVm },
+            { "store fault", &World::breakStore },
+            { "store forgets its history", &World::compactStore },
+            { "link to the store", &World::breakStoreLink },
+            { "link to a server", &World::breakServerLink },
+            { "crash a server", &World::crashServer },
+            { "silence a server", &World::silenceServer },
+            { "replica falls behind", &World::delayReplica },
+            { "answers of servers are lost", &World::loseAnswers },
+            { "configuration changes", &World::changeConfiguration },
+        } };
+        const Row& row = faults[this->random() % faults.size()];
+        this->log.emplace_back(row.name);
+        (this->*row.fault)();
+    }
+
+    void killVm()
+    {
+        const size_t vm = this->pickVm();
+        if (!this->fleet.isRunning(vm))
+            return;
+        this->fleet.killVm(vm);
+        this->later([this, vm] { this->fleet.startVm(vm); });
+    }
+
+    void pauseVm()
+    {
+        const size_t vm = this->pickVm();
+        if (!this->fleet.isRunning(vm))
+            return;
+        this->fleet.signalVm(vm, SIGSTOP);
+        this->later([this, vm] {
+            if (this->fleet.isRunning(vm))
+                this->fleet.signalVm(vm, SIGCONT);
+        });
+    }
+
+    void stopVm()
+    {
+        const size_t vm = this->pickVm();
+        if (!this->fleet.isRunning(vm))
+            return;
+        this->fleet.signalVm(vm, SIGCONT);
+        this->fleet.signalVm(vm, SIGTERM);
+        if (this->fleet.waitForVm(vm) != 0)
+            this->log.emplace_back("a stopped VM ended with an error");
+        this->later([this, vm] { this->fleet.startVm(vm); });
+    }
+
+    void reloadVm()
+    {
+        const size_t vm = this->pickVm();
+        if (this->fleet.isRunning(vm))
+            this->fleet.signalVm(vm, SIGHUP);
+    }
+
+    void breakStore()
+    {
+        standins::RowStoreFaults faults;
+        switch (this->random() % 5) {
+        case 0:
+            faults.busy = true;
+            break;
+        case 1:
+            faults.silent = true;
+            break;
+        case 2:
+            faults.rejectedShare = 0.5;
+            break;
+        case 3:
+            faults.slow = milliseconds(200);
+            break;
+        default:
+            faults.lostShare = 0.4;
+            faults.lostDelay = milliseconds(this->random() % 2 == 0 ? 0 : 2000);
+            break;
+        }
+        this->fleet.store().setFaults(faults);
+        this->later([this] { this->fleet.store().setFaults({}); });
+    }
+
+    void compactStore() { this->fleet.store().compact(); }
+
+    void breakLink(FaultProxy& proxy)
+    {
+        switch (this->random() % 5) {
+        case 0:
+            proxy.setDelay(milliseconds(50));
+            break;
+        case 1:
+            proxy.setCut(true, false);
+            break;
+        case 2:
+            proxy.setCut(false, true);
+            break;
+        case 3:
+            proxy.silenceOpen();
+            break;
+        default:
+            proxy.resetOpen();
+            break;
+        }
+        this->later([&proxy] {
+            proxy.setDelay(milliseconds(0));
+            proxy.setCut(false, false);
+        });
+    }
+
+    void breakStoreLink() { this->breakLink(*this->storeProxies.at(this->pickVm())); }
+    void breakServerLink() { this->breakLink(*this->serverProxies.at(this->pickServer())); }
+
+    // One server at a time is down, so that a majority can always go on.
+    void crashServer()
+    {
+        if (this->isServerDown)
+            return;
+        const size_t server = this->pickServer();
+        this->isServerDown = true;
+        this->fleet.group().crash(server);
+        this->later([this, server] {
+            this->fleet.group().restart(server);
+            this->fleet.listServers();
+            this->isServerDown = false;
+        });
+    }
+
+    void silenceServer()
+    {
+        if (this->isServerDown)
+            return;
+        const size_t server = this->pickServer();
+        this->isServerDown = true;
+        this->fleet.group().setDark(server, true);
+        this->later([this, server] {
+            this->fleet.group().setDark(server, false);
+            this->isServerDown = false;
+        });
+    }
+
+    void delayReplica()
+    {
+        const size_t server = this->pickServer();
+        const bool deaf = this->random() % 2 == 0;
+        if (deaf)
+            this->fleet.group().setDeaf(server, true);
+        else
+            this->fleet.group().setLag(server, milliseconds(1000));
+        this->later([this, server] {
+            this->fleet.group().setDeaf(server, false);
+            this->fleet.group().setLag(server, milliseconds(2));
+        });
+    }
+
+    void loseAnswers()
+    {
+        this->fleet.group().setLostShare(0.05);
+        this->later([this] { this->fleet.group().setLostShare(0); });
+    }
+
+    void changeConfiguration()
+    {
+        this->fleet.extraDatabases.push_back("extra" + std::to_string(this->fleet.version()));
+        this->fleet.organisations[1].keys = { "key-of-orgb-" + std::to_string(this->fleet.version()) };
+        this->fleet.publish();
+    }
+
+    std::mt19937 random;
+    std::map<size_t, std::unique_ptr<FaultProxy>> storeProxies;
+    std::map<size_t, std::unique_ptr<FaultProxy>> serverProxies;
+    std::priority_queue<Cure, std::vector<Cure>, std::greater<>> cures;
+    std::vector<std::string> log;
+    bool isServerDown = false;
+    fleet::Fleet fleet;
+};
+
+// Every VM serves all routes again, with the newest keys only.
+std::vector<std::string> checkRecovery(fleet::Fleet& fleet)
+{
+    std::vector<std::string> faults;
+    for (size_t vm = 0; vm < fleet.vmCount(); ++vm) {
+        for (const char* database : { "strict", "own", "bounded" }) {
+            const bool serves = fleet::eventually(
+                [&] {
+                    fleet::Caller caller(fleet.callerPort(vm));
+                    return caller.isConnected() && caller.start(database, "key-of-orga").succeeded()
+                        && caller.query(recoveryId, "READ none").succeeded();
+                },
+                recoveryTime);
+            if (!serves)
+                faults.push_back("recover: vm" + std::to_string(vm) + " does not serve " + database);
+        }
+        if (fleet.version() > 1) {
+            const bool refuses = fleet::eventually([&] {
+                fleet::Caller caller(fleet.callerPort(vm));
+                return caller.isConnected() && caller.start("strict", "key-of-orgb").error == "NOAUTH";
+            });
+            if (!refuses && fleet.organisations[1].keys.front() != "key-of-orgb")
+                faults.push_back("key: vm" + std::to_string(vm) + " accepts a key that was withdrawn");
+        }
+    }
+    return faults;
+}
+
+// Runs one seed. Returns the broken promises.
+std::vector<std::string> runSeed(uint32_t seed, std::chrono::seconds duration, const std::string& logFile)
+{
+    World world(seed);
+    std::vector<std::string> broken;
+    if (!world.vms().waitUntilReady())
+        return { "recover: the fleet does not start" };
+    Promises promises(world.vms(), callerCount, seed);
+    world.run(duration);
+    for (const auto& [vm, status] : world.vms().unexpectedEnds())
+        broken.push_back("end: vm" + std::to_string(vm) + " ended by itself with status " + std::to_string(status));
+    for (std::string& fault : checkRecovery(world.vms()))
+        broken.push_back(std::move(fault));
+    promises.stop();
+    promises.checkHistory();
+    for (std::string& fault : promises.broken())
+        broken.push_back(std::move(fault));
+    std::cout << "seed " << seed << ": " << promises.served() << " served, " << promises.refused() << " refused, "
+              << world.injected().size() << " faults, " << world.vms().store().orders().size() << " promotions, " << broken.size()
+              << " broken promises" << std::endl;
+    if (!broken.empty() && !logFile.empty()) {
+        std::ofstream log(logFile + "." + std::to_string(seed));
+        log << world.vms().logs();
+        for (const std::string& fault : world.injected())
+            log << "injected: " << fault << "\n";
+        for (const std::string& fault : broken)
+            log << "broken: " << fault << "\n";
+    }
+    return broken;
+}
+
+}
+
+int main(int argumentCount, char** arguments)
+{
+    uint32_t first = 1;
+    uint32_t count = 1;
+    uint32_t seconds = 10;
+    std::string logFile;
+    options::options_description description("foxtail-soak: runs VMs under random faults and checks the promises");
+    auto add = description.add_options();
+    add("help", "show this text");
+    add("seed", options::value(&first)->default_value(1), "the first seed");
+    add("count", options::value(&count)->default_value(1), "how many seeds");
+    add("seconds", options::value(&seconds)->default_value(10), "seconds of faults for each seed");
+    add("log", options::value(&logFile), "where to write the logs of a seed that broke a promise; its number is appended");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argumentCount, arguments, description), values);
+        options::notify(values);
+    } catch (const options::error& error) {
+        std::cerr << error.what() << "\n" << description;
+        return 2;
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    bool allKept = true;
+    for (uint32_t seed = first; seed < first + count; ++seed) {
+        const std::vector<std::string> broken = runSeed(seed, std::chrono::seconds(seconds), logFile);
+        for (size_t index = 0; index < std::min<size_t>(broken.size(), 10); ++index)
+            std::cout << "  " << broken[index] << "\n";
+        allKept = allKept && broken.empty();
+    }
+    return allKept ? 0 : 1;
+}
--- a/standins/platform/LineGroup.cpp
+++ b/standins/platform/LineGroup.cpp
@@ -70,12 +70,12 @@
 
 std::string LineGroup::serverId(size_t server) const { return this->serviceName + "-" + std::to_string(server); }
 
-std::string LineGroup::entry(size_t index)
+std::string LineGroup::entry(size_t index, uint16_t port)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
     const Server& server = this->servers[index];
     std::ostringstream out;
-    out << R"({"service":")" << this->serviceName << R"(","addr":"127.0.0.1:)" << server.port
+    out << R"({"service":")" << this->serviceName << R"(","addr":"127.0.0.1:)" << (port == 0 ? server.port : port)
         << R"(","zone":"zone-a","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"seq":1,"born":1700000000000,"db_role":")"
         << (server.isPrimary ? "primary" : "replica") << "\"}";
     return out.str();
--- a/standins/platform/LineGroup.h
+++ b/standins/platform/LineGroup.h
@@ -49,8 +49,9 @@
 
     const std::string& service() const { return this->serviceName; }
     std::string serverId(size_t server) const;
-    // The entry that a server writes to the shared list.
-    std::string entry(size_t server);
+    // The entry that a server writes to the shared list, with its own port or that of a proxy before it.
+    std::string entry(size_t server, uint16_t port = 0);
+    uint16_t port(size_t server) const { return this->servers[server].port; }
 
     // Makes a server the primary of the next term. Returns the HTTP status for the order.
     unsigned promote(const std::string& id);
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -113,7 +113,8 @@
     this->socket.close(code);
 }
 
-Fleet::Fleet(size_t vmCount)
+Fleet::Fleet(size_t vmCount, Links fleetLinks)
+    : links(std::move(fleetLinks))
 {
     std::string pattern = std::filesystem::temp_directory_path().string() + "/foxtail-fleet-XXXXXX";
     this->folder = mkdtemp(pattern.data());
@@ -195,8 +196,11 @@
 
 void Fleet::listServers()
 {
-    for (size_t server = 0; server < standins::LineGroup::serverCount; ++server)
-        this->rowStore->put("servers", this->lineGroup->serverId(server), this->lineGroup->entry(server));
+    for (size_t server = 0; server < standins::LineGroup::serverCount; ++server) {
+        const uint16_t own = this->lineGroup->port(server);
+        const uint16_t port = this->links.serverPort ? this->links.serverPort(server, own) : own;
+        this->rowStore->put("servers", this->lineGroup->serverId(server), this->lineGroup->entry(server, port));
+    }
 }
 
 void Fleet::unlistServer(size_t server) { this->rowStore->remove("servers", this->lineGroup->serverId(server)); }
@@ -204,11 +208,12 @@
 void Fleet::startVm(size_t vm)
 {
     const Ports& own = this->ports[vm];
+    const uint16_t storePort = this->links.storePort ? this->links.storePort(vm, this->rowStore->port()) : this->rowStore->port();
     std::ofstream settings(this->settingsFile(vm));
     settings << "vm: {id: vm" << vm << ", dataCentre: zone-a, region: region-a, regions: {zone-a: region-a}, logLevel: info}\n"
              << "listen: {callers: '127.0.0.1:" << own.callers << "', ready: '127.0.0.1:" << own.ready
              << "', peers: '127.0.0.1:" << own.peers << "', datagramPort: " << own.datagrams << ", metricsPort: " << own.metrics << "}\n"
-             << "platform: {store: '127.0.0.1:" << this->rowStore->port() << "', promotions: '127.0.0.1:" << this->rowStore->port()
+             << "platform: {store: '127.0.0.1:" << storePort << "', promotions: '127.0.0.1:" << this->rowStore->port()
              << "', seeds: ['127.0.0.1:" << this->ports[0].peers << "']}\n"
              << "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
     settings.close();
@@ -241,6 +246,21 @@
     this->processes.erase(vm);
 }
 
+std::map<size_t, int> Fleet::unexpectedEnds()
+{
+    std::map<size_t, int> ended;
+    for (auto process = this->processes.begin(); process != this->processes.end();) {
+        int status = 0;
+        if (waitpid(process->second, &status, WNOHANG) == process->second) {
+            ended.emplace(process->first, status);
+            process = this->processes.erase(process);
+        } else {
+            ++process;
+        }
+    }
+    return ended;
+}
+
 int Fleet::waitForVm(size_t vm)
 {
     int status = 0;
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -9,12 +9,14 @@
 #include <boost/asio/streambuf.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <sys/types.h>
+#include <thread>
 #include <vector>
 
 namespace foxtail::fleet {
@@ -71,7 +73,13 @@
 // loopback; the processes end with this object.
 class Fleet {
 public:
-    explicit Fleet(size_t vmCount);
+    // Ports under which VMs reach the store and the servers, for proxies in between.
+    struct Links {
+        std::function<uint16_t(size_t vm, uint16_t storePort)> storePort;
+        std::function<uint16_t(size_t server, uint16_t serverPort)> serverPort;
+    };
+
+    explicit Fleet(size_t vmCount, Links links = {});
     ~Fleet();
 
     Fleet(const Fleet&) = delete;
@@ -94,6 +102,8 @@
     void killVm(size_t vm);
     // Waits for the end of a VM that was told to stop. Returns its exit status.
     int waitForVm(size_t vm);
+    // The VMs that have ended without being told to, with their wait statuses.
+    std::map<size_t, int> unexpectedEnds();
     bool isRunning(size_t vm) const { return this->processes.count(vm) > 0; }
     size_t vmCount() const { return this->ports.size(); }
     uint16_t callerPort(size_t vm) const { return this->ports[vm].callers; }
@@ -120,6 +130,7 @@
     void pickPorts(size_t vmCount);
     std::string settingsFile(size_t vm) const;
 
+    Links links;
     std::string folder;
     std::vector<Ports> ports;
     std::map<size_t, pid_t> processes;
--- /dev/null
+++ b/tests/server/LogOutputTest.cpp
@@ -0,0 +1,58 @@
+#include "foxtailtrail/server/LogOutput.h"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <ostream>
+#include <unistd.h>
+
+namespace foxtail {
+
+namespace {
+
+    // Guards against a VM that stops serving because nobody reads its log.
+    TEST(LogOutputTest, AFullPipeLosesLinesAndNeverBlocks)
+    {
+        std::array<int, 2> ends {};
+        ASSERT_EQ(pipe(ends.data()), 0);
+        LogOutput output(ends[1]);
+        std::ostream stream(&output);
+        const std::string line(200, 'x');
+        for (int round = 0; round < 100; ++round) {
+            for (int count = 0; count < 100; ++count)
+                stream << line << '\n';
+            output.flush();
+        }
+        const uint64_t leftOut = output.takeLeftOut();
+        EXPECT_GT(leftOut, 0U);
+        EXPECT_EQ(output.takeLeftOut(), 0U);
+        // What was kept arrives whole, in order, once there is a reader.
+        std::string received;
+        std::array<char, 8192> buffer {};
+        while (received.size() < size_t { 100 } * 201) {
+            const ssize_t count = read(ends[0], buffer.data(), buffer.size());
+            ASSERT_GT(count, 0);
+            received.append(buffer.data(), static_cast<size_t>(count));
+            output.flush();
+        }
+        EXPECT_EQ(received.substr(0, 201), line + "\n");
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+    // Guards against a log whose volume follows the load, and against lines that vanish without a word.
+    TEST(LogOutputTest, AnEventThatRepeatsIsBoundedAndCounted)
+    {
+        LogBudget budget;
+        size_t admitted = 0;
+        for (int count = 0; count < 1000; ++count)
+            admitted += budget.admit("request refused", 7) ? 1 : 0;
+        EXPECT_EQ(admitted, 100U);
+        EXPECT_TRUE(budget.admit("another event", 7));
+        EXPECT_TRUE(budget.admit("request refused", 8));
+        EXPECT_EQ(budget.takeLeftOut().at("request refused"), 900U);
+        EXPECT_TRUE(budget.takeLeftOut().empty());
+    }
+
+}
+
+}
