Take a primary from probes only with proof, and abandon promotions without effect

Leases were compared with the record's term, so no VM used the primary again: every statement was refused as NoPrimary until the end of the run. Ruled out: the store (it was back) and the replicas (all received). Change: the term for comparisons comes from the primary's own answers; a promotion that never took effect is ended by a record of the standing primary; unknownPrimary() says what probes prove, with a test for each case.

--- a/foxtailtrail/failover/SuccessionPlan.cpp
+++ b/foxtailtrail/failover/SuccessionPlan.cpp
@@ -37,6 +37,33 @@
     return stalled ? SuccessionCause::CommitsStalled : SuccessionCause::None;
 }
 
+const ProbedStatus* newestPrimary(const std::vector<ProbedStatus>& statuses)
+{
+    const ProbedStatus* newest = nullptr;
+    for (const ProbedStatus& status : statuses) {
+        if (status.outcome == ProbeOutcome::Answered && status.isPrimary && (!newest || newest->term < status.term))
+            newest = &status;
+    }
+    return newest;
+}
+
+const ProbedStatus* unknownPrimary(const std::vector<ProbedStatus>& statuses, const std::optional<BelievedPrimary>& believed)
+{
+    const ProbedStatus* newest = newestPrimary(statuses);
+    if (!newest || !believed)
+        return newest;
+    if (believed->server == newest->server)
+        return believed->settled ? nullptr : newest;
+    // While a promotion is under way the old primary still leads; only a later promotion ends it.
+    if (!believed->settled)
+        return believed->recordTerm < newest->term ? newest : nullptr;
+    const auto own = std::find_if(
+        statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == believed->server; });
+    if (own != statuses.end() && own->outcome == ProbeOutcome::Answered)
+        return newest;
+    return believed->ownTerm != Term {} && believed->ownTerm < newest->term ? newest : nullptr;
+}
+
 SuccessorChoice chooseSuccessor(const std::vector<ProbedStatus>& replicas, std::optional<LogPoint> acknowledged, bool missingCountAsLost)
 {
     SuccessorChoice choice;
--- a/foxtailtrail/failover/SuccessionPlan.h
+++ b/foxtailtrail/failover/SuccessionPlan.h
@@ -55,6 +55,23 @@
 // Judges a group after probes of all its servers. The stalled flag says that commits at the primary have had no answer for long.
 SuccessionCause judgeSuccession(const std::vector<ProbedStatus>&, const std::optional<BackendServerId>& leader, bool settled, bool stalled);
 
+// The primary of the newest term among the servers that answered, or null.
+const ProbedStatus* newestPrimary(const std::vector<ProbedStatus>&);
+
+// What a VM holds to be the primary of a group.
+struct BelievedPrimary {
+    BackendServerId server;
+    bool settled = false;
+    // The order of the record that names it.
+    Term recordTerm;
+    // The term in which it leads by its own answers, or term 0 while it is not known.
+    Term ownTerm;
+};
+
+// The primary that the probes show in place of the believed one, or null when the belief stands or nothing is proved: an old
+// primary that answers while its successor is silent proves nothing, nor does one whose successor is being promoted.
+const ProbedStatus* unknownPrimary(const std::vector<ProbedStatus>&, const std::optional<BelievedPrimary>&);
+
 // The choice of a successor after the replicas were told to pause.
 struct SuccessorChoice {
     // Nothing while no server may be promoted safely.
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -116,8 +116,8 @@
         return;
     const bool otherServer = !leader || !this->lastLeader || leader->server != this->lastLeader->server;
     this->lastLeader = leader;
-    this->leaderTerm = leader && !otherServer ? std::max(this->leaderTerm, leader->term) : leader ? leader->term : Term {};
     if (otherServer) {
+        this->leaderTerm = Term {};
         this->lease.revoke();
         this->freshness.clear();
         this->failingSince.reset();
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -70,6 +70,8 @@
     bool areCommitsStalled(TimePoint now) const;
     // The highest position known to hold an acknowledged commit.
     const std::optional<LogPoint>& acknowledged() const { return this->highestAcknowledged; }
+    // The term in which the primary leads by its own answers, or term 0 while it is not known.
+    Term primaryTerm() const { return this->leaderTerm; }
     const ServiceName& service() const { return this->serviceName; }
 
 private:
@@ -104,7 +106,7 @@
     BackendServerId deposed;
     // The last view of the directory, to notice a change of primary.
     std::optional<LeaderView> lastLeader;
-    // The term in which the primary leads, or term 0 while it is not known.
+    // By the primary's own answers: the record of a promotion may carry a higher number.
     Term leaderTerm;
     bool verifying = false;
     size_t nextWitness = 0;
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -64,7 +64,7 @@
         logEvent(LogLevel::Info, "primary to be replaced",
             { { "service", this->service.value }, { "cause", successionCauseName(cause) }, { "reason", reason },
                 { "primary", leader ? leader->value : "" } });
-        this->replace(leader, statuses);
+        this->replace(cause, leader, statuses);
     }
 
 private:
@@ -90,20 +90,21 @@
     // Takes a primary that this VM did not know of. Returns true when there is one.
     bool learnLeader(const std::vector<ProbedStatus>& statuses)
     {
-        const ProbedStatus* newest = nullptr;
-        for (const ProbedStatus& status : statuses) {
-            if (status.outcome == ProbeOutcome::Answered && status.isPrimary && (!newest || newest->term < status.term))
-                newest = &status;
-        }
-        if (!newest)
-            return false;
+        std::optional<BelievedPrimary> believed;
         const std::optional<LeaderView> known = this->proxy.directory().leader(this->service);
-        // A promotion that is under way has a newer term than the primary that it replaces.
-        if (known && ((known->server == newest->server && known->settled) || newest->term < known->term))
+        if (known)
+            believed = BelievedPrimary { known->server, known->settled, known->term, this->proxy.group(this->service)->primaryTerm() };
+        const ProbedStatus* found = unknownPrimary(statuses, believed);
+        if (!found)
             return false;
-        const LeaderRecord record { this->service, newest->term, newest->server, true };
+        Term term = found->term;
+        if (known && known->server != found->server && term <= known->term)
+            term.value = known->term.value + 1;
+        if (known)
+            term = std::max(term, known->term);
+        const LeaderRecord record { this->service, term, found->server, true };
         logEvent(LogLevel::Info, "primary found by its status",
-            { { "service", this->service.value }, { "server", record.leader.value }, { "term", record.term.value } });
+            { { "service", this->service.value }, { "server", record.leader.value }, { "term", found->term.value } });
         bool changed = false;
         this->proxy.changeDirectory([&](ServerDirectory& directory) { changed = directory.recordLeader(record); });
         return changed;
@@ -209,7 +210,7 @@
         return found->outcome == ProbeOutcome::Silent && this->proxy.directory().isRemoved(*server);
     }
 
-    void replace(const std::optional<BackendServerId>& oldLeader, const std::vector<ProbedStatus>& statuses)
+    void replace(SuccessionCause cause, const std::optional<BackendServerId>& oldLeader, const std::vector<ProbedStatus>& statuses)
     {
         const std::optional<HeldTurn> turn = this->duty.claim();
         if (!turn)
@@ -231,6 +232,9 @@
             term = std::max(term, record->term);
         ++term.value;
 
+        if (cause == SuccessionCause::Unfinished && this->abandonPromotion(term, *turn))
+            return;
+
         // Fence: no commit is acknowledged by the old primary once its replicas do not receive.
         std::vector<ServerEntry> replicas = this->members();
         std::erase_if(replicas, [&](const ServerEntry& entry) { return oldLeader && entry.id == *oldLeader; });
@@ -248,6 +252,18 @@
         logEvent(LogLevel::Warning, "promotion given up", { { "service", this->service.value }, { "fence", turn->record.fence } });
     }
 
+    // Ends a promotion that was decided and never took effect: the primary of before still leads. Returns false when none leads.
+    bool abandonPromotion(Term term, const HeldTurn& turn)
+    {
+        const std::vector<ProbedStatus> statuses = this->probe();
+        const ProbedStatus* standing = newestPrimary(statuses);
+        if (!standing || standing->draining || standing->removed)
+            return false;
+        logEvent(LogLevel::Info, "promotion abandoned, the primary leads",
+            { { "service", this->service.value }, { "server", standing->server.value }, { "fence", turn.record.fence } });
+        return this->settle(LeaderRecord { this->service, term, standing->server, false }, std::nullopt, turn);
+    }
+
     // Pauses the replicas and chooses one. Blocks until there is a choice or the turn is over.
     std::optional<ProbedStatus> fence(const std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldLeader,
         const std::vector<ProbedStatus>& statuses, Term term, const std::vector<BackendServerId>& failed, const HeldTurn& turn)
@@ -319,11 +335,12 @@
         const TimePoint deadline = bootNow() + leadTimeout;
         bool leads = false;
         while (entry && !leads && bootNow() < deadline) {
-            sleepFor(leadPollInterval);
             const std::vector<ProbedStatus> statuses = this->commands.askAll({ *entry }, ServerOrder::Status, Term {}, probeTimeout);
             leads = statuses.front().outcome == ProbeOutcome::Answered && statuses.front().isPrimary;
             if (leads)
                 record.term = std::max(record.term, statuses.front().term);
+            else
+                sleepFor(leadPollInterval);
             entry = this->proxy.directory().find(record.leader);
         }
         if (!leads)
--- a/foxtailtrail/replication/ServerDirectory.h
+++ b/foxtailtrail/replication/ServerDirectory.h
@@ -31,6 +31,7 @@
 // Who leads a group by the last recorded promotion.
 struct LeaderRecord {
     ServiceName service;
+    // Orders the records. At least the term in which the server leads, which may be lower when a promotion changed nothing.
     Term term;
     BackendServerId leader;
     // False from the decision to promote until the new primary has been seen to lead.
--- a/tests/failover/SuccessionTest.cpp
+++ b/tests/failover/SuccessionTest.cpp
@@ -87,6 +87,39 @@
             BackendServerId("a"));
     }
 
+    ProbedStatus primary(const std::string& id, uint64_t term)
+    {
+        ProbedStatus probed = status(id, ProbeOutcome::Answered, true, 5);
+        probed.term = Term { term };
+        return probed;
+    }
+
+    BelievedPrimary believed(const std::string& id, bool settled, uint64_t recordTerm, uint64_t ownTerm)
+    {
+        return { BackendServerId(id), settled, Term { recordTerm }, Term { ownTerm } };
+    }
+
+    // Guards against a VM that goes back to an old primary, or that never learns of a new one.
+    TEST(SuccessionPlanTest, APrimaryIsTakenFromProbesOnlyWithProof)
+    {
+        const ProbedStatus silent = status("n", ProbeOutcome::Silent, false, 0);
+        EXPECT_EQ(unknownPrimary({ primary("o", 1) }, std::nullopt)->server, BackendServerId("o"));
+        // The believed primary leads.
+        EXPECT_EQ(unknownPrimary({ primary("o", 1) }, believed("o", true, 1, 1)), nullptr);
+        // The successor has come to lead, and settles its own record.
+        EXPECT_EQ(unknownPrimary({ primary("o", 1), primary("n", 2) }, believed("n", false, 2, 0))->server, BackendServerId("n"));
+        // The old primary answers while its successor is silent, or is being promoted.
+        EXPECT_EQ(unknownPrimary({ primary("o", 1), silent }, believed("n", true, 2, 2)), nullptr);
+        EXPECT_EQ(unknownPrimary({ primary("o", 1), silent }, believed("n", true, 2, 0)), nullptr);
+        EXPECT_EQ(unknownPrimary({ primary("o", 1), status("n", ProbeOutcome::Answered, false, 5) }, believed("n", false, 2, 0)), nullptr);
+        // A VM that was cut off learns of the successor.
+        EXPECT_EQ(unknownPrimary({ primary("o", 1), primary("n", 2) }, believed("o", true, 1, 1))->server, BackendServerId("n"));
+        EXPECT_EQ(unknownPrimary({ silent, primary("m", 3) }, believed("n", true, 2, 2))->server, BackendServerId("m"));
+        // A record whose number is above the term of a promotion that changed nothing (soak seed 1) hides no primary.
+        EXPECT_EQ(unknownPrimary({ status("o", ProbeOutcome::Answered, false, 5), primary("n", 2) }, believed("o", true, 3, 1))->server,
+            BackendServerId("n"));
+    }
+
     // Guards against two holders of one number.
     TEST(DutyTurnTest, ATurnIsClaimedOnlyAfterTheLastOne)
     {
