Let proofs and positions travel with requests for quota

Ruled out: the primaries (they answered) and real excess. Change: requests for quota, now every 240 ms, carry the sender's newer proofs and positions, the answer those of the lender; times are related to the last exchange so that they are lower bounds on both sides. Waits for grants last 200 ms. While the store is lost one table is tried for all.

--- a/foxtailtrail/limits/QuotaShare.cpp
+++ b/foxtailtrail/limits/QuotaShare.cpp
@@ -10,8 +10,9 @@
     constexpr Duration minAskInterval = std::chrono::milliseconds(60);
     constexpr Duration minAskIntervalLarge = std::chrono::milliseconds(120);
     constexpr size_t largeFleet = 24;
-    // A VM asks at least this often, which keeps its part of the rates lent to the ledger.
-    constexpr Duration maxAskInterval = std::chrono::milliseconds(600);
+    // A VM asks at least this often. That keeps its part of the rates lent to the ledger, and the news about groups, which travel
+    // with requests, fresher than the lease on a primary.
+    constexpr Duration maxAskInterval = std::chrono::milliseconds(240);
     // A grant is sized for the expected demand of this time.
     constexpr double grantCoverSeconds = 0.6;
     // Operations beyond the expected demand, for its jitter.
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -18,14 +18,16 @@
 
     // Each call of a feed is paid for. Connections that go silent are noticed by keep-alive within three seconds; the wait is the
     // second bound, and it varies so that the feeds of the VMs don't end together.
-    constexpr int feedWaitMinMilliseconds = 7000;
-    constexpr int feedWaitMaxMilliseconds = 12000;
-    // VMs register at the same time, so their rows are collected for a moment.
+    constexpr int feedWaitMinMilliseconds = 10000;
+    constexpr int feedWaitMaxMilliseconds = 15000;
+    // VMs and servers register at about the same time, so changes of their rows are collected for a moment.
     constexpr Duration registrationPause = std::chrono::milliseconds(400);
     constexpr Duration listTimeout = std::chrono::milliseconds(1000);
     // Pause after a failed call; doubled up to the longest one.
     constexpr Duration firstPause = std::chrono::milliseconds(100);
-    constexpr Duration longestPause = std::chrono::milliseconds(400);
+    constexpr Duration longestPause = std::chrono::milliseconds(800);
+    // Tables that are not tried for the others wait for their news up to this time.
+    constexpr Duration followingPause = std::chrono::milliseconds(2500);
     constexpr Duration peerTimeout = std::chrono::milliseconds(800);
 
 }
@@ -66,6 +68,7 @@
         if (rows) {
             if (std::exchange(isLost, false)) {
                 --this->tablesLost;
+                this->regained.notify_all();
                 logEvent(LogLevel::Info, "store regained", { { "table", name } });
             }
             pause = firstPause;
@@ -77,7 +80,7 @@
             const bool onlyRegistrations = table == StoreTable::Fleet && !rows.value().rows.empty()
                 && std::all_of(rows.value().rows.begin(), rows.value().rows.end(),
                     [](const TableRow& row) { return row.removed || decodePeer(row.key, row.value); });
-            if (onlyRegistrations)
+            if (onlyRegistrations || (table == StoreTable::Servers && !rows.value().rows.empty()))
                 sleepFor(registrationPause);
             continue;
         }
@@ -91,11 +94,21 @@
         }
         if (table == StoreTable::Declarations && !this->proxy.isConfigured())
             this->askSeeds();
-        sleepFor(pause);
+        this->pauseAfterLoss(table, pause);
         pause = std::min(pause * 2, longestPause);
     }
 }
 
+void ControlFollower::pauseAfterLoss(StoreTable table, Duration pause)
+{
+    if (table == StoreTable::Declarations || this->tablesLost < tableCount) {
+        sleepFor(pause);
+        return;
+    }
+    std::unique_lock<boost::fibers::mutex> lock(this->regainedMutex);
+    this->regained.wait_for(lock, followingPause);
+}
+
 void ControlFollower::applyDeclarations(const RowSet& rows)
 {
     for (const TableRow& row : rows.rows) {
--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -5,6 +5,8 @@
 #include "foxtailtrail/proxy/SessionProxy.h"
 #include "foxtailtrail/proxy/SharedStore.h"
 
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
 #include <functional>
 #include <map>
 #include <string>
@@ -31,6 +33,8 @@
 private:
     static constexpr size_t tableCount = 3;
     void follow(StoreTable, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply);
+    // Waits before the next try of a table that could not be read: the last one that is lost is tried for all of them.
+    void pauseAfterLoss(StoreTable, Duration pause);
     void applyDeclarations(const RowSet&);
     void applyServers(const RowSet&, bool isWhole);
     void applyFleet(const RowSet&, bool isWhole);
@@ -46,6 +50,9 @@
     std::string document;
     std::map<std::string, PeerEntry> knownPeers;
     size_t tablesLost = 0;
+    // Notified when a table can be read again: then the others are tried too.
+    boost::fibers::mutex regainedMutex;
+    boost::fibers::condition_variable regained;
     bool isFetching = false;
     bool isRegistered = false;
 };
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -130,6 +130,30 @@
     this->serveWaiters();
 }
 
+std::optional<GroupNews> GroupTraffic::news(TimePoint newerThan) const
+{
+    if (!this->hasSettledLeader() || this->leaderTerm == Term {})
+        return std::nullopt;
+    const std::optional<TimePoint> proven = this->lease.provenFor(this->lastLeader->server);
+    const std::optional<FreshnessHistory::Sample> sample = this->freshness.newest();
+    if (!proven || !sample || *proven <= newerThan || sample->point.term != this->leaderTerm)
+        return std::nullopt;
+    return GroupNews { this->serviceName, this->lastLeader->server, this->leaderTerm, *proven, sample->point, sample->at };
+}
+
+void GroupTraffic::takeNews(const GroupNews& news)
+{
+    // News of another primary are left to the directory, which hears of promotions by itself.
+    if (!this->hasSettledLeader() || this->lastLeader->server != news.leader || news.term < this->leaderTerm)
+        return;
+    this->leaderTerm = news.term;
+    this->lease.prove(news.leader, news.provenAt);
+    if (this->lease.covers(news.leader, news.sampledAt))
+        this->freshness.note(news.position, news.sampledAt);
+    if (!this->waiters.empty())
+        this->serveWaiters();
+}
+
 std::optional<LogPoint> GroupTraffic::floorFor(TimePoint now, Duration maxStaleness, const std::optional<CommitMark>& commit) const
 {
     if (!commit)
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -17,6 +17,18 @@
 
 namespace foxtail {
 
+// What one VM tells another about a group: proofs that its primary led, and a position that it held. Times are those of the VM
+// that holds the news.
+struct GroupNews {
+    ServiceName service;
+    BackendServerId leader;
+    Term term;
+    TimePoint provenAt {};
+    // The position that the primary held, and the time of the request that it answered.
+    LogPoint position;
+    TimePoint sampledAt {};
+};
+
 // What the traffic of a group needs of the VM around it.
 class GroupHost {
 public:
@@ -52,6 +64,11 @@
     // The directory has changed.
     void directoryChanged();
 
+    // What this VM knows that is newer than the given time, or nothing.
+    std::optional<GroupNews> news(TimePoint newerThan) const;
+    // Takes what another VM knows. Its times must be lower bounds of this VM's.
+    void takeNews(const GroupNews&);
+
     // The position that a read must require, or nothing when only the primary can serve it.
     std::optional<LogPoint> floorFor(TimePoint now, Duration maxStaleness, const std::optional<CommitMark>& commit) const;
     // The servers that may run reads.
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -3,6 +3,7 @@
 #include "foxtailtrail/base/Hash.h"
 #include "foxtailtrail/base/Json.h"
 #include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/proxy/NewsCodec.h"
 #include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
@@ -191,9 +192,13 @@
     this->askOutstanding = true;
     this->askSentAt = now;
     this->askedPeer = peer->entry.id;
-    this->sendTo(*peer,
-        json::serialize(json::object {
-            { "kind", askKind }, { "vm", this->proxy.settings().vmId.value }, { "number", ++this->askNumber }, { "list", list } }));
+    json::object message { { "kind", askKind }, { "vm", this->proxy.settings().vmId.value }, { "number", ++this->askNumber }, { "list", list } };
+    // The lender relates the times of the news to the moment at which it sent its last answer, which came here later.
+    if (this->lastAnswerer == peer->entry.id) {
+        message["after"] = this->lastAnswer;
+        message["news"] = encodeNews(this->proxy.news(this->lastAnswerAt), this->lastAnswerAt);
+    }
+    this->sendTo(*peer, json::serialize(message));
 }
 
 std::string PeerExchange::greeting() const
@@ -283,38 +288,59 @@
             this->newerConfiguration(peer->second.entry.control, version.value());
         return;
     }
-    const Result<json::array> list = arrayMember(message, "list");
-    const Result<uint64_t> number = unsignedMember(message, "number");
-    if (!list || !number)
-        return;
     try {
-        if (kind.value() == askKind && this->proxy.isConfigured()) {
-            std::vector<QuotaAsk> asks;
-            for (const json::value& each : list.value()) {
-                const json::array& ask = each.as_array();
-                asks.push_back(
-                    { OrganisationId(std::string(std::string_view(ask.at(0).as_string()))), numberAt(ask, 1), numberAt(ask, 2) });
-            }
-            json::array grants;
-            const RouteTable& table = this->proxy.routeTable();
-            for (const QuotaGrant& grant : this->ledger.grant(VmId(vm.value()), asks, table.organisations, this->proxy.fleetSize(), now))
-                grants.push_back(json::array { grant.organisation.value, grant.tokens });
-            this->sendTo(from,
-                json::serialize(json::object { { "kind", grantKind }, { "vm", this->proxy.settings().vmId.value },
-                    { "number", number.value() }, { "list", grants } }));
-        } else if (kind.value() == grantKind && this->askOutstanding && number.value() == this->askNumber) {
-            this->askOutstanding = false;
-            std::vector<QuotaGrant> grants;
-            for (const json::value& each : list.value()) {
-                const json::array& grant = each.as_array();
-                grants.push_back({ OrganisationId(std::string(std::string_view(grant.at(0).as_string()))), numberAt(grant, 1) });
-            }
-            this->proxy.quota().take(grants, this->askSentAt, now);
-            this->proxy.serveQuotaWaiters();
-        }
+        if (kind.value() == askKind)
+            this->handleAsk(VmId(vm.value()), message, from);
+        else if (kind.value() == grantKind)
+            this->handleGrant(message);
     } catch (const std::exception& error) {
         logEvent(LogLevel::Debug, "datagram skipped", { { "detail", error.what() } });
     }
 }
 
+void PeerExchange::handleAsk(const VmId& vm, const json::object& message, const Udp::endpoint& from)
+{
+    if (!this->proxy.isConfigured())
+        return;
+    const TimePoint now = bootNow();
+    std::vector<QuotaAsk> asks;
+    for (const json::value& each : message.at("list").as_array()) {
+        const json::array& ask = each.as_array();
+        asks.push_back({ OrganisationId(std::string(std::string_view(ask.at(0).as_string()))), numberAt(ask, 1), numberAt(ask, 2) });
+    }
+    const uint64_t number = message.at("number").to_number<uint64_t>();
+    Asker& asker = this->askers[vm];
+    const json::value* after = message.if_contains("after");
+    if (after && after->to_number<uint64_t>() == asker.answered && asker.answered != 0)
+        this->proxy.takeNews(decodeNews(message.at("news").as_array(), asker.answeredAt));
+    json::array grants;
+    const RouteTable& table = this->proxy.routeTable();
+    for (const QuotaGrant& grant : this->ledger.grant(vm, asks, table.organisations, this->proxy.fleetSize(), now))
+        grants.push_back(json::array { grant.organisation.value, grant.tokens });
+    asker = Asker { number, now };
+    // The asker relates the times to the moment at which it sent this request, which came here later.
+    this->sendTo(from,
+        json::serialize(json::object { { "kind", grantKind }, { "vm", this->proxy.settings().vmId.value }, { "number", number },
+            { "list", grants }, { "news", encodeNews(this->proxy.news(now - leaderLeaseTime), now) } }));
+}
+
+void PeerExchange::handleGrant(const json::object& message)
+{
+    if (!this->askOutstanding || message.at("number").to_number<uint64_t>() != this->askNumber)
+        return;
+    const TimePoint now = bootNow();
+    this->askOutstanding = false;
+    this->lastAnswer = this->askNumber;
+    this->lastAnswerer = this->askedPeer;
+    this->lastAnswerAt = now;
+    std::vector<QuotaGrant> grants;
+    for (const json::value& each : message.at("list").as_array()) {
+        const json::array& grant = each.as_array();
+        grants.push_back({ OrganisationId(std::string(std::string_view(grant.at(0).as_string()))), numberAt(grant, 1) });
+    }
+    this->proxy.takeNews(decodeNews(message.at("news").as_array(), this->askSentAt));
+    this->proxy.quota().take(grants, this->askSentAt, now);
+    this->proxy.serveQuotaWaiters();
+}
+
 }
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/Json.h"
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/limits/QuotaLedger.h"
 #include "foxtailtrail/net/HttpClient.h"
@@ -56,6 +57,13 @@
         // When its process started, by this VM's clock and without the time of the greeting on its way.
         TimePoint startedAt {};
     };
+    // An exchange of news with a VM that asks this one. Its times are related to this VM's by the last answer that it has got.
+    struct Asker {
+        uint64_t answered = 0;
+        TimePoint answeredAt {};
+    };
+    void handleAsk(const VmId&, const json::object&, const boost::asio::ip::udp::endpoint& from);
+    void handleGrant(const json::object&);
     void receiveNext();
     void handle(std::string_view datagram, const boost::asio::ip::udp::endpoint& from);
     void scheduleGreetings();
@@ -85,6 +93,11 @@
     bool askOutstanding = false;
     TimePoint askSentAt {};
     VmId askedPeer;
+    // The last answer: its number, whose it was, and when it came.
+    uint64_t lastAnswer = 0;
+    VmId lastAnswerer;
+    TimePoint lastAnswerAt {};
+    std::map<VmId, Asker> askers;
 };
 
 }
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -19,8 +19,8 @@
     constexpr Duration sweepInterval = std::chrono::milliseconds(50);
     // Callers close a session whose start has no answer within two seconds.
     constexpr Duration configurationWait = std::chrono::milliseconds(1500);
-    // A grant takes one round trip to the ledger, about 20 ms across regions, and requests are 60 ms apart.
-    constexpr Duration quotaWait = std::chrono::milliseconds(100);
+    // A grant takes one round trip to the ledger, about 20 ms across regions, and requests are up to 120 ms apart.
+    constexpr Duration quotaWait = std::chrono::milliseconds(200);
     // The share of a server's connections that traffic may take; the rest is for promotions and VMs that start.
     constexpr double trafficShareOfConnections = 0.9;
     // How far one VM may exceed its equal part while others use less.
@@ -181,6 +181,24 @@
     return group;
 }
 
+std::vector<GroupNews> SessionProxy::news(TimePoint newerThan) const
+{
+    std::vector<GroupNews> all;
+    for (const auto& [service, group] : this->groups) {
+        if (const std::optional<GroupNews> item = group->news(newerThan))
+            all.push_back(*item);
+    }
+    return all;
+}
+
+void SessionProxy::takeNews(const std::vector<GroupNews>& news)
+{
+    for (const GroupNews& item : news) {
+        if (this->table && this->table->groups.count(item.service.value) > 0)
+            this->group(item.service)->takeNews(item);
+    }
+}
+
 std::shared_ptr<ServerPool> SessionProxy::pool(const BackendServerId& id)
 {
     const auto found = this->pools.find(id);
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -78,6 +78,9 @@
     size_t sessionCount() const { return this->connections.size(); }
 
     std::shared_ptr<GroupTraffic> group(const ServiceName&);
+    // What this VM knows about its groups that is newer than the given time, and what another VM knows.
+    std::vector<GroupNews> news(TimePoint newerThan) const;
+    void takeNews(const std::vector<GroupNews>&);
     void forget(CallerConnection&);
     void noteWork(CallerConnection&);
     // Logs and counts a request.
--- a/foxtailtrail/replication/FreshnessHistory.h
+++ b/foxtailtrail/replication/FreshnessHistory.h
@@ -20,6 +20,14 @@
     // staleness bound, nor than the given moment. Nothing when there is no such sample.
     std::optional<LogPoint> floorFor(TimePoint now, Duration maxStaleness, std::optional<TimePoint> notBefore = std::nullopt) const;
 
+    // A position with the time of the request that it answered.
+    struct Sample {
+        TimePoint at;
+        LogPoint point;
+    };
+    // The newest sample, or nothing.
+    std::optional<Sample> newest() const { return this->samples.empty() ? std::nullopt : std::optional(this->samples.back()); }
+
     // The term of the samples, or term 0 when there is none.
     Term term() const { return this->samples.empty() ? Term {} : this->samples.back().point.term; }
 
@@ -27,10 +35,6 @@
     void clear() { this->samples.clear(); }
 
 private:
-    struct Sample {
-        TimePoint at;
-        LogPoint point;
-    };
     std::deque<Sample> samples;
 };
 
--- a/foxtailtrail/replication/LeaderLease.h
+++ b/foxtailtrail/replication/LeaderLease.h
@@ -33,6 +33,12 @@
         return this->leader == server && at <= this->provenAt + leaderLeaseTime;
     }
 
+    // When the server was last proved to lead, or nothing.
+    std::optional<TimePoint> provenFor(const BackendServerId& server) const
+    {
+        return this->leader == server ? std::optional(this->provenAt) : std::nullopt;
+    }
+
     // Ends the lease, after a change of primary.
     void revoke() { this->leader = BackendServerId(); }
 
