Collect changes of followed tables, and write one record a promotion

Change: a feed with news is followed again after 0.4 s (1.5 s while the fleet starts, at once after a record of a promotion); the successor's own entry settles the record.

--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -20,8 +20,11 @@
     // second bound, and it varies so that the feeds of the VMs don't end together.
     constexpr int feedWaitMinMilliseconds = 10000;
     constexpr int feedWaitMaxMilliseconds = 15000;
-    // VMs and servers register at about the same time, so changes of their rows are collected for a moment.
-    constexpr Duration registrationPause = std::chrono::milliseconds(400);
+    // Changes often come in groups, and each answer of a feed is paid for by every VM, so the next ones are collected for a moment.
+    constexpr Duration collectionPause = std::chrono::milliseconds(400);
+    // VMs and servers register one after the other while a fleet starts.
+    constexpr Duration startCollectionPause = std::chrono::milliseconds(1500);
+    constexpr Duration startTime = std::chrono::seconds(4);
     constexpr Duration listTimeout = std::chrono::milliseconds(1000);
     // Pause after a failed call; doubled up to the longest one.
     constexpr Duration firstPause = std::chrono::milliseconds(100);
@@ -37,6 +40,7 @@
     , store(store)
     , decoder(decoder)
     , peers(peers)
+    , startedAt(bootNow())
 {
 }
 
@@ -77,11 +81,8 @@
             isListed = true;
             if (table == StoreTable::Fleet && !this->isRegistered)
                 this->registerSelf();
-            const bool onlyRegistrations = table == StoreTable::Fleet && !rows.value().rows.empty()
-                && std::all_of(rows.value().rows.begin(), rows.value().rows.end(),
-                    [](const TableRow& row) { return row.removed || decodePeer(row.key, row.value); });
-            if (onlyRegistrations || (table == StoreTable::Servers && !rows.value().rows.empty()))
-                sleepFor(registrationPause);
+            if (!rows.value().rows.empty())
+                sleepFor(this->collectionTime(table, rows.value()));
             continue;
         }
         if (rows.error().kind == ErrorKind::VersionConflict) {
@@ -99,6 +100,17 @@
     }
 }
 
+Duration ControlFollower::collectionTime(StoreTable table, const RowSet& rows) const
+{
+    const bool starts = bootNow() < this->startedAt + startTime;
+    // The next step of a promotion is waited for.
+    const bool isPromotion = table == StoreTable::Fleet
+        && std::any_of(rows.rows.begin(), rows.rows.end(), [](const TableRow& row) { return !row.removed && !decodePeer(row.key, row.value); });
+    if (isPromotion)
+        return Duration(0);
+    return starts && table != StoreTable::Declarations ? startCollectionPause : collectionPause;
+}
+
 void ControlFollower::pauseAfterLoss(StoreTable table, Duration pause)
 {
     if (table == StoreTable::Declarations || this->tablesLost < tableCount) {
--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -33,6 +33,8 @@
 private:
     static constexpr size_t tableCount = 3;
     void follow(StoreTable, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply);
+    // How long to wait for further changes after some rows have changed.
+    Duration collectionTime(StoreTable, const RowSet&) const;
     // Waits before the next try of a table that could not be read: the last one that is lost is tried for all of them.
     void pauseAfterLoss(StoreTable, Duration pause);
     void applyDeclarations(const RowSet&);
@@ -47,6 +49,7 @@
     SharedStore& store;
     const DeclarationDecoder& decoder;
     PeerExchange& peers;
+    TimePoint startedAt {};
     std::string document;
     std::map<std::string, PeerEntry> knownPeers;
     size_t tablesLost = 0;
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -19,7 +19,7 @@
     constexpr Duration secondLook = std::chrono::milliseconds(200);
     // Each place in the order of VMs waits this much longer before it examines.
     constexpr Duration rankDelay = std::chrono::milliseconds(150);
-    constexpr size_t maxRankDelays = 6;
+    constexpr size_t maxRankDelays = 16;
     // After an examination the next one of the group waits this long.
     constexpr Duration quietTime = std::chrono::milliseconds(300);
     constexpr Duration storeTimeout = std::chrono::milliseconds(600);
@@ -261,7 +261,7 @@
             return false;
         logEvent(LogLevel::Info, "promotion abandoned, the primary leads",
             { { "service", this->service.value }, { "server", standing->server.value }, { "fence", turn.record.fence } });
-        return this->settle(LeaderRecord { this->service, term, standing->server, false }, std::nullopt, turn);
+        return this->settle(LeaderRecord { this->service, term, standing->server, false }, false, std::nullopt, turn);
     }
 
     // Pauses the replicas and chooses one. Blocks until there is a choice or the turn is over.
@@ -325,11 +325,11 @@
         }
         if (answer != PromotionAnswer::Accepted)
             return false;
-        return this->settle(record, oldLeader, turn);
+        return this->settle(record, true, oldLeader, turn);
     }
 
     // Waits until the successor leads, deposes the old primary and tells all VMs.
-    bool settle(LeaderRecord record, const std::optional<BackendServerId>& oldLeader, const HeldTurn& turn)
+    bool settle(LeaderRecord record, bool promoted, const std::optional<BackendServerId>& oldLeader, const HeldTurn& turn)
     {
         const ServerEntry* entry = this->proxy.directory().find(record.leader);
         const TimePoint deadline = bootNow() + leadTimeout;
@@ -355,7 +355,9 @@
         this->resumeReplicas();
         StoreChange change;
         change.expectations.push_back({ StoreTable::Turns, turnRowKey, turn.storedVersion });
-        change.puts.push_back({ StoreTable::Fleet, leaderRowKey(this->service), encodeLeader(record) });
+        // The successor's own entry settles the record for the other VMs, unless the promotion changed nothing.
+        if (!promoted)
+            change.puts.push_back({ StoreTable::Fleet, leaderRowKey(this->service), encodeLeader(record) });
         TurnRecord ended = turn.record;
         // The fence number stays; the end of the turn lies in the past of the store's clock.
         ended.endsAtMs -= toMilliseconds(turnTime);
