--- a/foxtailtrail/Main.cpp
+++ b/foxtailtrail/Main.cpp
@@ -83,6 +83,12 @@
     std::_Exit(exitSuccess);
 }
 
+void printFaults(const std::vector<std::string>& faults)
+{
+    for (const std::string& fault : faults)
+        std::cerr << fault << "\n";
+}
+
 // The environment variable that names the settings file on the platform.
 constexpr const char* settingsVariable = "FOXTAILTRAIL_CONFIG";
 
@@ -96,8 +102,7 @@
     const std::string file = arguments.empty() ? variable : arguments[0];
     const auto settings = readProxySettings(file);
     if (!settings) {
-        for (const std::string& fault : settings.error())
-            std::cerr << fault << "\n";
+        printFaults(settings.error());
         return exitUsage;
     }
     startBoundedLogging(logLevelByName(settings.value().logLevel).value_or(LogLevel::Info), settings.value().vmId.value);
@@ -236,8 +241,18 @@
 int check(const std::vector<std::string>& arguments)
 {
     const auto file = settingsArgument(arguments, "check");
-    if (!file || !readOrReport(*file))
+    if (!file)
+        return exitUsage;
+    // The settings of a VM on the platform have a layout of their own.
+    if (describesProxy(*file)) {
+        const auto settings = readProxySettings(*file);
+        if (!settings) {
+            printFaults(settings.error());
+            return exitUsage;
+        }
+    } else if (!readOrReport(*file)) {
         return exitUsage;
+    }
     std::cout << *file << ": the settings are valid\n";
     return exitSuccess;
 }
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -1,6 +1,8 @@
 #include "foxtailtrail/proxy/ProxySettings.h"
 
-#include <functional>
+#include "foxtailtrail/server/Log.h"
+
+#include <cstdlib>
 #include <yaml-cpp/yaml.h>
 
 namespace foxtail {
@@ -102,6 +104,17 @@
 
 }
 
+bool describesProxy(const std::string& file)
+{
+    try {
+        const YAML::Node root = YAML::LoadFile(file);
+        return root.IsMap() && root["platform"];
+    } catch (const YAML::Exception&) {
+        // The reader of the settings tells what is wrong with the file.
+        return false;
+    }
+}
+
 boost::outcome_v2::basic_result<ProxySettings, std::vector<std::string>, boost::outcome_v2::policy::terminate> readProxySettings(
     const std::string& file)
 {
@@ -115,6 +128,12 @@
         return boost::outcome_v2::failure(std::vector<std::string> { file + ": the document must be a map of sections" });
     Reader reader(file, root);
     ProxySettings settings = readAll(reader);
+    if (!logLevelByName(settings.logLevel))
+        reader.fault("vm", "logLevel", "must be debug, info, warning or error");
+    if (settings.stopGrace <= Duration(0))
+        reader.fault("bounds", "stopGraceSeconds", "must be above 0");
+    if (settings.quota.window <= Duration(0))
+        reader.fault("bounds", "quotaWindowSeconds", "must be above 0");
     if (!reader.faults.empty())
         return boost::outcome_v2::failure(std::move(reader.faults));
     return settings;
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -38,6 +38,9 @@
     std::string logLevel = "info";
 };
 
+// Whether a file has the layout of these settings: a map with a section "platform".
+bool describesProxy(const std::string& file);
+
 // Reads and checks a settings file. Fails with one line a fault: file, name of the setting, and what is allowed.
 boost::outcome_v2::basic_result<ProxySettings, std::vector<std::string>, boost::outcome_v2::policy::terminate> readProxySettings(
     const std::string& file);
--- /dev/null
+++ b/tests/server/ProxySettingsTest.cpp
@@ -0,0 +1,62 @@
+#include "foxtailtrail/proxy/ProxySettings.h"
+
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace foxtail {
+
+namespace {
+
+    constexpr const char* valid = "vm: {id: a, dataCentre: z, region: r, regions: {z: r}}\n"
+                                  "listen: {callers: '10.0.0.1:1', ready: '10.0.0.1:2', peers: '10.0.0.1:3', datagramPort: 4}\n"
+                                  "platform: {store: '10.0.0.2:5', promotions: '10.0.0.2:6', seeds: ['10.0.0.3:3']}\n"
+                                  "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
+
+    class ProxySettingsTest : public testing::Test {
+    protected:
+        void write(const std::string& text) { std::ofstream(this->file) << text; }
+        void TearDown() override { std::filesystem::remove(this->file); }
+
+        std::string file = std::filesystem::temp_directory_path().string() + "/foxtail-proxy-settings-" + std::to_string(getpid());
+    };
+
+    TEST_F(ProxySettingsTest, ReadsAValidFile)
+    {
+        this->write(valid);
+        EXPECT_TRUE(describesProxy(this->file));
+        const auto settings = readProxySettings(this->file);
+        ASSERT_TRUE(settings);
+        EXPECT_EQ(settings.value().callers, (Endpoint { "10.0.0.1", 1 }));
+        EXPECT_EQ(settings.value().seeds.size(), 1U);
+        EXPECT_EQ(settings.value().stopGrace, std::chrono::seconds(6));
+        EXPECT_EQ(settings.value().logLevel, "info");
+    }
+
+    // Guards against a fault that is found only after the one before it has been mended.
+    TEST_F(ProxySettingsTest, NamesEveryFault)
+    {
+        this->write("vm: {id: a, logLevel: loud}\nlisten: {callers: nowhere, ready: '10.0.0.1:99999', peers: '10.0.0.1:3'}\n"
+                    "platform: {store: ':5'}\nbounds: {stopGraceSeconds: soon, quotaWindowSeconds: 0, quotaExcess: 0.1, quotaSlack: 20}\n");
+        const auto settings = readProxySettings(this->file);
+        ASSERT_FALSE(settings);
+        std::string all;
+        for (const std::string& fault : settings.error())
+            all += fault + "\n";
+        for (const char* name : { "vm.dataCentre", "vm.region", "vm.logLevel", "listen.callers", "listen.ready", "listen.datagramPort", "platform.store",
+                 "bounds.stopGraceSeconds", "bounds.quotaWindowSeconds" })
+            EXPECT_NE(all.find(name), std::string::npos) << name << " in\n" << all;
+    }
+
+    TEST_F(ProxySettingsTest, AFileThatCannotBeParsedIsAFault)
+    {
+        this->write("vm: [");
+        EXPECT_FALSE(describesProxy(this->file));
+        EXPECT_FALSE(readProxySettings(this->file));
+        EXPECT_FALSE(readProxySettings(this->file + ".none"));
+    }
+
+}
+
+}
