--- a/foxtailtrail/failover/SuccessionPlan.cpp
+++ b/foxtailtrail/failover/SuccessionPlan.cpp
@@ -64,6 +64,20 @@
     return believed->ownTerm != Term {} && believed->ownTerm < newest->term ? newest : nullptr;
 }
 
+bool verifyPause(std::vector<ProbedStatus>& replicas, Term& term)
+{
+    const Term ordered = term;
+    bool allPaused = true;
+    for (ProbedStatus& replica : replicas) {
+        if (replica.outcome != ProbeOutcome::Answered || (replica.pausedFor == ordered && !replica.isPrimary))
+            continue;
+        allPaused = false;
+        replica.outcome = ProbeOutcome::Full;
+        term = std::max(term, Term { replica.term.value + 1 });
+    }
+    return allPaused;
+}
+
 SuccessorChoice chooseSuccessor(const std::vector<ProbedStatus>& replicas, std::optional<LogPoint> acknowledged, bool missingCountAsLost)
 {
     SuccessorChoice choice;
--- a/foxtailtrail/failover/SuccessionPlan.h
+++ b/foxtailtrail/failover/SuccessionPlan.h
@@ -72,6 +72,10 @@
 // primary that answers while its successor is silent proves nothing, nor does one whose successor is being promoted.
 const ProbedStatus* unknownPrimary(const std::vector<ProbedStatus>&, const std::optional<BelievedPrimary>&);
 
+// Whether all replicas that answered an order to pause have stopped receiving. An order whose term is not above a replica's own does
+// nothing; such a replica counts as full, and the term is raised for the next order.
+bool verifyPause(std::vector<ProbedStatus>& replicas, Term& term);
+
 // The choice of a successor after the replicas were told to pause.
 struct SuccessorChoice {
     // Nothing while no server may be promoted safely.
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -2,6 +2,7 @@
 
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/StatusQuery.h"
+#include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
 #include <utility>
@@ -104,9 +105,27 @@
     if (receives && this->deposed != this->lastLeader->server) {
         this->lease.prove(this->lastLeader->server, sentAt);
         this->serveWaiters();
-    } else {
-        this->host.examineGroup(this->serviceName, "a replica has stopped to receive");
+        return;
+    }
+    logEvent(LogLevel::Info, "lease not proven",
+        { { "service", this->serviceName.value }, { "primary", this->lastLeader->server.value }, { "replica", status.server.value },
+            { "primaryTerm", this->leaderTerm.value }, { "replicaTerm", status.term.value }, { "pausedFor", status.pausedFor.value },
+            { "replicaLeads", status.isPrimary } });
+    // Another replica may prove it.
+    ++this->nextWitness;
+    this->host.examineGroup(this->serviceName, "a replica has stopped to receive");
+}
+
+void GroupTraffic::confirmLeader(const ProbedStatus& status)
+{
+    if (!this->lastLeader || this->lastLeader->server != status.server)
+        return;
+    // It may have refused a statement just before its promotion took effect.
+    if (this->deposed == status.server) {
+        logEvent(LogLevel::Info, "primary confirmed", { { "service", this->serviceName.value }, { "server", status.server.value }, { "term", status.term.value } });
+        this->deposed = BackendServerId();
     }
+    this->leaderTerm = std::max(this->leaderTerm, status.term);
 }
 
 void GroupTraffic::directoryChanged()
@@ -286,8 +305,12 @@
                 return;
             self->verifying = false;
             self->verifiedAt = TimePoint {};
-            if (!status || !self->lastLeader || status->server != self->lastLeader->server || !status->isPrimary)
+            if (!status || !self->lastLeader || status->server != self->lastLeader->server)
+                return;
+            if (!status->isPrimary) {
+                self->noteNotPrimary(status->server);
                 return;
+            }
             self->leaderTerm = std::max(self->leaderTerm, status->term);
             if (!self->waiters.empty())
                 self->verifyLease(self->waiters.front().organisation, bootNow());
@@ -297,10 +320,10 @@
 void GroupTraffic::sweep(TimePoint now)
 {
     std::list<Waiter> late;
-    bool longWait = false;
+    // Statements are told soon when a primary has been missing for long, so the time without one counts, not theirs.
+    const bool longWait = !this->waiters.empty() && this->leaderlessSince && *this->leaderlessSince + waitBeforeExamination <= now;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         const auto next = std::next(waiter);
-        longWait = longWait || waiter->since + waitBeforeExamination <= now;
         if (waiter->giveUpAt <= now)
             late.splice(late.end(), this->waiters, waiter);
         waiter = next;
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -61,6 +61,8 @@
     void noteUnansweredCommit(const BackendServerId&, TimePoint now);
     // Takes what a probe has shown, and serves those that wait.
     void noteStatus(const ProbedStatus&, TimePoint sentAt);
+    // Takes the result of an examination: the primary of the directory answered and no server knows a newer term.
+    void confirmLeader(const ProbedStatus&);
     // The directory has changed.
     void directoryChanged();
 
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -56,6 +56,7 @@
         SuccessionCause cause = judgeSuccession(statuses, leader, before && before->settled, stalled);
         if (cause == SuccessionCause::PrimaryLost || cause == SuccessionCause::CommitsStalled)
             cause = this->confirm(statuses, cause);
+        this->confirmLeader(leader, statuses);
         this->shareStatuses(statuses);
         if (cause == SuccessionCause::None) {
             this->resumeForgotten(statuses);
@@ -150,6 +151,19 @@
         return cause;
     }
 
+    // Trusts the primary of the directory again when it leads and no server knows a newer term.
+    void confirmLeader(const std::optional<BackendServerId>& leader, const std::vector<ProbedStatus>& statuses)
+    {
+        const ProbedStatus* newest = newestPrimary(statuses);
+        if (!newest || !leader || newest->server != *leader)
+            return;
+        const bool isNewest = std::all_of(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) {
+            return status.outcome != ProbeOutcome::Answered || status.term <= newest->term;
+        });
+        if (isNewest)
+            this->proxy.group(this->service)->confirmLeader(*newest);
+    }
+
     // Replicas that still receive renew the lease of this VM.
     void shareStatuses(const std::vector<ProbedStatus>& statuses)
     {
@@ -225,7 +239,7 @@
             this->duty.endTurn(*turn);
             return;
         }
-        Term term;
+        Term term = this->proxy.group(this->service)->primaryTerm();
         for (const ProbedStatus& status : statuses)
             term = std::max({ term, status.term, status.pausedFor });
         if (const LeaderRecord* record = this->proxy.directory().leaderRecord(this->service))
@@ -266,13 +280,26 @@
 
     // Pauses the replicas and chooses one. Blocks until there is a choice or the turn is over.
     std::optional<ProbedStatus> fence(const std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldLeader,
-        const std::vector<ProbedStatus>& statuses, Term term, const std::vector<BackendServerId>& failed, const HeldTurn& turn)
+        const std::vector<ProbedStatus>& statuses, Term& term, const std::vector<BackendServerId>& failed, const HeldTurn& turn)
     {
         const TimePoint begun = bootNow();
         while (turn.mayActAt(bootNow())) {
             std::vector<ProbedStatus> paused = this->ask(replicas, ServerOrder::Pause, term);
             this->pausedAt = bootNow();
             this->logStatuses("pause", paused);
+            // An order with a term that is not above a replica's own does nothing: the replica still receives.
+            bool allPaused = true;
+            for (ProbedStatus& status : paused) {
+                if (status.outcome != ProbeOutcome::Answered || (status.pausedFor == term && !status.isPrimary))
+                    continue;
+                allPaused = false;
+                status.outcome = ProbeOutcome::Full;
+                term = std::max(term, Term { status.term.value + 1 });
+            }
+            if (!allPaused) {
+                sleepFor(leadPollInterval);
+                continue;
+            }
             std::erase_if(
                 paused, [&](const ProbedStatus& status) { return std::find(failed.begin(), failed.end(), status.server) != failed.end(); });
             const bool missingAreLost = bootNow() >= begun + lostReplicaTime && this->isGone(oldLeader, statuses)
--- /dev/null
+++ b/tests/proxy/GroupTrafficTest.cpp
@@ -0,0 +1,159 @@
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/proxy/GroupTraffic.h"
+#include "foxtailtrail/proxy/NewsCodec.h"
+#include "platform/LineProtocol.h"
+
+#include <gtest/gtest.h>
+
+namespace foxtail {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    const ServiceName service("s");
+    const BackendServerId oldPrimary("b1");
+    const BackendServerId replica("b2");
+
+    LogPoint point(uint64_t term, uint64_t number) { return { Term { term }, Position { number } }; }
+
+    // A VM without connections: nothing is sent, examinations are counted.
+    class FakeHost : public GroupHost {
+    public:
+        FakeHost()
+        {
+            for (const BackendServerId& id : { oldPrimary, replica }) {
+                ServerEntry entry;
+                entry.id = id;
+                entry.service = service;
+                entry.reportsPrimary = id == oldPrimary;
+                this->servers.put(entry);
+            }
+        }
+
+        const ServerDirectory& directory() const override { return this->servers; }
+        std::shared_ptr<ServerPool> pool(const BackendServerId&) override { return nullptr; }
+        Distance distanceTo(const ServerEntry&) const override { return Distance::SameDataCentre; }
+        const BackendCodec& backendCodec() const override { return this->codec; }
+        bool isIsolated() const override { return this->isolated; }
+        void examineGroup(const ServiceName&, std::string_view) override { ++this->examinations; }
+
+        ServerDirectory servers;
+        platform::LineBackendCodec codec;
+        bool isolated = false;
+        size_t examinations = 0;
+    };
+
+    ProbedStatus answered(const BackendServerId& id, bool primary, uint64_t term)
+    {
+        ProbedStatus status;
+        status.server = id;
+        status.outcome = ProbeOutcome::Answered;
+        status.isPrimary = primary;
+        status.term = Term { term };
+        return status;
+    }
+
+    class GroupTrafficTest : public testing::Test {
+    protected:
+        void commitAt(TimePoint sentAt, uint64_t number) { this->group->noteAnswer(oldPrimary, point(1, number), sentAt, true); }
+        bool isUsable(TimePoint at) { return this->group->isUsableLeader(oldPrimary, at); }
+
+        FakeHost host;
+        std::shared_ptr<GroupTraffic> group = std::make_shared<GroupTraffic>(service, this->host);
+        TimePoint now = bootNow();
+    };
+
+    // Guards against reads and writes at a primary that may have been replaced.
+    TEST_F(GroupTrafficTest, OnlyProofsMakeThePrimaryUsable)
+    {
+        EXPECT_FALSE(this->isUsable(this->now));
+        // A read proves nothing.
+        this->group->noteAnswer(oldPrimary, point(1, 5), this->now, false);
+        EXPECT_FALSE(this->isUsable(this->now));
+        this->commitAt(this->now, 6);
+        EXPECT_TRUE(this->isUsable(this->now + leaderLeaseTime));
+        EXPECT_FALSE(this->isUsable(this->now + leaderLeaseTime + milliseconds(1)));
+    }
+
+    // Guards against a replica of the new primary that is taken for a proof of the old one (STALE on wattle scale-1).
+    TEST_F(GroupTrafficTest, AReplicaOfANewerTermDeposesThePrimary)
+    {
+        this->commitAt(this->now, 6);
+        this->group->noteStatus(answered(replica, false, 1), this->now + milliseconds(100));
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(800)));
+        this->group->noteStatus(answered(replica, false, 2), this->now + milliseconds(200));
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(200)));
+        EXPECT_EQ(this->host.examinations, 1U);
+    }
+
+    // Guards against a proof by a replica that was told to pause.
+    TEST_F(GroupTrafficTest, APausedReplicaProvesNothing)
+    {
+        this->commitAt(this->now, 6);
+        ProbedStatus paused = answered(replica, false, 1);
+        paused.pausedFor = Term { 2 };
+        this->group->noteStatus(paused, this->now + milliseconds(500));
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(800)));
+    }
+
+    // Guards against a primary that is never used again after one refusal (day both-replicas-behind on wattle: a third refused).
+    TEST_F(GroupTrafficTest, AnExaminationRestoresThePrimary)
+    {
+        this->commitAt(this->now, 6);
+        this->group->noteNotPrimary(oldPrimary);
+        EXPECT_FALSE(this->isUsable(this->now));
+        this->group->confirmLeader(answered(oldPrimary, true, 1));
+        this->commitAt(this->now + milliseconds(10), 7);
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(10)));
+    }
+
+    // Guards against statements that are refused soon and so never cause an examination.
+    TEST_F(GroupTrafficTest, AMissingPrimaryIsExaminedEvenWhenStatementsWaitShortly)
+    {
+        this->host.isolated = true;
+        const auto ignore = [](const std::optional<BackendServerId>&) {};
+        this->group->whenLeader("o", this->now + std::chrono::seconds(1), ignore);
+        this->group->sweep(this->now + milliseconds(90));
+        EXPECT_EQ(this->host.examinations, 0U);
+        this->group->whenLeader("o", this->now + std::chrono::seconds(1), ignore);
+        this->group->sweep(this->now + milliseconds(400));
+        EXPECT_EQ(this->host.examinations, 1U);
+    }
+
+    // Guards against positions that were not those of a proven primary.
+    TEST_F(GroupTrafficTest, PositionsCountOnlyUnderTheLease)
+    {
+        this->group->noteAnswer(oldPrimary, point(1, 5), this->now, false);
+        EXPECT_EQ(this->group->floorFor(this->now, std::chrono::seconds(1), std::nullopt), std::nullopt);
+        this->commitAt(this->now, 6);
+        this->group->noteAnswer(oldPrimary, point(1, 9), this->now + milliseconds(300), false);
+        EXPECT_EQ(this->group->floorFor(this->now + milliseconds(350), std::chrono::seconds(1), std::nullopt), point(1, 6));
+        // The session's own commit is required as well.
+        EXPECT_EQ(this->group->floorFor(this->now + milliseconds(350), std::chrono::seconds(1), CommitMark { point(1, 8), this->now }), point(1, 8));
+    }
+
+    // Guards against news that make a proof look newer than it is, and against news of another primary.
+    TEST_F(GroupTrafficTest, NewsOfAnotherVmExtendTheLeaseByTheirOwnAge)
+    {
+        this->commitAt(this->now, 6);
+        const TimePoint sentAt = this->now;
+        const json::array message = encodeNews({ *this->group->news(this->now - milliseconds(1)) }, this->now + milliseconds(50));
+        auto other = std::make_shared<GroupTraffic>(service, this->host);
+        // The receiver's reference is earlier than the sender's: its request was on its way.
+        const std::vector<GroupNews> news = decodeNews(message, sentAt + milliseconds(20));
+        ASSERT_EQ(news.size(), 1U);
+        EXPECT_LE(news[0].provenAt, this->now - milliseconds(30));
+        other->takeNews(news[0]);
+        EXPECT_TRUE(other->isUsableLeader(oldPrimary, this->now));
+        EXPECT_FALSE(other->isUsableLeader(oldPrimary, this->now + leaderLeaseTime));
+        GroupNews foreign = news[0];
+        foreign.leader = replica;
+        other->takeNews(foreign);
+        EXPECT_FALSE(other->isUsableLeader(replica, this->now));
+        EXPECT_TRUE(decodeNews(json::array { 1, json::array { "s" } }, this->now).empty());
+    }
+
+}
+
+}
