--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -287,16 +287,8 @@
             std::vector<ProbedStatus> paused = this->ask(replicas, ServerOrder::Pause, term);
             this->pausedAt = bootNow();
             this->logStatuses("pause", paused);
-            // An order with a term that is not above a replica's own does nothing: the replica still receives.
-            bool allPaused = true;
-            for (ProbedStatus& status : paused) {
-                if (status.outcome != ProbeOutcome::Answered || (status.pausedFor == term && !status.isPrimary))
-                    continue;
-                allPaused = false;
-                status.outcome = ProbeOutcome::Full;
-                term = std::max(term, Term { status.term.value + 1 });
-            }
-            if (!allPaused) {
+            if (!verifyPause(paused, term)) {
+                this->demoteOthers(replicas, paused, term);
                 sleepFor(leadPollInterval);
                 continue;
             }
@@ -320,6 +312,17 @@
         return std::nullopt;
     }
 
+    // Makes replicas of servers that still lead in an older term, so that they can be paused.
+    void demoteOthers(const std::vector<ServerEntry>& replicas, const std::vector<ProbedStatus>& statuses, Term term)
+    {
+        for (const ProbedStatus& status : statuses) {
+            const auto entry
+                = std::find_if(replicas.begin(), replicas.end(), [&](const ServerEntry& each) { return each.id == status.server; });
+            if (status.isPrimary && entry != replicas.end())
+                this->commands.askAll({ *entry }, ServerOrder::Demote, term, probeTimeout);
+        }
+    }
+
     bool promote(const ProbedStatus& successor, const std::optional<BackendServerId>& oldLeader, const std::vector<ProbedStatus>& statuses,
         Term term, const HeldTurn& turn)
     {
--- a/tests/failover/SuccessionTest.cpp
+++ b/tests/failover/SuccessionTest.cpp
@@ -87,6 +87,25 @@
             BackendServerId("a"));
     }
 
+    // Guards against a promotion whose order to pause did nothing: all servers had been too busy to tell their term, so the order
+    // carried a term that was not above theirs (day both-replicas-behind on wattle).
+    TEST(SuccessionPlanTest, AnOrderToPauseIsVerified)
+    {
+        Term term { 1 };
+        std::vector<ProbedStatus> replicas { status("a", ProbeOutcome::Answered, false, 7), status("b", ProbeOutcome::Silent, false, 0) };
+        EXPECT_FALSE(verifyPause(replicas, term));
+        EXPECT_EQ(term, Term { 2 });
+        EXPECT_EQ(replicas[0].outcome, ProbeOutcome::Full);
+        EXPECT_FALSE(chooseSuccessor(replicas, std::nullopt, true).successor);
+        replicas = { status("a", ProbeOutcome::Answered, false, 7), status("b", ProbeOutcome::Silent, false, 0) };
+        replicas[0].pausedFor = Term { 2 };
+        EXPECT_TRUE(verifyPause(replicas, term));
+        EXPECT_EQ(term, Term { 2 });
+        // A server that leads cannot be paused.
+        replicas[0].isPrimary = true;
+        EXPECT_FALSE(verifyPause(replicas, term));
+    }
+
     ProbedStatus primary(const std::string& id, uint64_t term)
     {
         ProbedStatus probed = status(id, ProbeOutcome::Answered, true, 5);
