Split the duty of promotion and remove what nothing uses

SuccessionCase holds one examination, SuccessionDuty the turns. Removed: counts of pools, two settings, times that nobody read.

--- a/foxtailtrail/failover/SuccessionPlan.cpp
+++ b/foxtailtrail/failover/SuccessionPlan.cpp
@@ -5,6 +5,12 @@
 
 namespace foxtail {
 
+std::string_view probeOutcomeName(ProbeOutcome outcome)
+{
+    constexpr std::array<std::string_view, 4> names { "answered", "refused", "silent", "full" };
+    return names[static_cast<size_t>(outcome)];
+}
+
 std::string_view successionCauseName(SuccessionCause cause)
 {
     constexpr std::array<std::string_view, 6> names { "none", "primary-lost", "primary-leaving", "commits-stalled", "unfinished",
@@ -57,8 +63,8 @@
     // While a promotion is under way the old primary still leads; only a later promotion ends it.
     if (!believed->settled)
         return believed->recordTerm < newest->term ? newest : nullptr;
-    const auto own = std::find_if(
-        statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == believed->server; });
+    const auto own
+        = std::find_if(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == believed->server; });
     if (own != statuses.end() && own->outcome == ProbeOutcome::Answered)
         return newest;
     return believed->ownTerm != Term {} && believed->ownTerm < newest->term ? newest : nullptr;
--- a/foxtailtrail/failover/SuccessionPlan.h
+++ b/foxtailtrail/failover/SuccessionPlan.h
@@ -20,6 +20,9 @@
     Full,
 };
 
+// "answered", "refused", "silent" or "full".
+std::string_view probeOutcomeName(ProbeOutcome);
+
 // What a backend server answered to a probe or to an order to pause.
 struct ProbedStatus {
     BackendServerId server;
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -303,7 +303,6 @@
     task.prepared = std::move(prepared);
     task.route = *this->route;
     task.organisation = this->organisation;
-    task.operationStart = this->session.transaction() == TransactionState::Open ? this->session.begunAt() : this->requestStart;
     task.deadline
         = this->requestStart + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -104,8 +104,9 @@
 {
     const bool starts = bootNow() < this->startedAt + startTime;
     // The next step of a promotion is waited for.
-    const bool isPromotion = table == StoreTable::Fleet
-        && std::any_of(rows.rows.begin(), rows.rows.end(), [](const TableRow& row) { return !row.removed && !decodePeer(row.key, row.value); });
+    const bool isPromotion = table == StoreTable::Fleet && std::any_of(rows.rows.begin(), rows.rows.end(), [](const TableRow& row) {
+        return !row.removed && !decodePeer(row.key, row.value);
+    });
     if (isPromotion)
         return Duration(0);
     return starts && table != StoreTable::Declarations ? startCollectionPause : collectionPause;
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -122,7 +122,8 @@
         return;
     // It may have refused a statement just before its promotion took effect.
     if (this->deposed == status.server) {
-        logEvent(LogLevel::Info, "primary confirmed", { { "service", this->serviceName.value }, { "server", status.server.value }, { "term", status.term.value } });
+        logEvent(LogLevel::Info, "primary confirmed",
+            { { "service", this->serviceName.value }, { "server", status.server.value }, { "term", status.term.value } });
         this->deposed = BackendServerId();
     }
     this->leaderTerm = std::max(this->leaderTerm, status.term);
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -192,7 +192,8 @@
     this->askOutstanding = true;
     this->askSentAt = now;
     this->askedPeer = peer->entry.id;
-    json::object message { { "kind", askKind }, { "vm", this->proxy.settings().vmId.value }, { "number", ++this->askNumber }, { "list", list } };
+    json::object message { { "kind", askKind }, { "vm", this->proxy.settings().vmId.value }, { "number", ++this->askNumber },
+        { "list", list } };
     // The lender relates the times of the news to the moment at which it sent its last answer, which came here later.
     if (this->lastAnswerer == peer->entry.id) {
         message["after"] = this->lastAnswer;
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -81,8 +81,6 @@
         settings.dataCentre = DataCentre(reader.read<std::string>("vm", "dataCentre", "a name"));
         settings.region = Region(reader.read<std::string>("vm", "region", "a name"));
         settings.regions = reader.read<std::map<std::string, std::string>>("vm", "regions", "a map from data centre to region", false);
-        settings.maxDescriptors = reader.read<uint32_t>("vm", "maxDescriptors", "a whole number", false);
-        settings.memoryMegabytes = reader.read<uint32_t>("vm", "memoryMegabytes", "a whole number", false);
         settings.logLevel = reader.read<std::string>("vm", "logLevel", "debug, info, warning or error", false);
         if (settings.logLevel.empty())
             settings.logLevel = "info";
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -33,8 +33,6 @@
     // From the signal to stop to the kill.
     Duration stopGrace { 0 };
     QuotaBounds quota;
-    uint32_t maxDescriptors = 0;
-    uint32_t memoryMegabytes = 0;
     std::string logLevel = "info";
 };
 
--- a/foxtailtrail/proxy/ServerPool.cpp
+++ b/foxtailtrail/proxy/ServerPool.cpp
@@ -58,7 +58,6 @@
     // Those that wait go first.
     if (this->waiters.empty() && this->mayStart(now)) {
         if (std::shared_ptr<BackendLink> free = this->takeFree(organisation)) {
-            ++this->counts.reused;
             callback(Acquisition::Acquired, free);
             return 0;
         }
@@ -140,7 +139,6 @@
         if (std::shared_ptr<BackendLink> free = this->takeFree(waiter->organisation)) {
             const Callback callback = std::move(waiter->callback);
             this->waiters.erase(waiter);
-            ++this->counts.reused;
             callback(Acquisition::Acquired, free);
             continue;
         }
@@ -151,7 +149,6 @@
         if (this->size() >= this->budget) {
             if (this->idle.empty())
                 return;
-            ++this->counts.evicted;
             this->closeOldest();
         }
         this->openFor(waiter->organisation);
@@ -177,7 +174,6 @@
 
 void ServerPool::openFor(const std::string& organisation)
 {
-    ++this->counts.opened;
     auto self = this->shared_from_this();
     auto link = BackendLink::open(this->context, this->codec, this->entry, organisation,
         [self](LinkOpening how, const std::shared_ptr<BackendLink>& openedLink) { self->opened(how, openedLink); });
@@ -187,7 +183,7 @@
 void ServerPool::opened(LinkOpening how, const std::shared_ptr<BackendLink>& link)
 {
     this->opening.remove_if([&](const Opening& each) { return each.link == link; });
-    this->observer(this->entry.id, how, std::nullopt);
+    this->observer(this->entry.id, how);
     if (how == LinkOpening::Opened) {
         link->idleSince = bootNow();
         this->idle.push_back(link);
@@ -196,7 +192,6 @@
     }
     if (how == LinkOpening::TooMany) {
         // Those that wait are served by connections that come free, or by the next opening.
-        ++this->counts.refusedFull;
         this->fullUntil = bootNow() + fullPause;
         return;
     }
--- a/foxtailtrail/proxy/ServerPool.h
+++ b/foxtailtrail/proxy/ServerPool.h
@@ -26,21 +26,13 @@
     Gone,
 };
 
-// Counts of one pool for metrics and operators.
-struct PoolCounters {
-    uint64_t opened = 0;
-    uint64_t reused = 0;
-    uint64_t evicted = 0;
-    uint64_t refusedFull = 0;
-};
-
 // This VM's connections to one backend server. A connection belongs to one organisation; a free one of another organisation is
 // closed to make room when the VM's budget is used up.
 class ServerPool : public std::enable_shared_from_this<ServerPool> {
 public:
     using Callback = std::function<void(Acquisition, std::shared_ptr<BackendLink>)>;
     // Told of each opening's end, for the detection of failures.
-    using OpeningObserver = std::function<void(const BackendServerId&, LinkOpening, const std::optional<LogPoint>&)>;
+    using OpeningObserver = std::function<void(const BackendServerId&, LinkOpening)>;
 
     ServerPool(boost::asio::io_context&, const BackendCodec&, ServerEntry, OpeningObserver);
 
@@ -73,7 +65,6 @@
 
     const ServerEntry& server() const { return this->entry; }
     void updateEntry(const ServerEntry& changed) { this->entry = changed; }
-    const PoolCounters& counters() const { return this->counts; }
 
 private:
     struct Waiter {
@@ -126,7 +117,6 @@
     std::minstd_rand random;
     uint64_t nextTicket = 1;
     bool retired = false;
-    PoolCounters counts;
 };
 
 }
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -207,7 +207,7 @@
     const ServerEntry* entry = this->servers.find(id);
     if (!entry)
         return nullptr;
-    auto observer = [this](const BackendServerId& server, LinkOpening how, const std::optional<LogPoint>&) {
+    auto observer = [this](const BackendServerId& server, LinkOpening how) {
         constexpr std::array<std::string_view, 5> names { "opened", "refused", "unreachable", "full", "misrouted" };
         this->proxyMetrics.countOpening(names[static_cast<size_t>(how)]);
         if (how == LinkOpening::Opened || how == LinkOpening::TooMany)
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -460,7 +460,6 @@
 {
     if (this->finished)
         return;
-    this->abandoned = true;
     // A statement that runs is left to its end, so that its connection can be used again.
     if (this->phase == Phase::Running || this->phase == Phase::Restoring)
         return;
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -34,8 +34,6 @@
     std::optional<PreparedStatement> prepared;
     DatabaseRoute route;
     std::string organisation;
-    // When the operation's first byte arrived: its reads may be this old and older.
-    TimePoint operationStart {};
     TimePoint deadline {};
 };
 
@@ -119,7 +117,6 @@
     PinnedLink held;
     // The transaction's first statement: the connection does not belong to a transaction yet.
     bool beginsTransaction = false;
-    bool floorRequired = false;
     std::optional<LogPoint> floor;
     std::vector<BackendServerId> excluded;
     BackendServerId target;
@@ -130,12 +127,10 @@
     // Why the last attempt did not run, for the refusal if none does.
     ErrorKind lastObstacle = ErrorKind::Overloaded;
     TimePoint attemptDeadline {};
-    TimePoint pauseUntil {};
     // A statement that no server has started by this time is refused.
     TimePoint giveUpAt {};
     uint32_t attempts = 0;
     uint32_t lostAnswers = 0;
-    bool abandoned = false;
     bool finished = false;
 };
 
--- a/foxtailtrail/proxy/SuccessionDuty.h
+++ b/foxtailtrail/proxy/SuccessionDuty.h
@@ -2,8 +2,6 @@
 
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/failover/DutyTurn.h"
-#include "foxtailtrail/failover/SuccessionPlan.h"
-#include "foxtailtrail/proxy/ServerCommands.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
 #include "foxtailtrail/proxy/SharedStore.h"
 
@@ -29,15 +27,21 @@
     // Starts an examination unless one is under way or has just ended.
     void examine(const ServiceName&, std::string_view reason);
 
+    // Takes a turn, or says in the log why not. Blocks the calling fiber.
+    std::optional<HeldTurn> claim();
+    // Ends a turn early, so that the next one need not wait.
+    void endTurn(const HeldTurn&);
+    // Reads the records of promotions.
+    Result<void> refreshRecords() { return this->refresh(); }
+    SessionProxy& sessionProxy() { return this->proxy; }
+    SharedStore& sharedStore() { return this->store; }
+    PromotionOrders& promotionOrders() { return this->orders; }
+
 private:
-    class Case;
     struct Progress {
         bool running = false;
         TimePoint quietUntil {};
     };
-    // Takes a turn, or says why not.
-    std::optional<HeldTurn> claim();
-    void endTurn(const HeldTurn&);
 
     SessionProxy& proxy;
     SharedStore& store;
--- a/foxtailtrail/replication/ServerChoice.cpp
+++ b/foxtailtrail/replication/ServerChoice.cpp
@@ -25,8 +25,10 @@
 
 void ServerChoice::noteAnswer(const BackendServerId& id, Duration latency, TimePoint now)
 {
+    const bool isFirst = this->seen.count(id) == 0;
     Seen& server = this->seen[id];
-    server.latency += latencyWeight * (static_cast<double>(latency.count()) - server.latency);
+    const auto observed = static_cast<double>(latency.count());
+    server.latency = isFirst ? observed : server.latency + latencyWeight * (observed - server.latency);
     if (now >= server.avoidUntil)
         server.troubles = 0;
 }
@@ -39,14 +41,16 @@
     ++server.troubles;
 }
 
-double ServerChoice::score(const ReadCandidate& candidate, TimePoint now) const
+double ServerChoice::score(const ReadCandidate& candidate, double usualLatency, TimePoint now) const
 {
     double cost = distanceCost[static_cast<size_t>(candidate.distance)];
     if (!candidate.hasFreeConnection)
         cost += connectionCost;
     cost += waitingCost * candidate.outstanding / std::max(1U, candidate.slots);
     const auto found = this->seen.find(candidate.server);
-    if (found != this->seen.end()) {
+    if (found == this->seen.end()) {
+        cost += usualLatency;
+    } else {
         cost += found->second.latency;
         if (now < found->second.avoidUntil)
             cost += troubleCost;
@@ -57,12 +61,19 @@
 std::optional<BackendServerId> ServerChoice::choose(
     const std::vector<ReadCandidate>& candidates, const std::vector<BackendServerId>& excluded, TimePoint now) const
 {
+    // A server that has not answered yet is taken to be as fast as the fastest of the others.
+    double usualLatency = 0;
+    for (const ReadCandidate& candidate : candidates) {
+        const auto found = this->seen.find(candidate.server);
+        if (found != this->seen.end() && (usualLatency == 0 || found->second.latency < usualLatency))
+            usualLatency = found->second.latency;
+    }
     const ReadCandidate* best = nullptr;
     double bestScore = 0;
     for (const ReadCandidate& candidate : candidates) {
         if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end())
             continue;
-        const double score = this->score(candidate, now);
+        const double score = this->score(candidate, usualLatency, now);
         if (!best || score < bestScore) {
             best = &candidate;
             bestScore = score;
--- a/foxtailtrail/replication/ServerChoice.h
+++ b/foxtailtrail/replication/ServerChoice.h
@@ -47,7 +47,7 @@
         uint32_t troubles = 0;
         TimePoint avoidUntil {};
     };
-    double score(const ReadCandidate&, TimePoint now) const;
+    double score(const ReadCandidate&, double usualLatency, TimePoint now) const;
 
     std::map<BackendServerId, Seen> seen;
 };
--- a/tests/proxy/GroupTrafficTest.cpp
+++ b/tests/proxy/GroupTrafficTest.cpp
@@ -1,5 +1,5 @@
-#include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/GroupTraffic.h"
+#include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/NewsCodec.h"
 #include "platform/LineProtocol.h"
 
@@ -130,7 +130,8 @@
         this->group->noteAnswer(oldPrimary, point(1, 9), this->now + milliseconds(300), false);
         EXPECT_EQ(this->group->floorFor(this->now + milliseconds(350), std::chrono::seconds(1), std::nullopt), point(1, 6));
         // The session's own commit is required as well.
-        EXPECT_EQ(this->group->floorFor(this->now + milliseconds(350), std::chrono::seconds(1), CommitMark { point(1, 8), this->now }), point(1, 8));
+        EXPECT_EQ(this->group->floorFor(this->now + milliseconds(350), std::chrono::seconds(1), CommitMark { point(1, 8), this->now }),
+            point(1, 8));
     }
 
     // Guards against news that make a proof look newer than it is, and against news of another primary.
--- a/tests/server/ProxySettingsTest.cpp
+++ b/tests/server/ProxySettingsTest.cpp
@@ -44,8 +44,8 @@
         std::string all;
         for (const std::string& fault : settings.error())
             all += fault + "\n";
-        for (const char* name : { "vm.dataCentre", "vm.region", "vm.logLevel", "listen.callers", "listen.ready", "listen.datagramPort", "platform.store",
-                 "bounds.stopGraceSeconds", "bounds.quotaWindowSeconds" })
+        for (const char* name : { "vm.dataCentre", "vm.region", "vm.logLevel", "listen.callers", "listen.ready", "listen.datagramPort",
+                 "platform.store", "bounds.stopGraceSeconds", "bounds.quotaWindowSeconds" })
             EXPECT_NE(all.find(name), std::string::npos) << name << " in\n" << all;
     }
 
