--- a/tests/platform/LineProtocolTest.cpp
+++ b/tests/platform/LineProtocolTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    CallerMessage takeOne(std::string text)
+    CallerMessage takeOne(const std::string& text)
     {
         std::string_view bytes = text;
         const std::optional<CallerMessage> message = LineCallerCodec().take(bytes);
@@ -52,8 +52,8 @@
         std::string text((size_t { 1 } << 20) + 1, 'x');
         std::string_view bytes = text;
         EXPECT_EQ(LineCallerCodec().take(bytes)->kind, CallerMessageKind::TooLarge);
-        const std::string short_ = "QUERY a READ x";
-        bytes = short_;
+        const std::string incomplete = "QUERY a READ x";
+        bytes = incomplete;
         EXPECT_FALSE(LineCallerCodec().take(bytes));
     }
 
