Fetch a newer configuration from whoever greets with one

Ruled out: the load itself; the wait of 15 s is ten times the longest pause. Change: a greeting carries the port for configurations, and any sender is asked.

--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -206,7 +206,8 @@
 {
     return json::serialize(json::object { { "kind", greetingKind }, { "vm", this->proxy.settings().vmId.value },
         { "configuration", this->proxy.isConfigured() ? this->proxy.routeTable().version : 0 },
-        { "upMs", toMilliseconds(bootNow() - this->startedAt) }, { "stops", this->isStopping } });
+        { "control", this->proxy.settings().peers.port }, { "upMs", toMilliseconds(bootNow() - this->startedAt) },
+        { "stops", this->isStopping } });
 }
 
 void PeerExchange::scheduleGreetings()
@@ -285,8 +286,10 @@
         }
         const Result<uint64_t> version = unsignedMember(message, "configuration");
         const uint64_t own = this->proxy.isConfigured() ? this->proxy.routeTable().version : 0;
-        if (version && version.value() > own && peer != this->peers.end())
-            this->newerConfiguration(peer->second.entry.control, version.value());
+        // The sender need not be known: a VM that the store rejects from its start on knows no peers.
+        const Result<uint64_t> control = unsignedMember(message, "control");
+        if (version && control && version.value() > own)
+            this->newerConfiguration(Endpoint { from.address().to_string(), static_cast<uint16_t>(control.value()) }, version.value());
         return;
     }
     try {
