--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -200,6 +200,11 @@
     if (!rows)
         return fail(rows.error().kind, rows.error().detail);
     this->applyFleet(rows.value(), true);
+    // A server that has just come back may already receive commits, so the promoter must know of it before it pauses the others.
+    const Result<RowSet> servers = this->store.list(StoreTable::Servers, now() + listTimeout);
+    if (!servers)
+        return fail(servers.error().kind, servers.error().detail);
+    this->applyServers(servers.value(), true);
     return succeed();
 }
 
--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -25,7 +25,7 @@
     const std::string& configurationDocument() const { return this->document; }
     // Whether no table has been readable for a while.
     bool isStoreLost() const { return this->tablesLost == tableCount; }
-    // Reads the fleet's rows now. Fails when the store does not answer.
+    // Reads the fleet's rows and the list of servers now. Fails when the store does not answer.
     Result<void> refreshFleet();
     // Asks a peer for its configuration, in a fiber of its own.
     void fetchFromPeer(const Endpoint&);
