End turns through the one function that says what an ended turn is

Cause: SuccessionDuty and SuccessionCase each wrote out the record of a turn that ends early, beside endTurn() in DutyTurn, which only its tests called. Both call it now with the same end as before, so behaviour is unchanged.

--- a/foxtailtrail/proxy/SuccessionCase.cpp
+++ b/foxtailtrail/proxy/SuccessionCase.cpp
@@ -381,9 +381,8 @@
             // The successor's own entry settles the record for the other VMs, unless the promotion changed nothing.
             if (!promoted)
                 change.puts.push_back({ StoreTable::Fleet, leaderRowKey(this->service), encodeLeader(record) });
-            TurnRecord ended = turn.record;
             // The fence number stays; the end of the turn lies in the past of the store's clock.
-            ended.endsAtMs -= toMilliseconds(turnTime);
+            const TurnRecord ended = endTurn(turn.record, turn.record.endsAtMs - toMilliseconds(turnTime));
             change.puts.push_back({ StoreTable::Turns, turnRowKey, encodeTurn(ended) });
             const Result<uint64_t> stored = this->duty.sharedStore().commit(change, now() + storeTimeout);
             if (!stored)
--- a/foxtailtrail/proxy/SuccessionDuty.cpp
+++ b/foxtailtrail/proxy/SuccessionDuty.cpp
@@ -96,8 +96,7 @@
 
 void SuccessionDuty::endTurn(const HeldTurn& turn)
 {
-    TurnRecord ended = turn.record;
-    ended.endsAtMs -= toMilliseconds(turnTime);
+    const TurnRecord ended = foxtail::endTurn(turn.record, turn.record.endsAtMs - toMilliseconds(turnTime));
     StoreChange change;
     change.expectations.push_back({ StoreTable::Turns, turnRowKey, turn.storedVersion });
     change.puts.push_back({ StoreTable::Turns, turnRowKey, encodeTurn(ended) });
