Learn of configurations from peers whenever the store is lost

A VM whose store is lost asked its peers only while it had no configuration at all, and one that the store never listed was greeted by nobody, as greetings go to listed VMs. Ruled out: lost datagrams alone (the new test uses no datagram between the VMs that matter). Change: while the store is lost a VM asks one peer after the other, at most every 1.5 s, for a newer version (204 when there is none); VMs ask seeds that are not listed, and who is asked remembers the address.

--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -8,6 +8,7 @@
 #include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
+#include <charconv>
 #include <memory>
 #include <random>
 #include <utility>
@@ -32,6 +33,30 @@
     // Tables that are not tried for the others wait for their news up to this time.
     constexpr Duration followingPause = std::chrono::milliseconds(2500);
     constexpr Duration peerTimeout = std::chrono::milliseconds(800);
+    // Seeds that the store does not list are asked after this time, and then less and less often.
+    constexpr Duration firstIntroduction = std::chrono::seconds(1);
+    constexpr Duration longestIntroductionPause = std::chrono::seconds(16);
+    // VMs that have asked this one and are remembered.
+    constexpr size_t maxContacts = 8;
+    // While the store does not serve a configured VM, it asks a peer this often; a configuration is in force within three seconds.
+    constexpr Duration askInterval = std::chrono::milliseconds(1500);
+    constexpr const char* configurationTarget = "/configuration";
+    // The version that the asking VM has, and where it answers the same request.
+    constexpr const char* versionHeader = "Foxtail-Configuration";
+    constexpr const char* contactHeader = "Foxtail-Contact";
+
+    std::optional<Endpoint> parseEndpoint(const std::string& text)
+    {
+        const size_t colon = text.rfind(':');
+        uint16_t port = 0;
+        if (colon == std::string::npos)
+            return std::nullopt;
+        const char* end = text.data() + text.size();
+        const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+        if (error != std::errc() || stop != end || port == 0)
+            return std::nullopt;
+        return Endpoint { text.substr(0, colon), port };
+    }
 
 }
 
@@ -55,6 +80,7 @@
     startFiber([this] {
         this->follow(StoreTable::Fleet, "fleet", [this](const RowSet& rows, bool isWhole) { this->applyFleet(rows, isWhole); });
     });
+    startFiber([this] { this->introduceToSeeds(); });
 }
 
 void ControlFollower::follow(StoreTable table, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply)
@@ -93,8 +119,8 @@
             ++this->tablesLost;
             logEvent(LogLevel::Warning, "store lost", { { "table", name }, { "detail", rows.error().detail } });
         }
-        if (table == StoreTable::Declarations && !this->proxy.isConfigured())
-            this->askSeeds();
+        if (table == StoreTable::Declarations)
+            this->askNextPeer();
         this->pauseAfterLoss(table, pause);
         pause = std::min(pause * 2, longestPause);
     }
@@ -226,11 +252,33 @@
         logEvent(LogLevel::Warning, "not registered in the store", { { "detail", stored.error().detail } });
 }
 
-void ControlFollower::askSeeds()
+uint64_t ControlFollower::configurationVersion() const { return this->proxy.isConfigured() ? this->proxy.routeTable().version : 0; }
+
+void ControlFollower::askNextPeer()
+{
+    if (this->proxy.isConfigured() && bootNow() < this->askAgainAt)
+        return;
+    this->askAgainAt = bootNow() + askInterval;
+    std::vector<Endpoint> known = this->proxy.settings().seeds;
+    for (const auto& [key, entry] : this->knownPeers)
+        known.push_back(entry.control);
+    known.insert(known.end(), this->contacts.begin(), this->contacts.end());
+    std::erase(known, this->proxy.settings().peers);
+    if (!known.empty())
+        this->fetchFromPeer(known[this->nextAsked++ % known.size()]);
+}
+
+void ControlFollower::introduceToSeeds()
 {
-    for (const Endpoint& seed : this->proxy.settings().seeds) {
-        if (seed != this->proxy.settings().peers)
-            this->fetchFromPeer(seed);
+    // Runs until the process ends: a seed may start, or lose the store, at any time.
+    for (Duration pause = firstIntroduction;; pause = std::min(pause * 2, longestIntroductionPause)) {
+        sleepFor(pause);
+        for (const Endpoint& seed : this->proxy.settings().seeds) {
+            const bool isListed = std::any_of(
+                this->knownPeers.begin(), this->knownPeers.end(), [&](const auto& peer) { return peer.second.control == seed; });
+            if (!isListed && seed != this->proxy.settings().peers)
+                this->fetchFromPeer(seed);
+        }
     }
 }
 
@@ -240,18 +288,39 @@
         return;
     this->isFetching = true;
     startFiber([this, peer] {
+        const Endpoint& own = this->proxy.settings().peers;
         HttpClient client(peer, 0);
         HttpRequest request;
         request.method = "GET";
-        request.target = "/configuration";
+        request.target = configurationTarget;
+        request.headers = { { versionHeader, std::to_string(this->configurationVersion()) },
+            { contactHeader, own.address + ":" + std::to_string(own.port) } };
         const Result<HttpResponse> response = client.send(request, now() + peerTimeout);
         if (response && response.value().status == 200)
             this->installDocument(response.value().body, "peer " + peer.address);
-        else
+        else if (!response || response.value().status != 204)
             logEvent(LogLevel::Warning, "configuration not fetched from a peer",
                 { { "peer", peer.address }, { "detail", response ? std::to_string(response.value().status) : response.error().detail } });
         this->isFetching = false;
     });
 }
 
+HttpResponse ControlFollower::answerPeer(const HttpRequest& request)
+{
+    if (request.target != configurationTarget)
+        return HttpResponse { 404, "text/plain", {}, {} };
+    const std::string* contact = request.header(contactHeader);
+    if (const std::optional<Endpoint> asker = contact ? parseEndpoint(*contact) : std::nullopt) {
+        std::erase(this->contacts, *asker);
+        this->contacts.push_back(*asker);
+        if (this->contacts.size() > maxContacts)
+            this->contacts.erase(this->contacts.begin());
+    }
+    const std::string* version = request.header(versionHeader);
+    const uint64_t held = version ? std::strtoull(version->c_str(), nullptr, 10) : 0;
+    if (this->document.empty() || this->configurationVersion() <= held)
+        return HttpResponse { 204, "text/plain", {}, {} };
+    return HttpResponse { 200, "application/json", {}, this->document };
+}
+
 }
--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailtrail/net/Http.h"
 #include "foxtailtrail/proxy/DeclarationDecoder.h"
 #include "foxtailtrail/proxy/PeerExchange.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace foxtail {
 
@@ -21,14 +23,14 @@
 
     // Starts the fibers.
     void start();
-    // The newest configuration as the store gave it, for peers; empty when there is none.
-    const std::string& configurationDocument() const { return this->document; }
     // Whether no table has been readable for a while.
     bool isStoreLost() const { return this->tablesLost == tableCount; }
     // Reads the fleet's rows and the list of servers now. Fails when the store does not answer.
     Result<void> refreshFleet();
-    // Asks a peer for its configuration, in a fiber of its own.
+    // Asks a peer for a configuration that is newer than this VM's, in a fiber of its own.
     void fetchFromPeer(const Endpoint&);
+    // Answers the request of another VM for a newer configuration, and remembers that VM.
+    HttpResponse answerPeer(const HttpRequest&);
 
 private:
     static constexpr size_t tableCount = 3;
@@ -41,7 +43,12 @@
     void applyServers(const RowSet&, bool isWhole);
     void applyFleet(const RowSet&, bool isWhole);
     void installDocument(const std::string&, std::string_view source);
-    void askSeeds();
+    // The version of the installed configuration, or 0.
+    uint64_t configurationVersion() const;
+    // Asks one of the VMs that this one knows, another one each time.
+    void askNextPeer();
+    // Has the seeds that the store does not list learn of this VM, and asks them for their configuration.
+    void introduceToSeeds();
     // Writes this VM's own row unless it is there.
     void registerSelf();
 
@@ -50,8 +57,14 @@
     const DeclarationDecoder& decoder;
     PeerExchange& peers;
     TimePoint startedAt {};
+    // The newest configuration as the store gave it, for peers; empty when there is none.
     std::string document;
     std::map<std::string, PeerEntry> knownPeers;
+    // VMs that have asked this one, the newest last. The store need not list them.
+    std::vector<Endpoint> contacts;
+    size_t nextAsked = 0;
+    // A VM that is configured asks again after this time.
+    TimePoint askAgainAt {};
     size_t tablesLost = 0;
     // Notified when a table can be read again: then the others are tried too.
     boost::fibers::mutex regainedMutex;
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -54,7 +54,7 @@
     peer.address = this->settings.peers.address;
     peer.port = this->settings.peers.port;
     BOOST_OUTCOME_TRY(
-        this->peerServer, HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->answerPeer(request); }));
+        this->peerServer, HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->follower.answerPeer(request); }));
     if (this->settings.metricsPort != 0) {
         HttpServerSettings metrics = peer;
         metrics.port = this->settings.metricsPort;
@@ -117,13 +117,6 @@
 
 HttpResponse ProxyVm::answerReady(const HttpRequest&) const { return HttpResponse { this->isReady() ? 200U : 503U, "text/plain", {}, {} }; }
 
-HttpResponse ProxyVm::answerPeer(const HttpRequest& request) const
-{
-    if (request.target != "/configuration" || this->follower.configurationDocument().empty())
-        return HttpResponse { 404, "text/plain", {}, {} };
-    return HttpResponse { 200, "application/json", {}, this->follower.configurationDocument() };
-}
-
 HttpResponse ProxyVm::answerMetrics(const HttpRequest& request)
 {
     if (request.target != "/metrics")
--- a/foxtailtrail/proxy/ProxyVm.h
+++ b/foxtailtrail/proxy/ProxyVm.h
@@ -39,7 +39,6 @@
     void reload();
     HttpResponse answerReady(const HttpRequest&) const;
     HttpResponse answerMetrics(const HttpRequest&);
-    HttpResponse answerPeer(const HttpRequest&) const;
     bool isReady() const;
     // Cut off from the store and from most other VMs.
     bool isIsolated() const;
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -218,6 +218,31 @@
         }
     }
 
+    // Guards against a VM that the store never serves, and that no other VM lists for that reason, left out of a new configuration. The
+    // first VM is the only seed, so it knows nobody by itself.
+    TEST(UnlistedVmTest, AVmThatNeverReachesTheStoreLearnsOfEachConfiguration)
+    {
+        for (const size_t unlisted : { size_t { 0 }, size_t { 2 } }) {
+            // A port that is bound and does not listen refuses connections.
+            boost::asio::io_context context;
+            boost::asio::ip::tcp::socket closed(context);
+            closed.open(boost::asio::ip::tcp::v4());
+            closed.bind({ boost::asio::ip::address_v4::loopback(), 0 });
+            Fleet::Links links;
+            links.storePort = [&](size_t vm, uint16_t port) { return vm == unlisted ? closed.local_endpoint().port() : port; };
+            Fleet fleet(3, links);
+            ASSERT_TRUE(fleet.waitUntilReady()) << fleet.logs();
+            fleet.extraDatabases.emplace_back("fresh");
+            fleet.publish();
+            EXPECT_TRUE(eventually([&] {
+                Caller caller(fleet.callerPort(unlisted));
+                return caller.isConnected() && caller.start("fresh", "key-of-orga").succeeded();
+            })) << "vm"
+                << unlisted << "\n"
+                << fleet.logs();
+        }
+    }
+
     // Guards against a VM that cannot start serving while the store turns it away, although its peers have the configuration.
     TEST_F(FleetTest, AVmThatTheStoreRejectsStartsWithTheConfigurationOfItsPeers)
     {
