Take no newer term from a read of a former primary

The old primary was demoted and followed the new one; a VM that the store turned away still took it for the primary. Its answer to a read carried the new term, which became the primary's term there, so that a replica of the new primary then proved its lease. Ruled out: the lease itself and the wait of the promotion (primary replaced at 10.57 s, demoted at 10.67 s, stale read at 11.16 s).

--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -40,8 +40,15 @@
         return;
     this->failingSince.reset();
     this->failures = 0;
-    if (position && this->leaderTerm < position->term)
-        this->leaderTerm = position->term;
+    // Only an acknowledged commit shows that the server leads in a newer term. A read may come from a former primary that has become a
+    // replica of the new one; its status tells.
+    if (position && this->leaderTerm < position->term) {
+        this->leaderTerm = isCommit ? position->term : Term {};
+        if (!isCommit) {
+            this->lease.revoke();
+            return;
+        }
+    }
     if (isCommit) {
         this->commitsUnansweredSince.reset();
         this->unansweredCommits = 0;
--- a/tests/proxy/GroupTrafficTest.cpp
+++ b/tests/proxy/GroupTrafficTest.cpp
@@ -87,6 +87,20 @@
         EXPECT_EQ(this->host.examinations, 1U);
     }
 
+    // Guards against a former primary that answers reads as a replica of the new one, and so passes for the primary of the new term
+    // (STALE on kongres-app-grown trouble-1).
+    TEST_F(GroupTrafficTest, AReadWithANewerTermDoesNotMakeItsServerThePrimaryOfThatTerm)
+    {
+        this->commitAt(this->now, 6);
+        this->group->noteAnswer(oldPrimary, point(2, 190), this->now + milliseconds(100), false);
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(100)));
+        this->group->noteStatus(answered(replica, false, 2), this->now + milliseconds(200));
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(200)));
+        // A commit that it acknowledges in the new term is a proof.
+        this->group->noteAnswer(oldPrimary, point(2, 191), this->now + milliseconds(300), true);
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(300)));
+    }
+
     // Guards against a proof by a replica that was told to pause.
     TEST_F(GroupTrafficTest, APausedReplicaProvesNothing)
     {
