Bound the time of connects to the store, and greet peers out of phase

Greetings with newer versions did not help: all VMs went round their peers in the same order and in step, so that in a fleet of 72 a VM was greeted by all others at once, every 12 s. Ruled out: the store's feed and the peers' documents (the version was fetched within 60 ms once asked for). Change: a connect takes at most 0.8 s; each VM begins its rounds at another peer; the log names the source of a configuration.

--- a/foxtailtrail/net/HttpClient.cpp
+++ b/foxtailtrail/net/HttpClient.cpp
@@ -5,6 +5,7 @@
 #include "foxtailtrail/net/FiberThread.h"
 #include "foxtailtrail/net/KeepAlive.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -21,6 +22,10 @@
     // Answers of other VMs and the store stay well below this size.
     constexpr uint64_t maxAnswerBytes = uint64_t { 64 } << 20;
 
+    // A connection across regions takes about 20 ms. The kernel repeats an unanswered opening only after seconds, so one that was begun
+    // during a partition outlasts it.
+    constexpr Duration connectTimeout = std::chrono::milliseconds(800);
+
     // A kept connection is usable when its server has neither closed it nor sent anything.
     bool isUsable(beast::tcp_stream& stream)
     {
@@ -108,7 +113,7 @@
         if (code)
             return fail(ErrorKind::PeerUnavailable, "\"" + this->endpoint.address + "\" is not an IP address");
         auto stream = std::make_unique<beast::tcp_stream>(FiberThread::current()->ioContext());
-        stream->expires_at(toSteady(deadline));
+        stream->expires_at(toSteady(std::min(deadline, now() + connectTimeout)));
         const IoOutcome connected = awaitIo([&](auto callback) {
             stream->async_connect(
                 Tcp::endpoint(address, this->endpoint.port), [callback](beast::error_code outcome) mutable { callback(outcome); });
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -163,7 +163,7 @@
         logEvent(LogLevel::Error, "configuration cannot be read", { { "source", source }, { "detail", table.error().detail } });
         return;
     }
-    if (this->proxy.install(std::make_shared<const RouteTable>(std::move(table.value()))))
+    if (this->proxy.install(std::make_shared<const RouteTable>(std::move(table.value())), source))
         this->document = newer;
 }
 
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -19,6 +19,8 @@
     // Peers that are greeted at a time, so that the cost of a VM does not grow with the fleet.
     constexpr size_t greetedAtATime = 3;
     constexpr size_t greetedAtOnce = 16;
+    // Upper bound of the places in the order of peers at which a VM begins.
+    constexpr uint64_t greetingOrders = 1'000'003;
     // Without a greeting for this long a peer counts as away: it may have been left out of a dozen rounds.
     constexpr Duration peerSilence = std::chrono::seconds(4);
     // Two greetings of each peer of a small fleet come within this time, and the greetings of several peers of a large one.
@@ -48,6 +50,8 @@
     , newerConfiguration(std::move(newerConfiguration))
     , socket(context)
     , greetingTimer(context)
+    // The rounds of the VMs begin at different peers, so that each peer hears of one VM after the other and not of all at once.
+    , nextPeer(stableHash(proxy.settings().vmId.value) % greetingOrders)
     , startedAt(bootNow())
     , ledger(proxy.settings().quota)
 {
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -77,14 +77,14 @@
     });
 }
 
-bool SessionProxy::install(std::shared_ptr<const RouteTable> newer)
+bool SessionProxy::install(std::shared_ptr<const RouteTable> newer, std::string_view source)
 {
     if (this->table && newer->version <= this->table->version)
         return false;
     this->table = std::move(newer);
     logEvent(LogLevel::Info, "configuration installed",
         { { "version", this->table->version }, { "routes", this->table->routes.size() },
-            { "organisations", this->table->organisations.size() } });
+            { "organisations", this->table->organisations.size() }, { "source", source } });
     this->updateBudgets();
     std::list<ConfigurationWaiter> waiting;
     waiting.swap(this->configurationWaiters);
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -55,7 +55,8 @@
     void setQuotaTick(std::function<void()> tick) { this->quotaTick = std::move(tick); }
 
     // Installs a configuration. One that is not newer than the installed one is ignored. Returns whether it was installed.
-    bool install(std::shared_ptr<const RouteTable>);
+    // The source tells the log where it came from.
+    bool install(std::shared_ptr<const RouteTable>, std::string_view source);
     bool isConfigured() const { return this->table != nullptr; }
     const RouteTable& routeTable() const { return *this->table; }
     // Calls back once a configuration is there, or with false after a bounded time.
