--- a/foxtailtrail/base/Json.cpp
+++ b/foxtailtrail/base/Json.cpp
@@ -49,6 +49,14 @@
     return memberFault(name, "a whole number of at least 0");
 }
 
+Result<double> numberMember(const json::object& object, std::string_view name)
+{
+    const json::value* value = object.if_contains(name);
+    if (!value || !value->is_number())
+        return memberFault(name, "a number");
+    return value->to_number<double>();
+}
+
 Result<bool> booleanMember(const json::object& object, std::string_view name)
 {
     const json::value* value = object.if_contains(name);
--- a/foxtailtrail/base/Json.h
+++ b/foxtailtrail/base/Json.h
@@ -20,6 +20,7 @@
 // A required member of the given type. Fails with MalformedRequest, naming the member and the type it must have.
 Result<std::string> stringMember(const json::object&, std::string_view name);
 Result<uint64_t> unsignedMember(const json::object&, std::string_view name);
+Result<double> numberMember(const json::object&, std::string_view name);
 Result<bool> booleanMember(const json::object&, std::string_view name);
 Result<json::object> objectMember(const json::object&, std::string_view name);
 Result<json::array> arrayMember(const json::object&, std::string_view name);
--- a/foxtailtrail/proxy/BackendLink.h
+++ b/foxtailtrail/proxy/BackendLink.h
@@ -2,14 +2,12 @@
 
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/proxy/BackendCodec.h"
-#include "foxtailtrail/proxy/Stream.h"
 #include "foxtailtrail/replication/ServerDirectory.h"
 #include "foxtailtrail/session/LinkState.h"
 
 #include <deque>
-#include <functional>
-#include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace foxtail {
@@ -30,17 +28,15 @@
     bool succeeded() const { return this->refusal == BackendRefusal::None; }
 };
 
-// How the opening of a connection ended.
-enum class LinkOpening : uint8_t {
-    Opened,
-    // The machine refused the connection: no process listens.
+// How a request for a connection ended.
+enum class Acquisition : uint8_t {
+    Acquired,
     Refused,
-    // No connection in time, or it broke.
     Unreachable,
-    // The server has its maximum of connections.
-    TooMany,
-    // The address belongs to another server now.
-    Misrouted,
+    // All connections that this VM may hold, or the server accepts, are in use.
+    Full,
+    // The address belongs to another server, or this one is gone.
+    Gone,
 };
 
 // Whoever uses a link is told of its replies and its loss.
@@ -49,19 +45,21 @@
     virtual ~LinkUser() = default;
     virtual void linkReplied(LinkReply&&) = 0;
     virtual void linkLost() = 0;
+    // No connection could be had for the link's statements, so none of them was sent to the server.
+    virtual void linkDenied(Acquisition) { this->linkLost(); }
+    // Takes the bytes of each message of an answer, before linkReplied().
+    virtual void linkMessage(std::string_view) { }
 };
 
-// A connection to a backend server for one organisation. It is used by one session at a time.
-class BackendLink final : public Stream {
+// A connection to a backend server for one organisation, used by one session at a time. The implementations carry the bytes.
+class BackendLink {
 public:
-    using OpenCallback = std::function<void(LinkOpening, std::shared_ptr<BackendLink>)>;
-
-    // Connects and introduces the organisation. The callback is not called before open() returns.
-    static std::shared_ptr<BackendLink> open(
-        boost::asio::io_context&, const BackendCodec&, const ServerEntry&, const std::string& organisation, OpenCallback);
+    BackendLink(const BackendCodec&, ServerEntry, std::string organisation);
+    virtual ~BackendLink() = default;
+    BackendLink(const BackendLink&) = delete;
+    BackendLink& operator=(const BackendLink&) = delete;
 
     const BackendServerId& server() const { return this->entry.id; }
-    const ServiceName& service() const { return this->entry.service; }
     const std::string& organisation() const { return this->organisationName; }
     LinkState& state() { return this->linkState; }
 
@@ -71,27 +69,40 @@
     void sendStatements(std::string_view bytes, size_t count);
     // Statements without an answer yet.
     size_t outstanding() const { return this->sentTimes.size(); }
-    // Ends an opening that takes too long; the callback gets Unreachable.
-    void abandonOpening();
     // Whether the last answer left the connection outside of a transaction.
-    bool isClean() const { return this->sentTimes.empty() && this->lastState == TransactionState::None && this->isOpen(); }
+    bool isClean() const { return this->sentTimes.empty() && this->lastState == TransactionState::None && this->isUsable(); }
+
+    virtual bool isUsable() const = 0;
+    // Ends the connection at once, so that the server rolls back. The user is not told.
+    virtual void shut() = 0;
+    // Whether the loss of the link is a sign of trouble at the server, and not of what lies between.
+    virtual bool lossConcernsServer() const { return true; }
+    // Until when the statements may wait for a connection before they are sent; in the past when the connection is there.
+    virtual TimePoint startsBy() const { return TimePoint {}; }
 
     // When the link was last given back.
     TimePoint idleSince {};
 
-private:
-    BackendLink(boost::asio::io_context&, const BackendCodec&, ServerEntry, std::string organisation, OpenCallback);
-    void connect();
-    void finishOpening(LinkOpening);
-    size_t received(std::string_view bytes) override;
-    void disconnected() override;
-    // Handles one message. Returns false when the link must not go on.
-    bool handle(const BackendMessage&);
+protected:
+    virtual void write(std::string_view bytes, size_t statements) = 0;
+    // Handles the whole messages at the front of the bytes. Returns how many bytes they took, or nothing when the link must not go on.
+    std::optional<size_t> takeMessages(std::string_view bytes);
+    // Handles an error that the answer to the opening consists of.
+    virtual void openingRefused(BackendRefusal) { }
+    // Takes the answer to a statement, or to the opening. Returns whether it was one to the opening.
+    virtual bool openingAnswered() { return false; }
+    // Tells the user that the link is lost, once.
+    void tellLost();
+    LinkUser* linkUser() const { return this->user; }
 
     const BackendCodec& codec;
     ServerEntry entry;
+
+private:
+    // Handles one message.
+    void handle(const BackendMessage&);
+
     std::string organisationName;
-    OpenCallback openCallback;
     LinkUser* user = nullptr;
     LinkState linkState;
     // The answer that is being received.
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -237,7 +237,8 @@
 void ControlFollower::registerSelf()
 {
     const ProxySettings& settings = this->proxy.settings();
-    const PeerEntry self { settings.vmId, settings.peers, settings.datagramPort, settings.dataCentre };
+    const PeerEntry self { settings.vmId, settings.peers, settings.datagramPort, settings.relayPort, settings.dataCentre,
+        settings.processorShare };
     const auto known = this->knownPeers.find(vmRowKey(self.id));
     if (known != this->knownPeers.end() && known->second == self) {
         this->isRegistered = true;
--- /dev/null
+++ b/foxtailtrail/proxy/DirectLink.cpp
@@ -0,0 +1,110 @@
+#include "foxtailtrail/proxy/DirectLink.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace foxtail {
+
+using Tcp = boost::asio::ip::tcp;
+
+std::shared_ptr<DirectLink> DirectLink::open(boost::asio::io_context& context, const BackendCodec& codec, const ServerEntry& entry,
+    const std::string& organisation, OpenCallback callback)
+{
+    std::shared_ptr<DirectLink> link(new DirectLink(context, codec, entry, organisation, std::move(callback)));
+    link->connect();
+    return link;
+}
+
+DirectLink::DirectLink(boost::asio::io_context& context, const BackendCodec& codec, const ServerEntry& entry,
+    const std::string& organisation, OpenCallback callback)
+    : Stream(context)
+    , BackendLink(codec, entry, organisation)
+    , openCallback(std::move(callback))
+{
+}
+
+void DirectLink::connect()
+{
+    boost::system::error_code code;
+    const auto address = boost::asio::ip::make_address(this->entry.address, code);
+    auto self = std::static_pointer_cast<DirectLink>(this->shared_from_this());
+    if (code) {
+        boost::asio::post(this->socket.get_executor(), [self] { self->finishOpening(LinkOpening::Unreachable); });
+        return;
+    }
+    this->socket.async_connect(Tcp::endpoint(address, this->entry.port), [self](const boost::system::error_code& failure) {
+        if (!self->openCallback)
+            return;
+        if (failure) {
+            const bool refused = failure == boost::asio::error::connection_refused;
+            self->finishOpening(refused ? LinkOpening::Refused : LinkOpening::Unreachable);
+            return;
+        }
+        self->startReading();
+        std::string start;
+        self->codec.writeStart(start, self->entry.service, self->organisation(), self->entry.id);
+        self->sendStatements(start, 1);
+    });
+}
+
+void DirectLink::finishOpening(LinkOpening opening)
+{
+    if (!this->openCallback)
+        return;
+    auto self = std::static_pointer_cast<DirectLink>(this->shared_from_this());
+    const OpenCallback callback = std::exchange(this->openCallback, nullptr);
+    if (opening != LinkOpening::Opened)
+        this->close();
+    callback(opening, self);
+}
+
+void DirectLink::abandonOpening() { this->finishOpening(LinkOpening::Unreachable); }
+
+void DirectLink::sayFarewell()
+{
+    std::string farewell;
+    this->codec.writeTerminate(farewell);
+    this->setUser(nullptr);
+    this->send(farewell);
+    this->close();
+}
+
+void DirectLink::write(std::string_view bytes, size_t) { this->send(bytes); }
+
+void DirectLink::openingRefused(BackendRefusal refusal)
+{
+    // A refused opening is followed by a close, not by the server's readiness.
+    if (!this->openCallback)
+        return;
+    const bool full = refusal == BackendRefusal::TooMany || refusal == BackendRefusal::Busy;
+    const bool misrouted = refusal == BackendRefusal::Misrouted;
+    this->finishOpening(full ? LinkOpening::TooMany : misrouted ? LinkOpening::Misrouted : LinkOpening::Unreachable);
+}
+
+bool DirectLink::openingAnswered()
+{
+    if (!this->openCallback)
+        return false;
+    this->finishOpening(LinkOpening::Opened);
+    return true;
+}
+
+size_t DirectLink::received(std::string_view bytes)
+{
+    const std::optional<size_t> used = this->takeMessages(bytes);
+    if (used)
+        return *used;
+    this->close();
+    this->disconnected();
+    return bytes.size();
+}
+
+void DirectLink::disconnected()
+{
+    // A server at its maximum resets connections that it has accepted.
+    this->finishOpening(LinkOpening::TooMany);
+    this->tellLost();
+}
+
+}
--- a/foxtailtrail/proxy/ServerPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -1,4 +1,4 @@
-#include "foxtailtrail/proxy/ServerPool.h"
+#include "foxtailtrail/proxy/DirectPool.h"
 
 #include "foxtailtrail/proxy/BootClock.h"
 
@@ -25,16 +25,16 @@
 
 }
 
-ServerPool::ServerPool(boost::asio::io_context& context, const BackendCodec& codec, ServerEntry entry, OpeningObserver observer)
-    : context(context)
+DirectPool::DirectPool(boost::asio::io_context& context, const BackendCodec& codec, const ServerEntry& entry, OpeningObserver observer)
+    : ServerPool(entry)
+    , context(context)
     , codec(codec)
-    , entry(std::move(entry))
     , observer(std::move(observer))
     , random(static_cast<std::minstd_rand::result_type>(bootNow().time_since_epoch().count()))
 {
 }
 
-void ServerPool::noteBusy()
+void DirectPool::noteBusy()
 {
     const TimePoint now = bootNow();
     const double spread = std::uniform_real_distribution<double>(0, 1)(this->random);
@@ -42,13 +42,13 @@
     this->serveWaitersAt(this->busyUntil);
 }
 
-void ServerPool::serveWaitersAt(TimePoint time)
+void DirectPool::serveWaitersAt(TimePoint time)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(this->context, std::max(Duration(0), time - bootNow()));
     timer->async_wait([self = this->shared_from_this(), timer](const boost::system::error_code&) { self->serveWaiters(); });
 }
 
-uint64_t ServerPool::acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, Callback callback)
+uint64_t DirectPool::acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, Callback callback)
 {
     if (this->retired) {
         callback(Acquisition::Gone, nullptr);
@@ -57,7 +57,7 @@
     const TimePoint now = bootNow();
     // Those that wait go first.
     if (this->waiters.empty() && this->mayStart(now)) {
-        if (std::shared_ptr<BackendLink> free = this->takeFree(organisation)) {
+        if (std::shared_ptr<DirectLink> free = this->takeFree(organisation)) {
             callback(Acquisition::Acquired, free);
             return 0;
         }
@@ -73,34 +73,34 @@
     return ticket;
 }
 
-void ServerPool::cancel(uint64_t ticket)
+void DirectPool::cancel(uint64_t ticket)
 {
     this->waiters.remove_if([&](const Waiter& waiter) { return waiter.ticket == ticket; });
 }
 
-std::shared_ptr<BackendLink> ServerPool::takeFree(const std::string& organisation)
+std::shared_ptr<DirectLink> DirectPool::takeFree(const std::string& organisation)
 {
     for (auto link = this->idle.rbegin(); link != this->idle.rend(); ++link) {
         if ((*link)->organisation() != organisation)
             continue;
-        std::shared_ptr<BackendLink> free = *link;
+        std::shared_ptr<DirectLink> free = *link;
         this->idle.erase(std::next(link).base());
         if (!free->isClean())
             return this->takeFree(organisation);
-        ++this->inUse;
+        this->inUse.emplace(free.get(), free);
         ++this->inUseBy[organisation];
         return free;
     }
     return nullptr;
 }
 
-bool ServerPool::hasFree(const std::string& organisation) const
+bool DirectPool::hasFree(const std::string& organisation) const
 {
     return std::any_of(this->idle.begin(), this->idle.end(),
-        [&](const std::shared_ptr<BackendLink>& link) { return link->organisation() == organisation; });
+        [&](const std::shared_ptr<DirectLink>& link) { return link->organisation() == organisation; });
 }
 
-std::list<ServerPool::Waiter>::iterator ServerPool::nextWaiter()
+std::list<DirectPool::Waiter>::iterator DirectPool::nextWaiter()
 {
     // Within a priority, the organisation that uses the server least goes first; connections being opened for it count as used.
     const TimePoint now = bootNow();
@@ -130,20 +130,31 @@
     return best;
 }
 
-void ServerPool::serveWaiters()
+void DirectPool::serveWaiters()
+{
+    // A waiter that gives its connection back at once comes here again; the loop then goes on for it.
+    if (this->serving)
+        return;
+    const auto self = this->shared_from_this();
+    this->serving = true;
+    this->serveWhilePossible();
+    this->serving = false;
+}
+
+void DirectPool::serveWhilePossible()
 {
     while (!this->retired && this->mayStart(bootNow())) {
         const auto waiter = this->nextWaiter();
         if (waiter == this->waiters.end())
             return;
-        if (std::shared_ptr<BackendLink> free = this->takeFree(waiter->organisation)) {
+        if (std::shared_ptr<DirectLink> free = this->takeFree(waiter->organisation)) {
             const Callback callback = std::move(waiter->callback);
             this->waiters.erase(waiter);
             callback(Acquisition::Acquired, free);
             continue;
         }
         // An opening takes a slot of the server, like a statement.
-        if (bootNow() < this->fullUntil || this->inUse + this->opening.size() >= this->window.size())
+        if (bootNow() < this->fullUntil || this->running() + this->opening.size() >= this->window.size())
             return;
         // A free connection of another organisation makes room.
         if (this->size() >= this->budget) {
@@ -155,35 +166,31 @@
     }
 }
 
-void ServerPool::closeOldest()
+void DirectPool::closeOldest()
 {
-    const std::shared_ptr<BackendLink> oldest = this->idle.front();
+    const std::shared_ptr<DirectLink> oldest = this->idle.front();
     this->idle.pop_front();
-    std::string farewell;
-    this->codec.writeTerminate(farewell);
-    oldest->setUser(nullptr);
-    oldest->send(farewell);
-    oldest->close();
+    oldest->sayFarewell();
 }
 
-bool ServerPool::isWanted(const std::string& organisation) const
+bool DirectPool::isWanted(const std::string& organisation) const
 {
     return std::any_of(
         this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.organisation == organisation; });
 }
 
-void ServerPool::openFor(const std::string& organisation)
+void DirectPool::openFor(const std::string& organisation)
 {
     auto self = this->shared_from_this();
-    auto link = BackendLink::open(this->context, this->codec, this->entry, organisation,
-        [self](LinkOpening how, const std::shared_ptr<BackendLink>& openedLink) { self->opened(how, openedLink); });
+    auto link = DirectLink::open(this->context, this->codec, this->server(), organisation,
+        [self](LinkOpening how, const std::shared_ptr<DirectLink>& openedLink) { self->opened(how, openedLink); });
     this->opening.push_back({ std::move(link), bootNow() + openTimeout });
 }
 
-void ServerPool::opened(LinkOpening how, const std::shared_ptr<BackendLink>& link)
+void DirectPool::opened(LinkOpening how, const std::shared_ptr<DirectLink>& link)
 {
     this->opening.remove_if([&](const Opening& each) { return each.link == link; });
-    this->observer(this->entry.id, how);
+    this->observer(this->server().id, how);
     if (how == LinkOpening::Opened) {
         link->idleSince = bootNow();
         this->idle.push_back(link);
@@ -200,7 +207,7 @@
                                                   : Acquisition::Unreachable);
 }
 
-void ServerPool::failWaiters(Acquisition outcome)
+void DirectPool::failWaiters(Acquisition outcome)
 {
     std::list<Waiter> failed;
     failed.swap(this->waiters);
@@ -208,19 +215,36 @@
         waiter.callback(outcome, nullptr);
 }
 
-void ServerPool::endUse(BackendLink& link)
+size_t DirectPool::running() const
+{
+    return static_cast<size_t>(
+        std::count_if(this->inUse.begin(), this->inUse.end(), [](const auto& used) { return used.first->outstanding() > 0; }));
+}
+
+void DirectPool::noteAnswer()
+{
+    this->window.noteAnswer();
+    // The server has a slot again, also when a transaction keeps the connection.
+    if (!this->waiters.empty())
+        this->serveWaiters();
+}
+
+std::shared_ptr<DirectLink> DirectPool::endUse(const std::shared_ptr<BackendLink>& link)
 {
-    assert(this->inUse > 0);
-    --this->inUse;
-    link.setUser(nullptr);
-    const auto used = this->inUseBy.find(link.organisation());
-    if (--used->second == 0)
-        this->inUseBy.erase(used);
+    const auto used = this->inUse.find(link.get());
+    assert(used != this->inUse.end());
+    std::shared_ptr<DirectLink> ended = std::move(used->second);
+    this->inUse.erase(used);
+    ended->setUser(nullptr);
+    const auto count = this->inUseBy.find(ended->organisation());
+    if (--count->second == 0)
+        this->inUseBy.erase(count);
+    return ended;
 }
 
-void ServerPool::release(const std::shared_ptr<BackendLink>& link)
+void DirectPool::release(const std::shared_ptr<BackendLink>& given)
 {
-    this->endUse(*link);
+    const std::shared_ptr<DirectLink> link = this->endUse(given);
     // What this VM holds beyond its own part of the server's maximum is missing to others.
     const bool isSurplus = this->size() >= this->keptIdle && !this->isWanted(link->organisation());
     if (!link->isClean() || this->retired || (isSurplus && this->idle.empty())) {
@@ -234,22 +258,21 @@
     this->serveWaiters();
 }
 
-void ServerPool::drop(const std::shared_ptr<BackendLink>& link)
+void DirectPool::drop(const std::shared_ptr<BackendLink>& link)
 {
-    this->endUse(*link);
-    link->close();
+    this->endUse(link)->close();
     this->serveWaiters();
 }
 
-void ServerPool::setBudget(size_t most, size_t kept)
+void DirectPool::setBudget(size_t most, size_t kept)
 {
     this->budget = std::max<size_t>(1, most);
     this->keptIdle = kept;
 }
 
-void ServerPool::sweep(TimePoint now)
+void DirectPool::sweep(TimePoint now)
 {
-    std::list<std::shared_ptr<BackendLink>> overdue;
+    std::list<std::shared_ptr<DirectLink>> overdue;
     for (const Opening& each : this->opening) {
         if (each.deadline <= now)
             overdue.push_back(each.link);
@@ -267,7 +290,7 @@
     for (Waiter& waiter : late)
         waiter.callback(Acquisition::Full, nullptr);
 
-    this->idle.remove_if([&](const std::shared_ptr<BackendLink>& link) { return !link->isClean(); });
+    this->idle.remove_if([&](const std::shared_ptr<DirectLink>& link) { return !link->isClean(); });
     while (!this->idle.empty()) {
         const Duration limit = this->size() > this->keptIdle ? surplusIdleTime : maxIdleTime;
         if (this->idle.front()->idleSince + limit > now)
@@ -279,7 +302,7 @@
         this->serveWaiters();
 }
 
-void ServerPool::retire()
+void DirectPool::retire()
 {
     this->retired = true;
     for (const auto& link : this->idle)
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -30,6 +30,9 @@
         BOOST_OUTCOME_TRY(const uint64_t datagrams, unsignedMember(object, "datagramPort"));
         entry.control.port = static_cast<uint16_t>(control);
         entry.datagramPort = static_cast<uint16_t>(datagrams);
+        BOOST_OUTCOME_TRY(const uint64_t relay, unsignedMember(object, "relayPort"));
+        entry.relayPort = static_cast<uint16_t>(relay);
+        BOOST_OUTCOME_TRY(entry.processorShare, numberMember(object, "processorShare"));
         return entry;
     }
 
@@ -64,7 +67,8 @@
 std::string encodePeer(const PeerEntry& entry)
 {
     return json::serialize(json::object { { "address", entry.control.address }, { "controlPort", entry.control.port },
-        { "datagramPort", entry.datagramPort }, { "dataCentre", entry.dataCentre.value } });
+        { "datagramPort", entry.datagramPort }, { "relayPort", entry.relayPort }, { "dataCentre", entry.dataCentre.value },
+        { "processorShare", entry.processorShare } });
 }
 
 std::string encodeLeader(const LeaderRecord& record)
--- a/foxtailtrail/proxy/LinkRollback.cpp
+++ b/foxtailtrail/proxy/LinkRollback.cpp
@@ -7,7 +7,7 @@
 void LinkRollback::start(PinnedLink pinned, const BackendCodec& codec)
 {
     // A connection with an answer outstanding is never used again; closing it rolls back.
-    if (!pinned.link->isOpen() || pinned.link->outstanding() > 0) {
+    if (!pinned.link->isUsable() || pinned.link->outstanding() > 0) {
         pinned.pool->drop(pinned.link);
         return;
     }
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -103,11 +103,21 @@
 
 void PeerExchange::updateFleet(TimePoint now)
 {
-    std::map<DataCentre, size_t> vms { { this->proxy.settings().dataCentre, 1 } };
+    const ProxySettings& own = this->proxy.settings();
+    std::map<DataCentre, size_t> vms { { own.dataCentre, 1 } };
+    std::vector<RelayCandidate> relays { { own.vmId, own.dataCentre, own.processorShare } };
+    std::map<VmId, Endpoint> relayAddresses;
     for (const auto& [id, peer] : this->peers) {
-        if (now < std::max(peer.heardAt, peer.knownSince) + peerForgotten)
-            ++vms[peer.entry.dataCentre];
+        if (now >= std::max(peer.heardAt, peer.knownSince) + peerForgotten)
+            continue;
+        ++vms[peer.entry.dataCentre];
+        // Not every VM hears every other one often, and all should see the same candidates. Relays that are away are noticed in use.
+        if (now < peer.avoidUntil)
+            continue;
+        relays.push_back({ id, peer.entry.dataCentre, peer.entry.processorShare });
+        relayAddresses.emplace(id, Endpoint { peer.entry.control.address, peer.entry.relayPort });
     }
+    this->proxy.setRelays(relays, std::move(relayAddresses));
     this->proxy.setFleet(std::move(vms));
 }
 
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -23,7 +23,10 @@
     // Where it answers requests for the configuration.
     Endpoint control;
     uint16_t datagramPort = 0;
+    // Where it lets other VMs use its connections to backend servers.
+    uint16_t relayPort = 0;
     DataCentre dataCentre;
+    double processorShare = 1;
     bool operator==(const PeerEntry&) const = default;
 };
 
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -81,6 +81,9 @@
         settings.dataCentre = DataCentre(reader.read<std::string>("vm", "dataCentre", "a name"));
         settings.region = Region(reader.read<std::string>("vm", "region", "a name"));
         settings.regions = reader.read<std::map<std::string, std::string>>("vm", "regions", "a map from data centre to region", false);
+        settings.processorShare = reader.read<double>("vm", "processorShare", "a number above 0", false);
+        if (settings.processorShare == 0)
+            settings.processorShare = 1;
         settings.logLevel = reader.read<std::string>("vm", "logLevel", "debug, info, warning or error", false);
         if (settings.logLevel.empty())
             settings.logLevel = "info";
@@ -88,6 +91,7 @@
         settings.ready = reader.endpoint("listen", "ready");
         settings.peers = reader.endpoint("listen", "peers");
         settings.datagramPort = reader.read<uint16_t>("listen", "datagramPort", "a port");
+        settings.relayPort = reader.read<uint16_t>("listen", "relayPort", "a port");
         settings.metricsPort = reader.read<uint16_t>("listen", "metricsPort", "a port", false);
         settings.store = reader.endpoint("platform", "store");
         settings.promotions = reader.endpoint("platform", "promotions", false);
@@ -128,6 +132,8 @@
     ProxySettings settings = readAll(reader);
     if (!logLevelByName(settings.logLevel))
         reader.fault("vm", "logLevel", "must be debug, info, warning or error");
+    if (!(settings.processorShare > 0))
+        reader.fault("vm", "processorShare", "must be above 0");
     if (settings.stopGrace <= Duration(0))
         reader.fault("bounds", "stopGraceSeconds", "must be above 0");
     if (settings.quota.window <= Duration(0))
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -17,6 +17,8 @@
     VmId vmId;
     DataCentre dataCentre;
     Region region;
+    // The part of a core that the VM has.
+    double processorShare = 1;
     // From each data centre to its region.
     std::map<std::string, std::string> regions;
     Endpoint callers;
@@ -25,6 +27,8 @@
     Endpoint peers;
     // Where other VMs send datagrams.
     uint16_t datagramPort = 0;
+    // Where other VMs use this one's connections to backend servers.
+    uint16_t relayPort = 0;
     uint16_t metricsPort = 0;
     // The peer addresses of some VMs, of use when the store cannot be reached at the start.
     std::vector<Endpoint> seeds;
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -30,6 +30,7 @@
     , orders(platform.makeOrders(settings))
     , proxy(thread.ioContext(), settings, platform.callers, platform.backends)
     , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t) { this->follower.fetchFromPeer(peer); })
+    , relay(thread.ioContext(), platform.backends, [this](const BackendServerId& id) { return this->proxy.poolForOthers(id); })
     , follower(proxy, *store, platform.declarations, peers)
     , succession(
           proxy, *store, *orders, [this](std::string_view key) { return this->peers.rankFor(key); },
@@ -44,6 +45,7 @@
     this->proxy.setIsolationCheck([this] { return this->isIsolated(); });
     this->proxy.setQuotaTick([this] { this->peers.quotaTick(); });
     BOOST_OUTCOME_TRY(this->peers.start());
+    BOOST_OUTCOME_TRY(this->relay.listen({ this->settings.peers.address, this->settings.relayPort }));
     HttpServerSettings ready;
     ready.address = this->settings.ready.address;
     ready.port = this->settings.ready.port;
@@ -103,8 +105,9 @@
     const TimePoint end = begun + this->settings.stopGrace - endMargin;
     logEvent(LogLevel::Info, "stopping", { { "sessions", this->proxy.sessionCount() } });
     this->peers.announceStop();
+    this->relay.announceStop();
     this->proxy.startDraining(begun + rotationDelay, begun + this->settings.stopGrace / 2);
-    while (bootNow() < end && (bootNow() < begun + rotationDelay || this->proxy.sessionCount() > 0))
+    while (bootNow() < end && (bootNow() < begun + rotationDelay || this->proxy.sessionCount() > 0 || this->relay.channelCount() > 0))
         sleepFor(stopPollInterval);
     logEvent(LogLevel::Info, "stopped", { { "sessions", this->proxy.sessionCount() } });
     flushLog();
--- a/foxtailtrail/proxy/ProxyVm.h
+++ b/foxtailtrail/proxy/ProxyVm.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/net/HttpServer.h"
 #include "foxtailtrail/proxy/ControlFollower.h"
 #include "foxtailtrail/proxy/PeerExchange.h"
+#include "foxtailtrail/proxy/RelayServer.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
 #include "foxtailtrail/proxy/SuccessionDuty.h"
 
@@ -51,6 +52,7 @@
     std::unique_ptr<PromotionOrders> orders;
     SessionProxy proxy;
     PeerExchange peers;
+    RelayServer relay;
     ControlFollower follower;
     SuccessionDuty succession;
     std::unique_ptr<HttpServer> readyServer;
--- /dev/null
+++ b/foxtailtrail/proxy/RelayFrame.cpp
@@ -0,0 +1,169 @@
+#include "foxtailtrail/proxy/RelayFrame.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/endian/conversion.hpp>
+
+namespace foxtail {
+
+namespace {
+
+    // The largest message of callers and servers is 1 MiB; an answer may hold several.
+    constexpr size_t maxFrameBytes = size_t { 4 } << 20;
+    constexpr auto lastKind = static_cast<uint8_t>(RelayFrameKind::Leaving);
+    constexpr auto lastAcquisition = static_cast<uint8_t>(Acquisition::Gone);
+
+    template <typename Number> void append(std::string& out, Number number)
+    {
+        std::array<unsigned char, sizeof(Number)> bytes {};
+        boost::endian::endian_store<Number, sizeof(Number), boost::endian::order::big>(bytes.data(), number);
+        out.append(reinterpret_cast<const char*>(bytes.data()), bytes.size());
+    }
+
+    // Reads the fields of a frame in their order. A field that is not there makes the whole frame malformed.
+    class FieldReader {
+    public:
+        explicit FieldReader(std::string_view bytes)
+            : rest(bytes)
+        {
+        }
+
+        template <typename Number> Number number()
+        {
+            const std::string_view field = this->text(sizeof(Number));
+            if (field.size() < sizeof(Number))
+                return 0;
+            return boost::endian::endian_load<Number, sizeof(Number), boost::endian::order::big>(
+                reinterpret_cast<const unsigned char*>(field.data()));
+        }
+
+        std::string_view text(size_t size)
+        {
+            this->isComplete = this->isComplete && size <= this->rest.size();
+            const std::string_view field = this->rest.substr(0, std::min(size, this->rest.size()));
+            this->rest.remove_prefix(field.size());
+            return field;
+        }
+
+        std::string_view remaining() const { return this->rest; }
+        bool hadAll() const { return this->isComplete; }
+
+    private:
+        std::string_view rest;
+        bool isComplete = true;
+    };
+
+    // Writes a frame: its length without the length itself, the kind, the channel, and the fields that the function appends.
+    template <typename Fields> void writeFrame(std::string& out, RelayFrameKind kind, uint32_t channel, const Fields& fields)
+    {
+        const size_t begin = out.size();
+        append<uint32_t>(out, 0);
+        append<uint8_t>(out, static_cast<uint8_t>(kind));
+        append<uint32_t>(out, channel);
+        fields();
+        std::string length;
+        append<uint32_t>(length, static_cast<uint32_t>(out.size() - begin - sizeof(uint32_t)));
+        out.replace(begin, length.size(), length);
+    }
+
+    void readOpen(FieldReader& reader, RelayFrame& frame)
+    {
+        frame.statements = reader.number<uint8_t>();
+        frame.request.priority = reader.number<uint32_t>();
+        frame.request.patienceMs = reader.number<uint32_t>();
+        frame.request.server = BackendServerId(std::string(reader.text(reader.number<uint16_t>())));
+        frame.request.organisation = reader.text(reader.number<uint16_t>());
+        frame.bytes = reader.remaining();
+    }
+
+}
+
+void writeRelayOpen(std::string& out, uint32_t channel, const RelayRequest& request, uint8_t statements, std::string_view bytes)
+{
+    writeFrame(out, RelayFrameKind::Open, channel, [&] {
+        append<uint8_t>(out, statements);
+        append<uint32_t>(out, request.priority);
+        append<uint32_t>(out, static_cast<uint32_t>(std::clamp<int64_t>(request.patienceMs, 0, UINT32_MAX)));
+        append<uint16_t>(out, static_cast<uint16_t>(request.server.value.size()));
+        out += request.server.value;
+        append<uint16_t>(out, static_cast<uint16_t>(request.organisation.size()));
+        out += request.organisation;
+        out += bytes;
+    });
+}
+
+void writeRelayStatements(std::string& out, uint32_t channel, uint8_t statements, std::string_view bytes)
+{
+    writeFrame(out, RelayFrameKind::Statements, channel, [&] {
+        append<uint8_t>(out, statements);
+        out += bytes;
+    });
+}
+
+void writeRelayRelease(std::string& out, uint32_t channel, bool leavesState)
+{
+    writeFrame(out, RelayFrameKind::Release, channel, [&] { append<uint8_t>(out, leavesState ? 1 : 0); });
+}
+
+void writeRelayDenied(std::string& out, uint32_t channel, Acquisition denial)
+{
+    writeFrame(out, RelayFrameKind::Denied, channel, [&] { append<uint8_t>(out, static_cast<uint8_t>(denial)); });
+}
+
+void writeRelayAnswer(std::string& out, uint32_t channel, std::string_view bytes)
+{
+    writeFrame(out, RelayFrameKind::Answer, channel, [&] { out += bytes; });
+}
+
+void writeRelaySignal(std::string& out, RelayFrameKind kind, uint32_t channel)
+{
+    writeFrame(out, kind, channel, [] { });
+}
+
+RelayTake takeRelayFrame(std::string_view& bytes, RelayFrame& frame)
+{
+    FieldReader lengthReader(bytes);
+    const auto length = lengthReader.number<uint32_t>();
+    if (!lengthReader.hadAll())
+        return RelayTake::Incomplete;
+    if (length > maxFrameBytes)
+        return RelayTake::Malformed;
+    if (lengthReader.remaining().size() < length)
+        return RelayTake::Incomplete;
+    FieldReader reader(lengthReader.text(length));
+    bytes = lengthReader.remaining();
+
+    const auto kind = reader.number<uint8_t>();
+    if (kind > lastKind)
+        return RelayTake::Malformed;
+    frame = RelayFrame {};
+    frame.kind = static_cast<RelayFrameKind>(kind);
+    frame.channel = reader.number<uint32_t>();
+    switch (frame.kind) {
+    case RelayFrameKind::Open:
+        readOpen(reader, frame);
+        break;
+    case RelayFrameKind::Statements:
+        frame.statements = reader.number<uint8_t>();
+        frame.bytes = reader.remaining();
+        break;
+    case RelayFrameKind::Release:
+        frame.leavesState = reader.number<uint8_t>() != 0;
+        break;
+    case RelayFrameKind::Denied: {
+        const auto denial = reader.number<uint8_t>();
+        if (denial > lastAcquisition || denial == static_cast<uint8_t>(Acquisition::Acquired))
+            return RelayTake::Malformed;
+        frame.denial = static_cast<Acquisition>(denial);
+        break;
+    }
+    case RelayFrameKind::Answer:
+        frame.bytes = reader.remaining();
+        break;
+    default:
+        break;
+    }
+    return reader.hadAll() ? RelayTake::Taken : RelayTake::Malformed;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -0,0 +1,323 @@
+#include "foxtailtrail/proxy/RelayServer.h"
+
+#include "foxtailtrail/net/Listen.h"
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/server/Log.h"
+
+#include <string>
+#include <utility>
+
+namespace foxtail {
+
+using Tcp = boost::asio::ip::tcp;
+
+// The use of one connection by another VM.
+class RelayChannel final : public LinkUser, public std::enable_shared_from_this<RelayChannel> {
+public:
+    // Sends a frame to the other VM.
+    using Reply = std::function<void(const std::string&)>;
+    // Told that the channel has ended by itself.
+    using Ended = std::function<void(uint32_t)>;
+
+    RelayChannel(uint32_t number, std::shared_ptr<ServerPool> pool, const BackendCodec& codec, Reply reply, Ended ended)
+        : number(number)
+        , pool(std::move(pool))
+        , codec(codec)
+        , reply(std::move(reply))
+        , ended(std::move(ended))
+    {
+    }
+
+    void open(const RelayRequest& request, size_t count, std::string_view bytes)
+    {
+        this->waiting = bytes;
+        this->waitingCount = count;
+        auto self = this->shared_from_this();
+        const uint64_t given = this->pool->acquire(request.organisation, request.priority,
+            bootNow() + std::chrono::milliseconds(request.patienceMs),
+            [self](Acquisition outcome, const std::shared_ptr<BackendLink>& acquired) { self->acquired(outcome, acquired); });
+        if (!this->link && !this->over)
+            this->ticket = given;
+    }
+
+    void send(size_t count, std::string_view bytes)
+    {
+        if (this->link && !this->resetting) {
+            this->link->sendStatements(bytes, count);
+        } else {
+            this->waiting += bytes;
+            this->waitingCount += count;
+        }
+    }
+
+    void release(bool leavesState)
+    {
+        this->over = true;
+        if (!this->link)
+            return;
+        if (leavesState)
+            this->link->state().markUnknown();
+        this->pool->release(std::exchange(this->link, nullptr));
+    }
+
+    void drop()
+    {
+        this->over = true;
+        if (this->ticket != 0)
+            this->pool->cancel(this->ticket);
+        if (this->link)
+            this->pool->drop(std::exchange(this->link, nullptr));
+    }
+
+private:
+    void acquired(Acquisition outcome, const std::shared_ptr<BackendLink>& acquired)
+    {
+        this->ticket = 0;
+        if (this->over) {
+            if (acquired)
+                this->pool->release(acquired);
+            return;
+        }
+        if (outcome != Acquisition::Acquired) {
+            this->deny(outcome);
+            return;
+        }
+        this->link = acquired;
+        this->link->setUser(this);
+        if (this->link->state().isPristine()) {
+            this->sendWaiting();
+            return;
+        }
+        // What an earlier session has left must be gone before anything of this one is sent.
+        this->resetting = true;
+        std::string reset;
+        this->codec.writeRestore(reset, RestoreStep { RestoreStep::Kind::Reset, {}, {}, false });
+        this->link->sendStatements(reset, 1);
+    }
+
+    void sendWaiting() { this->link->sendStatements(std::exchange(this->waiting, {}), std::exchange(this->waitingCount, 0)); }
+
+    void deny(Acquisition outcome)
+    {
+        std::string frame;
+        writeRelayDenied(frame, this->number, outcome);
+        this->end(frame);
+    }
+
+    void end(const std::string& frame)
+    {
+        const auto self = this->shared_from_this();
+        this->over = true;
+        this->reply(frame);
+        this->ended(this->number);
+    }
+
+    void linkMessage(std::string_view bytes) override
+    {
+        if (!this->resetting)
+            this->answer += bytes;
+    }
+
+    void linkReplied(LinkReply&& replied) override
+    {
+        const auto self = this->shared_from_this();
+        if (std::exchange(this->resetting, false)) {
+            if (!replied.succeeded()) {
+                this->pool->drop(std::exchange(this->link, nullptr));
+                this->deny(Acquisition::Unreachable);
+                return;
+            }
+            this->link->state().clear();
+            this->sendWaiting();
+            return;
+        }
+        std::string frame;
+        writeRelayAnswer(frame, this->number, std::exchange(this->answer, {}));
+        this->reply(frame);
+        if (replied.refusal == BackendRefusal::Busy)
+            this->pool->noteBusy();
+        else
+            this->pool->noteAnswer();
+    }
+
+    void linkLost() override
+    {
+        const auto self = this->shared_from_this();
+        this->pool->drop(std::exchange(this->link, nullptr));
+        if (this->resetting) {
+            this->deny(Acquisition::Unreachable);
+            return;
+        }
+        std::string frame;
+        writeRelaySignal(frame, RelayFrameKind::Lost, this->number);
+        this->end(frame);
+    }
+
+    uint32_t number;
+    std::shared_ptr<ServerPool> pool;
+    const BackendCodec& codec;
+    Reply reply;
+    Ended ended;
+    std::shared_ptr<BackendLink> link;
+    uint64_t ticket = 0;
+    // Statements that wait for the connection, or for its reset.
+    std::string waiting;
+    size_t waitingCount = 0;
+    bool resetting = false;
+    bool over = false;
+    // The messages of the answer that is being received.
+    std::string answer;
+};
+
+// A connection from another VM.
+class RelayServer::Connection final : public Stream {
+public:
+    Connection(Tcp::socket socket, RelayServer& server)
+        : Stream(std::move(socket))
+        , server(server)
+    {
+    }
+
+    void start()
+    {
+        this->startReading();
+        if (this->server.stopping)
+            this->announceStop();
+    }
+
+    void announceStop()
+    {
+        std::string frame;
+        writeRelaySignal(frame, RelayFrameKind::Leaving, 0);
+        this->send(frame);
+    }
+
+    size_t channelCount() const { return this->channels.size(); }
+
+private:
+    size_t received(std::string_view bytes) override
+    {
+        std::string_view rest = bytes;
+        RelayFrame frame;
+        while (this->isOpen()) {
+            const RelayTake taken = takeRelayFrame(rest, frame);
+            if (taken == RelayTake::Incomplete)
+                break;
+            if (taken == RelayTake::Malformed) {
+                logEvent(LogLevel::Warning, "relay ended", { { "detail", "a frame cannot be read" } });
+                this->close();
+                this->disconnected();
+                break;
+            }
+            this->handle(frame);
+        }
+        return bytes.size() - rest.size();
+    }
+
+    void handle(const RelayFrame& frame)
+    {
+        if (frame.kind == RelayFrameKind::Ping) {
+            std::string pong;
+            writeRelaySignal(pong, RelayFrameKind::Pong, 0);
+            this->send(pong);
+            return;
+        }
+        if (frame.kind == RelayFrameKind::Open) {
+            this->openChannel(frame);
+            return;
+        }
+        // The channel may have ended here while the frame was on its way.
+        const auto found = this->channels.find(frame.channel);
+        if (found == this->channels.end())
+            return;
+        const std::shared_ptr<RelayChannel> channel = found->second;
+        if (frame.kind == RelayFrameKind::Statements) {
+            channel->send(frame.statements, frame.bytes);
+            return;
+        }
+        this->channels.erase(found);
+        if (frame.kind == RelayFrameKind::Release)
+            channel->release(frame.leavesState);
+        else
+            channel->drop();
+    }
+
+    void openChannel(const RelayFrame& frame)
+    {
+        const std::shared_ptr<ServerPool> pool = this->server.findPool(frame.request.server);
+        if (!pool) {
+            std::string denied;
+            writeRelayDenied(denied, frame.channel, Acquisition::Gone);
+            this->send(denied);
+            return;
+        }
+        auto self = std::static_pointer_cast<Connection>(this->shared_from_this());
+        const auto channel = std::make_shared<RelayChannel>(
+            frame.channel, pool, this->server.codec, [self](const std::string& bytes) { self->send(bytes); },
+            [self](uint32_t number) { self->channels.erase(number); });
+        this->channels.emplace(frame.channel, channel);
+        channel->open(frame.request, frame.statements, frame.bytes);
+    }
+
+    void disconnected() override
+    {
+        const auto self = std::static_pointer_cast<Connection>(this->shared_from_this());
+        const auto lost = std::exchange(this->channels, {});
+        for (const auto& [number, channel] : lost)
+            channel->drop();
+        this->server.connections.erase(self);
+    }
+
+    RelayServer& server;
+    std::map<uint32_t, std::shared_ptr<RelayChannel>> channels;
+};
+
+RelayServer::RelayServer(boost::asio::io_context& context, const BackendCodec& codec, FindPool findPool)
+    : context(context)
+    , codec(codec)
+    , findPool(std::move(findPool))
+    , acceptor(context)
+{
+}
+
+RelayServer::~RelayServer() = default;
+
+Result<void> RelayServer::listen(const Endpoint& endpoint)
+{
+    BOOST_OUTCOME_TRY(listenOn(this->acceptor, endpoint, "other VMs"));
+    this->acceptNext();
+    return succeed();
+}
+
+void RelayServer::acceptNext()
+{
+    this->acceptor.async_accept([this](const boost::system::error_code& code, Tcp::socket socket) {
+        if (code == boost::asio::error::operation_aborted)
+            return;
+        if (!code) {
+            const auto connection = std::make_shared<Connection>(std::move(socket), *this);
+            this->connections.insert(connection);
+            connection->start();
+        } else {
+            logEvent(LogLevel::Warning, "relay not accepted", { { "detail", code.message() } });
+        }
+        this->acceptNext();
+    });
+}
+
+void RelayServer::announceStop()
+{
+    this->stopping = true;
+    for (const auto& connection : this->connections)
+        connection->announceStop();
+}
+
+size_t RelayServer::channelCount() const
+{
+    size_t count = 0;
+    for (const auto& connection : this->connections)
+        count += connection->channelCount();
+    return count;
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/RelayServer.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "foxtailtrail/base/ErrorKind.h"
+#include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/proxy/RelayFrame.h"
+#include "foxtailtrail/proxy/ServerPool.h"
+#include "foxtailtrail/proxy/Stream.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace foxtail {
+
+// Lets other VMs use this VM's connections to backend servers, so that a server's connections serve the whole fleet.
+class RelayServer {
+public:
+    // Gives this VM's own pool of a server, or null when the server is not known.
+    using FindPool = std::function<std::shared_ptr<ServerPool>(const BackendServerId&)>;
+
+    RelayServer(boost::asio::io_context&, const BackendCodec&, FindPool);
+    ~RelayServer();
+
+    // Starts to accept other VMs. Fails with Internal when the address cannot be bound.
+    Result<void> listen(const Endpoint&);
+    // Tells the other VMs to open no more channels.
+    void announceStop();
+    // Channels whose connections are in use.
+    size_t channelCount() const;
+
+private:
+    class Connection;
+    void acceptNext();
+
+    boost::asio::io_context& context;
+    const BackendCodec& codec;
+    FindPool findPool;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::set<std::shared_ptr<Connection>> connections;
+    bool stopping = false;
+};
+
+}
--- a/foxtailtrail/proxy/ServerCommands.cpp
+++ b/foxtailtrail/proxy/ServerCommands.cpp
@@ -27,7 +27,7 @@
     }
 
     boost::fibers::future<ProbedStatus> start(
-        boost::asio::io_context& context, const ServerEntry& entry, const std::shared_ptr<BackendLink>& kept, Duration timeout)
+        boost::asio::io_context& context, const ServerEntry& entry, const std::shared_ptr<DirectLink>& kept, Duration timeout)
     {
         auto self = this->shared_from_this();
         auto timer = std::make_shared<boost::asio::steady_timer>(context, timeout);
@@ -36,8 +36,8 @@
             this->link = kept;
             this->sendOrder();
         } else {
-            this->link = BackendLink::open(
-                context, this->codec, entry, orderConnectionName, [self](LinkOpening how, const std::shared_ptr<BackendLink>&) {
+            this->link = DirectLink::open(
+                context, this->codec, entry, orderConnectionName, [self](LinkOpening how, const std::shared_ptr<DirectLink>&) {
                     if (how == LinkOpening::Opened)
                         self->sendOrder();
                     else
@@ -50,7 +50,7 @@
     }
 
     // The connection, when it can be used again.
-    std::shared_ptr<BackendLink> usableLink() const
+    std::shared_ptr<DirectLink> usableLink() const
     {
         return this->link && this->link->isOpen() && this->link->outstanding() == 0 ? this->link : nullptr;
     }
@@ -108,7 +108,7 @@
     const BackendCodec& codec;
     std::string order;
     ProbedStatus status;
-    std::shared_ptr<BackendLink> link;
+    std::shared_ptr<DirectLink> link;
     boost::fibers::promise<ProbedStatus> promise;
     bool finished = false;
 };
--- a/foxtailtrail/proxy/ServerCommands.h
+++ b/foxtailtrail/proxy/ServerCommands.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "foxtailtrail/failover/SuccessionPlan.h"
-#include "foxtailtrail/proxy/BackendLink.h"
+#include "foxtailtrail/proxy/DirectLink.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -27,7 +27,7 @@
     class Exchange;
     boost::asio::io_context& context;
     const BackendCodec& codec;
-    std::map<BackendServerId, std::shared_ptr<BackendLink>> links;
+    std::map<BackendServerId, std::shared_ptr<DirectLink>> links;
 };
 
 }
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -1,12 +1,12 @@
 #include "foxtailtrail/proxy/SessionProxy.h"
 
+#include "foxtailtrail/net/Listen.h"
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/scheduling/ConnectionShare.h"
 #include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -25,6 +25,10 @@
     constexpr double trafficShareOfConnections = 0.9;
     // How far one VM may exceed its equal part while others use less.
     constexpr double budgetOvercommitment = 2.0;
+    // Connections of a VM to a server whose connections another VM holds, for the time in which that VM cannot be reached.
+    constexpr size_t strayConnections = 2;
+    // The VMs agree within a few seconds on who holds a server's connections.
+    constexpr Duration holderTime = std::chrono::seconds(3);
 
 }
 
@@ -36,6 +40,7 @@
     , backends(backends)
     , acceptor(context)
     , sweepTimer(context)
+    , relays(context, RelayPlacement(proxySettings.regions))
     , quotaShare(proxySettings.quota)
 {
 }
@@ -44,19 +49,7 @@
 
 Result<void> SessionProxy::listen()
 {
-    boost::system::error_code code;
-    const Tcp::endpoint endpoint(
-        boost::asio::ip::make_address(this->proxySettings.callers.address, code), this->proxySettings.callers.port);
-    if (!code)
-        this->acceptor.open(endpoint.protocol(), code);
-    if (!code)
-        this->acceptor.set_option(Tcp::acceptor::reuse_address(true), code);
-    if (!code)
-        this->acceptor.bind(endpoint, code);
-    if (!code)
-        this->acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
-    if (code)
-        return fail(ErrorKind::Internal, "cannot listen for callers: " + code.message());
+    BOOST_OUTCOME_TRY(listenOn(this->acceptor, this->proxySettings.callers, "callers"));
     this->acceptNext();
     this->scheduleSweep();
     return succeed();
@@ -106,8 +99,9 @@
     change(this->servers);
     for (const auto& [service, group] : this->groups) {
         for (const ServerEntry* entry : this->servers.members(service)) {
-            const auto found = this->pools.find(entry->id);
-            if (found != this->pools.end())
+            if (const auto found = this->directPools.find(entry->id); found != this->directPools.end())
+                found->second->updateEntry(*entry);
+            if (const auto found = this->relayedPools.find(entry->id); found != this->relayedPools.end())
                 found->second->updateEntry(*entry);
         }
     }
@@ -131,13 +125,14 @@
 
 void SessionProxy::retireMissingPools()
 {
-    for (auto pool = this->pools.begin(); pool != this->pools.end();) {
+    std::erase_if(this->relayedPools, [&](const auto& pool) { return this->servers.find(pool.first) == nullptr; });
+    for (auto pool = this->directPools.begin(); pool != this->directPools.end();) {
         if (this->servers.find(pool->first)) {
             ++pool;
             continue;
         }
-        const std::shared_ptr<ServerPool> retired = pool->second;
-        pool = this->pools.erase(pool);
+        const std::shared_ptr<DirectPool> retired = pool->second;
+        pool = this->directPools.erase(pool);
         retired->retire();
     }
 }
@@ -153,15 +148,54 @@
     this->updateBudgets();
 }
 
+bool SessionProxy::usesRelay(const ServiceName& service) const
+{
+    const auto group = this->table ? this->table->groups.find(service.value) : decltype(this->table->groups.end()) {};
+    return this->table && group != this->table->groups.end()
+        && needsRelay(this->vmCount, this->table->organisations.size(), group->second.maxConnections);
+}
+
+void SessionProxy::setRelays(const std::vector<RelayCandidate>& candidates, std::map<VmId, Endpoint> addresses)
+{
+    this->relays.setCandidates(candidates, std::move(addresses));
+    this->updateBudgets();
+}
+
+bool SessionProxy::holdsConnections(const ServerEntry& server, TimePoint now)
+{
+    const auto used = this->usedByOthersUntil.find(server.id);
+    const bool isUsed = used != this->usedByOthersUntil.end() && now < used->second;
+    return isUsed || this->relays.relayFor(server, now) == this->proxySettings.vmId;
+}
+
+std::shared_ptr<ServerPool> SessionProxy::poolForOthers(const BackendServerId& id)
+{
+    TimePoint& until = this->usedByOthersUntil[id];
+    const TimePoint now = bootNow();
+    const bool isNew = until <= now;
+    until = now + holderTime;
+    if (isNew) {
+        logEvent(LogLevel::Info, "connections held for others", { { "server", id.value } });
+        this->updateBudgets();
+    }
+    return this->directPool(id);
+}
+
 void SessionProxy::updateBudgets()
 {
     if (!this->table)
         return;
-    for (const auto& [id, pool] : this->pools) {
+    for (const auto& [id, pool] : this->directPools) {
         const ServiceName& service = pool->server().service;
         const auto group = this->table->groups.find(service.value);
         if (group == this->table->groups.end())
             continue;
+        const double usable = trafficShareOfConnections * group->second.maxConnections;
+        if (this->usesRelay(service)) {
+            const bool holdsAll = this->holdsConnections(pool->server(), bootNow());
+            pool->setBudget(holdsAll ? static_cast<size_t>(usable) : strayConnections, holdsAll ? static_cast<size_t>(usable) : 0);
+            continue;
+        }
         GroupPlacement placement { this->vmsByDataCentre, this->proxySettings.regions, {} };
         for (const ServerEntry* entry : this->servers.members(service))
             placement.servers.push_back(entry->dataCentre);
@@ -201,8 +235,20 @@
 
 std::shared_ptr<ServerPool> SessionProxy::pool(const BackendServerId& id)
 {
-    const auto found = this->pools.find(id);
-    if (found != this->pools.end())
+    const ServerEntry* entry = this->servers.find(id);
+    if (entry && this->usesRelay(entry->service) && this->relays.streamFor(*entry, bootNow())) {
+        std::shared_ptr<RelayedPool>& pool = this->relayedPools[id];
+        if (!pool)
+            pool = std::make_shared<RelayedPool>(this->relays, this->backends, *entry);
+        return pool;
+    }
+    return this->directPool(id);
+}
+
+std::shared_ptr<DirectPool> SessionProxy::directPool(const BackendServerId& id)
+{
+    const auto found = this->directPools.find(id);
+    if (found != this->directPools.end())
         return found->second;
     const ServerEntry* entry = this->servers.find(id);
     if (!entry)
@@ -216,8 +262,8 @@
         if (failed)
             this->group(failed->service)->noteFailure(server, bootNow());
     };
-    auto pool = std::make_shared<ServerPool>(this->context, this->backends, *entry, std::move(observer));
-    this->pools.emplace(id, pool);
+    auto pool = std::make_shared<DirectPool>(this->context, this->backends, *entry, std::move(observer));
+    this->directPools.emplace(id, pool);
     this->updateBudgets();
     return pool;
 }
@@ -293,7 +339,7 @@
 size_t SessionProxy::backendConnections() const
 {
     size_t count = 0;
-    for (const auto& [id, pool] : this->pools)
+    for (const auto& [id, pool] : this->directPools)
         count += pool->size();
     return count;
 }
@@ -332,9 +378,10 @@
         if (!keep->hasWork())
             this->working.erase(connection);
     }
-    const auto currentPools = this->pools;
+    const auto currentPools = this->directPools;
     for (const auto& [id, pool] : currentPools)
         pool->sweep(now);
+    this->relays.sweep(now);
     const auto currentGroups = this->groups;
     for (const auto& [service, group] : currentGroups)
         group->sweep(now);
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -5,9 +5,11 @@
 #include "foxtailtrail/limits/QuotaShare.h"
 #include "foxtailtrail/proxy/CallerCodec.h"
 #include "foxtailtrail/proxy/CallerConnection.h"
+#include "foxtailtrail/proxy/DirectPool.h"
 #include "foxtailtrail/proxy/GroupTraffic.h"
 #include "foxtailtrail/proxy/ProxyMetrics.h"
 #include "foxtailtrail/proxy/ProxySettings.h"
+#include "foxtailtrail/proxy/RelayedPool.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -67,6 +69,10 @@
     // Sets the VMs that share quotas and connections, by data centre.
     void setFleet(std::map<DataCentre, size_t> vms);
     size_t fleetSize() const { return this->vmCount; }
+    // Sets the VMs that may hold connections for others, with the addresses of the other ones.
+    void setRelays(const std::vector<RelayCandidate>&, std::map<VmId, Endpoint>);
+    // This VM's own connections to a server, for another VM that takes it for their holder; null when the server is not known.
+    std::shared_ptr<ServerPool> poolForOthers(const BackendServerId&);
 
     // Admits an operation of the organisation, perhaps after waiting for a grant.
     void admit(const OrganisationLimit&, std::function<void(bool)>);
@@ -115,6 +121,11 @@
     void acceptNext();
     void scheduleSweep();
     void sweep();
+    // Whether one VM holds the connections to each server of the service.
+    bool usesRelay(const ServiceName&) const;
+    // Whether this VM holds the connections to a server for all.
+    bool holdsConnections(const ServerEntry&, TimePoint now);
+    std::shared_ptr<DirectPool> directPool(const BackendServerId&);
     void updateBudgets();
     void retireMissingPools();
     // Has primaries replaced that drain or have left the list.
@@ -133,7 +144,12 @@
     std::list<ConfigurationWaiter> configurationWaiters;
     ServerDirectory servers;
     std::map<ServiceName, std::shared_ptr<GroupTraffic>> groups;
-    std::map<BackendServerId, std::shared_ptr<ServerPool>> pools;
+    // This VM's own connections, and the way to those that other VMs hold.
+    std::map<BackendServerId, std::shared_ptr<DirectPool>> directPools;
+    RelayRoutes relays;
+    // Until when this VM counts as the holder of a server's connections because others have used them here.
+    std::map<BackendServerId, TimePoint> usedByOthersUntil;
+    std::map<BackendServerId, std::shared_ptr<RelayedPool>> relayedPools;
     QuotaShare quotaShare;
     std::list<QuotaWaiter> quotaWaiters;
     std::map<DataCentre, size_t> vmsByDataCentre;
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -76,7 +76,7 @@
     if (this->pinned) {
         this->held = this->pinned;
         this->target = this->held.link->server();
-        if (!this->held.link->isOpen()) {
+        if (!this->held.link->isUsable()) {
             this->dropLink();
             this->fail(ErrorKind::TransactionAborted, "the transaction's connection was lost");
             return;
@@ -198,8 +198,9 @@
         this->host.backendCodec().writeOrder(orders, order, Term {}, this->floor);
         ++this->restoresOutstanding;
     }
+    const TimePoint startsBy = std::max(bootNow(), this->held.link->startsBy());
     this->attemptDeadline = this->mayRepeat()
-        ? std::min(this->task.deadline, bootNow() + std::max(minReadAttempt, scaled(this->task.route.objective, readAttemptShare)))
+        ? std::min(this->task.deadline, startsBy + std::max(minReadAttempt, scaled(this->task.route.objective, readAttemptShare)))
         : this->task.deadline;
     if (this->restoresOutstanding == 0) {
         this->sendStatement();
@@ -365,22 +366,42 @@
     if (this->phase != Phase::Restoring)
         return;
     const bool established = this->inTransaction() && !this->beginsTransaction;
+    const bool concernsServer = this->held.link->lossConcernsServer();
     this->dropLink();
     if (established) {
         this->fail(ErrorKind::TransactionAborted, "the transaction's connection was lost");
         return;
     }
-    this->group->noteFailure(this->target, bootNow());
+    this->noteServerFailure(concernsServer);
     this->excluded.push_back(this->target);
     this->retryAfter(Duration(0));
 }
 
+void StatementRun::linkDenied(Acquisition outcome)
+{
+    const auto self = this->shared_from_this();
+    const bool concernsServer = this->held.link->lossConcernsServer();
+    this->dropLink();
+    this->lastObstacle = outcome == Acquisition::Full ? ErrorKind::Overloaded : ErrorKind::NoPrimary;
+    this->noteServerFailure(concernsServer);
+    if (concernsServer || outcome == Acquisition::Full)
+        this->excluded.push_back(this->target);
+    this->retryAfter(this->needsPrimary() ? unreachablePause : Duration(0));
+}
+
+void StatementRun::noteServerFailure(bool concernsServer)
+{
+    if (concernsServer)
+        this->group->noteFailure(this->target, bootNow());
+}
+
 void StatementRun::answerLost(std::string_view why)
 {
     const TimePoint now = bootNow();
     const bool isCommit = this->task.statement.kind == StatementKind::Commit;
+    const bool concernsServer = this->held.link->lossConcernsServer();
     this->dropLink();
-    this->group->noteFailure(this->target, now);
+    this->noteServerFailure(concernsServer);
     if (this->mayRepeat()) {
         if (this->lostAnswers < maxLostAnswers && now < this->task.deadline) {
             ++this->lostAnswers;
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -9,6 +9,7 @@
 #include "foxtailtrail/session/SessionState.h"
 #include "foxtailtrail/session/SessionStatement.h"
 
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -90,12 +91,15 @@
     void sendStatement();
     void linkReplied(LinkReply&&) override;
     void linkLost() override;
+    void linkDenied(Acquisition) override;
     void restoreReplied(const LinkReply&);
     void statementReplied(LinkReply&&);
     // Handles a refusal that proves that the statement did not run.
     void refused(const LinkReply&);
     // Handles the loss of the answer to a statement that may have run.
     void answerLost(std::string_view why);
+    // Takes note of a failure of the server, unless only what lies between is to blame.
+    void noteServerFailure(bool concernsServer);
     // Gives the connection back or closes it, unless the transaction keeps it.
     void releaseLink();
     void dropLink();
--- a/foxtailtrail/session/LinkState.cpp
+++ b/foxtailtrail/session/LinkState.cpp
@@ -17,13 +17,12 @@
 {
     std::vector<RestoreStep> steps;
     // A value that the session does not have can only be dropped together with all others.
-    bool reset = this->names.size() >= maxPreparedPerLink;
+    bool reset = this->unknown || this->names.size() >= maxPreparedPerLink;
     for (const auto& [name, value] : this->values)
         reset = reset || session.sessionValues().count(name) == 0;
     if (reset) {
         steps.push_back({ RestoreStep::Kind::Reset, {}, {}, false });
-        this->values.clear();
-        this->names.clear();
+        this->clear();
     }
     for (const auto& [name, value] : session.sessionValues()) {
         const auto held = this->values.find(name);
@@ -43,6 +42,13 @@
     return steps;
 }
 
+void LinkState::clear()
+{
+    this->unknown = false;
+    this->values.clear();
+    this->names.clear();
+}
+
 const std::string& LinkState::linkName(const PreparedStatement& prepared) const
 {
     const auto found = this->names.find(preparedKey(prepared));
--- a/foxtailtrail/session/LinkState.h
+++ b/foxtailtrail/session/LinkState.h
@@ -32,6 +32,13 @@
     // prepared statement. The state assumes that the steps succeed; the connection is closed when one does not.
     std::vector<RestoreStep> restore(const SessionState&, const PreparedStatement* executed);
 
+    // Whether the connection holds nothing of any session.
+    bool isPristine() const { return !this->unknown && this->values.empty() && this->names.empty(); }
+    // Another VM has used the connection and left values or prepared statements on it.
+    void markUnknown() { this->unknown = true; }
+    // The connection has been reset.
+    void clear();
+
     // The name under which the connection holds a prepared statement. It must have been restored.
     const std::string& linkName(const PreparedStatement&) const;
 
@@ -42,6 +49,8 @@
     // From mode and shape to the name on this connection.
     std::map<std::string, std::string> names;
     uint64_t nextName = 1;
+    // What the connection holds is not known, so it has to be reset first.
+    bool unknown = false;
 };
 
 }
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -28,7 +28,7 @@
 public:
     explicit World(uint32_t seed)
         : random(seed)
-        , fleet(vmCount, this->links())
+        , fleet(vmCount, this->links(), seed % 2 == 0 ? fleet::Fleet::Paths::Direct : fleet::Fleet::Paths::Relayed)
     {
     }
 
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -26,6 +26,10 @@
     // A caller gives up an answer after this time; no limit of the sample configuration is longer.
     constexpr timeval answerTimeout { 8, 0 };
 
+    // Three VMs with as many organisations would want more than ten times these connections.
+    constexpr size_t relayedMaxConnections = 12;
+    constexpr size_t relayedOrganisations = 60;
+
     std::string firstWord(std::string& text)
     {
         const size_t blank = text.find(' ');
@@ -113,9 +117,17 @@
     this->socket.close(code);
 }
 
-Fleet::Fleet(size_t vmCount, Links fleetLinks)
+Fleet::Fleet(size_t vmCount, Links fleetLinks, Paths paths)
     : links(std::move(fleetLinks))
 {
+    this->organisations = { { "orga", { "key-of-orga" } }, { "orgb", { "key-of-orgb" } } };
+    if (paths == Paths::Relayed) {
+        this->maxConnections = relayedMaxConnections;
+        while (this->organisations.size() < relayedOrganisations) {
+            const std::string name = "org" + std::to_string(this->organisations.size());
+            this->organisations.push_back({ name, { "key-of-" + name } });
+        }
+    }
     std::string pattern = std::filesystem::temp_directory_path().string() + "/foxtail-fleet-XXXXXX";
     this->folder = mkdtemp(pattern.data());
     this->lineGroup = std::make_unique<standins::LineGroup>("groupa", [this](const standins::StatementRecord& record) {
@@ -128,7 +140,6 @@
         return status;
     });
     this->pickPorts(vmCount);
-    this->organisations = { { "orga", { "key-of-orga" } }, { "orgb", { "key-of-orgb" } } };
     this->publish();
     this->listServers();
     for (size_t vm = 0; vm < vmCount; ++vm)
@@ -161,7 +172,7 @@
     };
     for (size_t vm = 0; vm < vmCount; ++vm) {
         heldDatagrams.emplace_back(context, boost::asio::ip::udp::endpoint(loopback, 0));
-        this->ports.push_back({ pick(), pick(), pick(), heldDatagrams.back().local_endpoint().port(), pick() });
+        this->ports.push_back({ pick(), pick(), pick(), heldDatagrams.back().local_endpoint().port(), pick(), pick() });
     }
 }
 
@@ -182,7 +193,8 @@
     route("bounded", "bounded_staleness", R"(,"max_staleness_ms":1500)");
     route("own", "read_your_writes", R"(,"max_staleness_ms":2500)");
     out.seekp(-1, std::ios_base::cur);
-    out << R"(],"services":[{"name":"groupa","health_path":"/health","max_conns":40,"sync_replicas":1}],"limits":{"tx_idle_ms":3000},"tenants":[)";
+    out << R"(],"services":[{"name":"groupa","health_path":"/health","max_conns":)"
+        << this->maxConnections << R"(,"sync_replicas":1}],"limits":{"tx_idle_ms":3000},"tenants":[)";
     for (size_t index = 0; index < this->organisations.size(); ++index) {
         const OrganisationEntry& entry = this->organisations[index];
         out << (index > 0 ? "," : "") << R"({"name":")" << entry.name << R"(","api_keys":[)";
@@ -212,7 +224,8 @@
     std::ofstream settings(this->settingsFile(vm));
     settings << "vm: {id: vm" << vm << ", dataCentre: zone-a, region: region-a, regions: {zone-a: region-a}, logLevel: info}\n"
              << "listen: {callers: '127.0.0.1:" << own.callers << "', ready: '127.0.0.1:" << own.ready
-             << "', peers: '127.0.0.1:" << own.peers << "', datagramPort: " << own.datagrams << ", metricsPort: " << own.metrics << "}\n"
+             << "', peers: '127.0.0.1:" << own.peers << "', datagramPort: " << own.datagrams << ", metricsPort: " << own.metrics
+             << ", relayPort: " << own.relay << "}\n"
              << "platform: {store: '127.0.0.1:" << storePort << "', promotions: '127.0.0.1:" << this->rowStore->port()
              << "', seeds: ['127.0.0.1:" << this->ports[0].peers << "']}\n"
              << "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -79,7 +79,14 @@
         std::function<uint16_t(size_t server, uint16_t serverPort)> serverPort;
     };
 
-    explicit Fleet(size_t vmCount, Links links = {});
+    // How the VMs reach the servers: over connections of their own, or over those of one VM a server, as in a large fleet before few
+    // connections.
+    enum class Paths : uint8_t {
+        Direct,
+        Relayed,
+    };
+
+    explicit Fleet(size_t vmCount, Links links = {}, Paths paths = Paths::Direct);
     ~Fleet();
 
     Fleet(const Fleet&) = delete;
@@ -126,11 +133,14 @@
         uint16_t peers = 0;
         uint16_t datagrams = 0;
         uint16_t metrics = 0;
+        uint16_t relay = 0;
     };
     void pickPorts(size_t vmCount);
     std::string settingsFile(size_t vm) const;
 
     Links links;
+    // The maximum that the configuration names for each server.
+    size_t maxConnections = 40;
     std::string folder;
     std::vector<Ports> ports;
     std::map<size_t, pid_t> processes;
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -31,10 +31,11 @@
         return reply;
     }
 
-    class FleetTest : public testing::Test {
+    // Every test runs with both ways to the servers.
+    class FleetTest : public testing::TestWithParam<Fleet::Paths> {
     protected:
         FleetTest()
-            : fleet(3)
+            : fleet(3, {}, GetParam())
         {
         }
         void SetUp() override { ASSERT_TRUE(this->fleet.waitUntilReady()) << this->fleet.logs(); }
@@ -42,8 +43,11 @@
         Fleet fleet;
     };
 
+    INSTANTIATE_TEST_SUITE_P(Paths, FleetTest, testing::Values(Fleet::Paths::Direct, Fleet::Paths::Relayed),
+        [](const auto& info) { return info.param == Fleet::Paths::Direct ? "Direct" : "Relayed"; });
+
     // Guards against a path that does not serve at all: the three types of route, on each VM.
-    TEST_F(FleetTest, AReadSeesTheWriteOfItsSessionOnEveryRouteAndVm)
+    TEST_P(FleetTest, AReadSeesTheWriteOfItsSessionOnEveryRouteAndVm)
     {
         size_t number = 1;
         for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
@@ -65,7 +69,7 @@
     }
 
     // Guards against statements of one session that run with the values or prepared statements of another on a shared connection.
-    TEST_F(FleetTest, SessionsThatShareConnectionsKeepTheirValuesAndPreparedStatements)
+    TEST_P(FleetTest, SessionsThatShareConnectionsKeepTheirValuesAndPreparedStatements)
     {
         Caller first(this->fleet.callerPort(0));
         Caller second(this->fleet.callerPort(0));
@@ -89,7 +93,7 @@
     }
 
     // Guards against a transaction that is not rolled back, is committed twice, or sees less than its own writes.
-    TEST_F(FleetTest, TransactionsCommitOnceOrNotAtAll)
+    TEST_P(FleetTest, TransactionsCommitOnceOrNotAtAll)
     {
         Caller caller(this->fleet.callerPort(1));
         begin(caller, "strict");
@@ -107,7 +111,7 @@
     }
 
     // Guards against a key that goes on working, and against a key that reaches a backend server.
-    TEST_F(FleetTest, AWithdrawnKeyStopsWorkingForConnectedCallers)
+    TEST_P(FleetTest, AWithdrawnKeyStopsWorkingForConnectedCallers)
     {
         Caller caller(this->fleet.callerPort(2));
         begin(caller, "strict", "key-of-orgb");
@@ -125,7 +129,7 @@
     }
 
     // Guards against VMs that admit more than the fleet-wide rate together.
-    TEST_F(FleetTest, TheQuotaOfAnOrganisationHoldsOverAllVms)
+    TEST_P(FleetTest, TheQuotaOfAnOrganisationHoldsOverAllVms)
     {
         this->fleet.organisations.push_back({ "orgc", { "key-of-orgc" }, 20, 20 });
         this->fleet.publish();
@@ -154,7 +158,7 @@
     }
 
     // Guards against a failed primary that is not replaced, and against acknowledged writes that its successor lacks.
-    TEST_F(FleetTest, ACrashedPrimaryIsReplacedWithoutLosingAcknowledgedWrites)
+    TEST_P(FleetTest, ACrashedPrimaryIsReplacedWithoutLosingAcknowledgedWrites)
     {
         Caller caller(this->fleet.callerPort(0));
         begin(caller, "strict");
@@ -185,7 +189,7 @@
     }
 
     // Guards against a planned stop that cuts off a request or keeps the VM in rotation.
-    TEST_F(FleetTest, AStoppingVmFinishesItsRequestsAndReportsNotReady)
+    TEST_P(FleetTest, AStoppingVmFinishesItsRequestsAndReportsNotReady)
     {
         Caller idle(this->fleet.callerPort(0));
         Caller working(this->fleet.callerPort(0));
@@ -202,7 +206,7 @@
     }
 
     // Guards against a VM that learns of changes only from the store: the store turns some connections away.
-    TEST_F(FleetTest, AConfigurationReachesVmsThatTheStoreRejects)
+    TEST_P(FleetTest, AConfigurationReachesVmsThatTheStoreRejects)
     {
         standins::RowStoreFaults faults;
         faults.rejectedShare = 0.5;
@@ -244,7 +248,7 @@
     }
 
     // Guards against a VM that cannot start serving while the store turns it away, although its peers have the configuration.
-    TEST_F(FleetTest, AVmThatTheStoreRejectsStartsWithTheConfigurationOfItsPeers)
+    TEST_P(FleetTest, AVmThatTheStoreRejectsStartsWithTheConfigurationOfItsPeers)
     {
         this->fleet.killVm(2);
         standins::RowStoreFaults faults;
@@ -257,7 +261,7 @@
     }
 
     // Guards against entries of other writers that end the process or hide the servers that are there.
-    TEST_F(FleetTest, UnreadableRowsAreSkipped)
+    TEST_P(FleetTest, UnreadableRowsAreSkipped)
     {
         this->fleet.store().put("servers", "x-1", "not json");
         this->fleet.store().put("servers", "x-2", R"({"service":"groupa","addr":7,"zone":"z"})");
@@ -271,7 +275,7 @@
     }
 
     // Guards against malformed input that crashes a VM or is passed on to a backend server.
-    TEST_F(FleetTest, MalformedInputIsRefused)
+    TEST_P(FleetTest, MalformedInputIsRefused)
     {
         Caller unstarted(this->fleet.callerPort(0));
         EXPECT_EQ(unstarted.query("f0", "READ x").error, "MALFORMED");
