Prove the lease on a primary by all replicas, twice

Logs of a run with proofs in them: the promotion took effect at 10.42 s, replica i-63e878534d answered a VM that the store rejects at 10.495 s with the old term and without a pause, and heard of the new primary only after that. A trial that polled the replicas after a promotion showed both: no pause, the old term for up to 0.1 s. The order of promotion ends the pause, so one status proves nothing in that moment. Found beside it: an examination related its first statuses to the time of its second probe; a status now carries its own time. Change: a proof by statuses needs an answer of every replica, and the same again 150 ms later; it counts from the first time. The changed tests ask for more than before: two rounds for a proof, and none from one replica of two.

--- a/foxtailtrail/failover/SuccessionPlan.h
+++ b/foxtailtrail/failover/SuccessionPlan.h
@@ -36,6 +36,8 @@
     bool draining = false;
     // Its entry has left the shared list.
     bool removed = false;
+    // When it was asked: what it says was true at this time or later.
+    TimePoint askedAt {};
 };
 
 // Whether and why a primary has to be replaced.
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -24,6 +24,8 @@
     constexpr Duration hopelessWait = std::chrono::milliseconds(80);
     constexpr Duration verifyTimeout = std::chrono::milliseconds(250);
     constexpr Duration verifyInterval = std::chrono::milliseconds(60);
+    // A replica hears of a new primary within this time, unless it receives nothing at all.
+    constexpr Duration roundSpacing = std::chrono::milliseconds(150);
 
 }
 
@@ -98,29 +100,55 @@
     return this->commitsUnansweredSince && (this->unansweredCommits > 1 || now >= *this->commitsUnansweredSince + commitStallTime);
 }
 
-void GroupTraffic::noteStatus(const ProbedStatus& status, TimePoint sentAt)
+void GroupTraffic::noteRound(const std::vector<ProbedStatus>& statuses)
 {
-    if (!this->lastLeader || status.server == this->lastLeader->server || !this->lastLeader->settled)
-        return;
-    // A replica of a newer term follows another primary, or leads itself.
-    if (this->leaderTerm != Term {} && this->leaderTerm < status.term) {
-        this->noteNotPrimary(this->lastLeader->server);
+    if (!this->hasSettledLeader() || this->leaderTerm == Term {})
         return;
+    bool isComplete = false;
+    std::optional<TimePoint> askedAt;
+    for (const ProbedStatus& status : statuses) {
+        if (status.server == this->lastLeader->server || status.removed)
+            continue;
+        if (status.outcome != ProbeOutcome::Answered) {
+            this->firstRoundAt.reset();
+            return;
+        }
+        if (this->leaderTerm < status.term) {
+            // It follows another primary, or leads itself.
+            this->firstRoundAt.reset();
+            this->noteNotPrimary(this->lastLeader->server);
+            return;
+        }
+        if (status.isPrimary || status.pausedFor != Term {} || status.term != this->leaderTerm) {
+            this->firstRoundAt.reset();
+            this->logUnproven(status);
+            this->host.examineGroup(this->serviceName, "a replica has stopped to receive");
+            return;
+        }
+        askedAt = std::min(askedAt.value_or(status.askedAt), status.askedAt);
+        isComplete = true;
     }
-    // A replica that still receives in the primary's term proves that no promotion had begun when it was asked.
-    const bool receives = !status.isPrimary && status.pausedFor == Term {} && status.term == this->leaderTerm;
-    if (receives && this->deposed != this->lastLeader->server) {
-        this->lease.prove(this->lastLeader->server, sentAt);
-        this->serveWaiters();
+    if (!isComplete)
+        return;
+    // An order of promotion ends the pause of the other replicas, which have the old term until they hear of the new primary. So what they
+    // say counts once they say it again.
+    if (!this->firstRoundAt) {
+        this->firstRoundAt = askedAt;
         return;
     }
+    if (*askedAt < *this->firstRoundAt + roundSpacing)
+        return;
+    this->lease.prove(this->lastLeader->server, *this->firstRoundAt);
+    this->firstRoundAt = askedAt;
+    this->serveWaiters();
+}
+
+void GroupTraffic::logUnproven(const ProbedStatus& status) const
+{
     logEvent(LogLevel::Info, "lease not proven",
         { { "service", this->serviceName.value }, { "primary", this->lastLeader->server.value }, { "replica", status.server.value },
             { "primaryTerm", this->leaderTerm.value }, { "replicaTerm", status.term.value }, { "pausedFor", status.pausedFor.value },
             { "replicaLeads", status.isPrimary } });
-    // Another replica may prove it.
-    ++this->nextWitness;
-    this->host.examineGroup(this->serviceName, "a replica has stopped to receive");
 }
 
 void GroupTraffic::confirmLeader(const ProbedStatus& status)
@@ -145,6 +173,7 @@
     this->lastLeader = leader;
     if (otherServer) {
         this->leaderTerm = Term {};
+        this->firstRoundAt.reset();
         this->lease.revoke();
         this->freshness.clear();
         this->failingSince.reset();
@@ -261,42 +290,46 @@
         waiter.callback(this->usableLeader(now));
 }
 
+// The answers of all replicas of a group to one question.
+struct GroupTraffic::Round {
+    std::vector<ProbedStatus> statuses;
+    size_t outstanding = 0;
+};
+
 void GroupTraffic::verifyLease(const std::string& organisation, TimePoint now)
 {
     // Only statements for a settled primary wait for a proof.
     if (this->verifying || !this->hasSettledLeader() || now < this->verifiedAt + verifyInterval)
         return;
-    // The nearest replica first; another one when that has not helped.
-    std::vector<const ServerEntry*> replicas;
+    std::vector<std::pair<BackendServerId, std::shared_ptr<ServerPool>>> replicas;
     for (const ServerEntry* entry : this->host.directory().members(this->serviceName)) {
-        if (entry->id != this->lastLeader->server && !this->host.directory().isRemoved(entry->id))
-            replicas.push_back(entry);
+        const bool isAsked = entry->id != this->lastLeader->server && !this->host.directory().isRemoved(entry->id);
+        if (const auto pool = isAsked ? this->host.pool(entry->id) : nullptr)
+            replicas.emplace_back(entry->id, pool);
     }
     if (replicas.empty())
         return;
-    std::stable_sort(replicas.begin(), replicas.end(),
-        [&](const ServerEntry* left, const ServerEntry* right) { return this->host.distanceTo(*left) < this->host.distanceTo(*right); });
-    const ServerEntry* witness = replicas[this->nextWitness % replicas.size()];
-    const std::shared_ptr<ServerPool> pool = this->host.pool(witness->id);
-    if (!pool)
-        return;
     this->verifying = true;
     this->verifiedAt = now;
     if (this->leaderTerm == Term {}) {
         this->learnLeaderTerm(organisation, now);
         return;
     }
-    StatusQuery::start(pool, this->host.backendCodec(), organisation, now + verifyTimeout,
-        [weak = this->weak_from_this()](const std::optional<ProbedStatus>& status, TimePoint sentAt) {
-            const auto self = weak.lock();
-            if (!self)
-                return;
-            self->verifying = false;
-            if (status)
-                self->noteStatus(*status, sentAt);
-            else
-                ++self->nextWitness;
-        });
+    const auto round = std::make_shared<Round>();
+    round->outstanding = replicas.size();
+    for (const auto& [id, pool] : replicas) {
+        ProbedStatus silent;
+        silent.server = id;
+        StatusQuery::start(pool, this->host.backendCodec(), organisation, now + verifyTimeout,
+            [weak = this->weak_from_this(), round, silent](const std::optional<ProbedStatus>& status) {
+                round->statuses.push_back(status.value_or(silent));
+                const auto self = weak.lock();
+                if (--round->outstanding > 0 || !self)
+                    return;
+                self->verifying = false;
+                self->noteRound(round->statuses);
+            });
+    }
 }
 
 void GroupTraffic::learnLeaderTerm(const std::string& organisation, TimePoint now)
@@ -307,7 +340,7 @@
         return;
     }
     StatusQuery::start(pool, this->host.backendCodec(), organisation, now + verifyTimeout,
-        [weak = this->weak_from_this()](const std::optional<ProbedStatus>& status, TimePoint) {
+        [weak = this->weak_from_this()](const std::optional<ProbedStatus>& status) {
             const auto self = weak.lock();
             if (!self)
                 return;
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -59,8 +59,9 @@
     void noteFailure(const BackendServerId&, TimePoint now);
     // Takes a commit that has had no answer until its deadline.
     void noteUnansweredCommit(const BackendServerId&, TimePoint now);
-    // Takes what a probe has shown, and serves those that wait.
-    void noteStatus(const ProbedStatus&, TimePoint sentAt);
+    // Takes what the servers of the group say. It proves that the primary still leads when every replica says twice, some time apart,
+    // that it receives in the primary's term: then none of them has been promoted before the first time.
+    void noteRound(const std::vector<ProbedStatus>&);
     // Takes the result of an examination: the primary of the directory answered and no server knows a newer term.
     void confirmLeader(const ProbedStatus&);
     // The directory has changed.
@@ -94,6 +95,8 @@
     const ServiceName& service() const { return this->serviceName; }
 
 private:
+    struct Round;
+    void logUnproven(const ProbedStatus&) const;
     struct Waiter {
         uint64_t ticket = 0;
         std::string organisation;
@@ -128,7 +131,8 @@
     // By the primary's own answers: the record of a promotion may carry a higher number.
     Term leaderTerm;
     bool verifying = false;
-    size_t nextWitness = 0;
+    // When the replicas were first asked, if all of them have said since that they receive.
+    std::optional<TimePoint> firstRoundAt;
     TimePoint verifiedAt {};
     // The first failure of the primary since its last answer.
     std::optional<TimePoint> failingSince;
--- a/foxtailtrail/proxy/ServerCommands.cpp
+++ b/foxtailtrail/proxy/ServerCommands.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/proxy/ServerCommands.h"
 
 #include "foxtailtrail/net/FiberThread.h"
+#include "foxtailtrail/proxy/BootClock.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/future.hpp>
@@ -24,6 +25,7 @@
     {
         this->status.server = entry.id;
         this->status.draining = entry.draining;
+        this->status.askedAt = bootNow();
     }
 
     boost::fibers::future<ProbedStatus> start(
@@ -71,11 +73,11 @@
         const std::optional<ProbedStatus> read
             = reply.succeeded() && reply.rows.size() == 1 ? this->codec.readStatus(reply.rows.front()) : std::nullopt;
         if (read) {
-            const bool draining = this->status.draining;
-            const BackendServerId server = this->status.server;
-            this->status = *read;
-            this->status.server = server;
-            this->status.draining = draining;
+            ProbedStatus answered = *read;
+            answered.server = this->status.server;
+            answered.draining = this->status.draining;
+            answered.askedAt = this->status.askedAt;
+            this->status = answered;
         }
         this->finish(read ? ProbeOutcome::Answered : reply.refusal == BackendRefusal::Busy ? ProbeOutcome::Full : ProbeOutcome::Silent);
     }
--- a/foxtailtrail/proxy/StatusQuery.cpp
+++ b/foxtailtrail/proxy/StatusQuery.cpp
@@ -23,7 +23,7 @@
 void StatusQuery::acquired(Acquisition outcome, const std::shared_ptr<BackendLink>& acquiredLink)
 {
     if (outcome != Acquisition::Acquired) {
-        this->callback(std::nullopt, TimePoint {});
+        this->callback(std::nullopt);
         return;
     }
     this->link = acquiredLink;
@@ -40,17 +40,19 @@
     std::optional<ProbedStatus> status;
     if (reply.succeeded() && reply.rows.size() == 1)
         status = this->codec.readStatus(reply.rows.front());
-    if (status)
+    if (status) {
         status->server = this->link->server();
+        status->askedAt = reply.sentAt;
+    }
     this->pool->release(std::exchange(this->link, nullptr));
-    this->callback(status, reply.sentAt);
+    this->callback(status);
 }
 
 void StatusQuery::linkLost()
 {
     const auto keep = std::exchange(this->self, nullptr);
     this->pool->drop(std::exchange(this->link, nullptr));
-    this->callback(std::nullopt, TimePoint {});
+    this->callback(std::nullopt);
 }
 
 }
--- a/foxtailtrail/proxy/StatusQuery.h
+++ b/foxtailtrail/proxy/StatusQuery.h
@@ -12,7 +12,7 @@
 // Asks a server for its status over a pooled connection. It keeps itself alive until the answer or the loss of the connection.
 class StatusQuery final : public LinkUser, public std::enable_shared_from_this<StatusQuery> {
 public:
-    using Callback = std::function<void(const std::optional<ProbedStatus>&, TimePoint sentAt)>;
+    using Callback = std::function<void(const std::optional<ProbedStatus>&)>;
 
     // The callback gets nothing when the server has not answered by the deadline, or refused.
     static void start(
--- a/foxtailtrail/proxy/SuccessionCase.cpp
+++ b/foxtailtrail/proxy/SuccessionCase.cpp
@@ -51,7 +51,7 @@
             if (cause == SuccessionCause::PrimaryLost || cause == SuccessionCause::CommitsStalled)
                 cause = this->confirm(statuses, cause);
             this->confirmLeader(leader, statuses);
-            this->shareStatuses(statuses);
+            this->proxy.group(this->service)->noteRound(statuses);
             if (cause == SuccessionCause::None) {
                 this->resumeForgotten(statuses);
                 return;
@@ -73,7 +73,6 @@
 
         std::vector<ProbedStatus> ask(const std::vector<ServerEntry>& servers, ServerOrder order, Term term)
         {
-            this->askedAt = bootNow();
             std::vector<ProbedStatus> statuses = this->commands.askAll(servers, order, term, probeTimeout);
             for (ProbedStatus& status : statuses)
                 status.removed = this->proxy.directory().isRemoved(status.server);
@@ -157,16 +156,6 @@
                 this->proxy.group(this->service)->confirmLeader(*newest);
         }
 
-        // Replicas that still receive renew the lease of this VM.
-        void shareStatuses(const std::vector<ProbedStatus>& statuses)
-        {
-            for (const ProbedStatus& status : statuses) {
-                const bool receives = status.outcome == ProbeOutcome::Answered && !status.isPrimary && status.pausedFor == Term {};
-                if (receives)
-                    this->proxy.group(this->service)->noteStatus(status, this->askedAt);
-            }
-        }
-
         // Lets replicas receive again that a promoter paused and left behind. Only the holder of a turn knows that no promotion is under
         // way that relies on the pause.
         void resumeForgotten(const std::vector<ProbedStatus>& statuses)
@@ -406,7 +395,6 @@
         SessionProxy& proxy;
         ServiceName service;
         ServerCommands commands;
-        TimePoint askedAt {};
         // When all replicas that answered had stopped to receive.
         TimePoint pausedAt {};
     };
--- a/tests/proxy/GroupTrafficTest.cpp
+++ b/tests/proxy/GroupTrafficTest.cpp
@@ -44,13 +44,14 @@
         size_t examinations = 0;
     };
 
-    ProbedStatus answered(const BackendServerId& id, bool primary, uint64_t term)
+    ProbedStatus answered(const BackendServerId& id, bool primary, uint64_t term, TimePoint askedAt = {})
     {
         ProbedStatus status;
         status.server = id;
         status.outcome = ProbeOutcome::Answered;
         status.isPrimary = primary;
         status.term = Term { term };
+        status.askedAt = askedAt;
         return status;
     }
 
@@ -80,10 +81,12 @@
     TEST_F(GroupTrafficTest, AReplicaOfANewerTermDeposesThePrimary)
     {
         this->commitAt(this->now, 6);
-        this->group->noteStatus(answered(replica, false, 1), this->now + milliseconds(100));
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(100)) });
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(250)) });
         EXPECT_TRUE(this->isUsable(this->now + milliseconds(800)));
-        this->group->noteStatus(answered(replica, false, 2), this->now + milliseconds(200));
-        EXPECT_FALSE(this->isUsable(this->now + milliseconds(200)));
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(801)));
+        this->group->noteRound({ answered(replica, false, 2, this->now + milliseconds(300)) });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(300)));
         EXPECT_EQ(this->host.examinations, 1U);
     }
 
@@ -94,23 +97,58 @@
         this->commitAt(this->now, 6);
         this->group->noteAnswer(oldPrimary, point(2, 190), this->now + milliseconds(100), false);
         EXPECT_FALSE(this->isUsable(this->now + milliseconds(100)));
-        this->group->noteStatus(answered(replica, false, 2), this->now + milliseconds(200));
-        EXPECT_FALSE(this->isUsable(this->now + milliseconds(200)));
+        this->group->noteRound({ answered(replica, false, 2, this->now + milliseconds(200)) });
+        this->group->noteRound({ answered(replica, false, 2, this->now + milliseconds(400)) });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(400)));
         // A commit that it acknowledges in the new term is a proof.
-        this->group->noteAnswer(oldPrimary, point(2, 191), this->now + milliseconds(300), true);
-        EXPECT_TRUE(this->isUsable(this->now + milliseconds(300)));
+        this->group->noteAnswer(oldPrimary, point(2, 191), this->now + milliseconds(500), true);
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(500)));
     }
 
     // Guards against a proof by a replica that was told to pause.
     TEST_F(GroupTrafficTest, APausedReplicaProvesNothing)
     {
         this->commitAt(this->now, 6);
-        ProbedStatus paused = answered(replica, false, 1);
+        ProbedStatus paused = answered(replica, false, 1, this->now + milliseconds(500));
         paused.pausedFor = Term { 2 };
-        this->group->noteStatus(paused, this->now + milliseconds(500));
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(100)) });
+        this->group->noteRound({ paused });
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(600)) });
         EXPECT_FALSE(this->isUsable(this->now + milliseconds(800)));
     }
 
+    // Guards against a replica whose pause has ended with the order of promotion and that has not heard of the new primary yet: for a
+    // moment it says what a replica of the old primary says (STALE on kongres-app-grown trouble-1, seed 12).
+    TEST_F(GroupTrafficTest, AReplicaProvesThePrimaryOnlyWhenItSaysSoTwice)
+    {
+        this->commitAt(this->now, 6);
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(750)) });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(760)));
+        // A second answer that is too close may come from the same moment.
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(850)) });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(860)));
+        this->group->noteRound({ answered(replica, false, 2, this->now + milliseconds(900)) });
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(950)) });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(960)));
+    }
+
+    // Guards against a proof by one replica while the other one, which may have been promoted, does not answer.
+    TEST_F(GroupTrafficTest, AReplicaThatDoesNotAnswerLeavesThePrimaryUnproven)
+    {
+        ServerEntry entry = *this->host.servers.find(replica);
+        entry.id = BackendServerId("b3");
+        this->host.servers.put(entry);
+        this->commitAt(this->now, 6);
+        ProbedStatus silent;
+        silent.server = entry.id;
+        for (int round = 0; round < 5; ++round)
+            this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(200 * round)), silent });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(800)));
+        ProbedStatus leads = answered(entry.id, true, 1, this->now + milliseconds(900));
+        this->group->noteRound({ answered(replica, false, 1, this->now + milliseconds(900)), leads });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(900)));
+    }
+
     // Guards against a primary that is never used again after one refusal (day both-replicas-behind on wattle: a third refused).
     TEST_F(GroupTrafficTest, AnExaminationRestoresThePrimary)
     {
