Let VMs agree on the quota ledger by hints

Cause: in fleets of 61 and 71 VMs a VM hears six others a second, so each chose its ledger among the few it had heard, and the rates were split over many ledgers. Ruled out: the limits themselves (1.6 times the usual rates). Change: greetings and grants name the ledger that the VM knows, with its age and how long ago it was heard; VMs without a configuration, which lend nothing, are not taken for ledgers.

--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -91,11 +91,11 @@
     this->peers = std::move(updated);
     this->updateFleet(now);
     // New peers learn of this VM at once; in a large fleet the rounds of greetings reach the others.
-    size_t greeted = 0;
     const std::string text = this->greeting();
-    for (const auto& [id, peer] : this->peers) {
-        if (peer.knownSince == now && greeted++ < greetedAtOnce)
-            this->sendTo(peer, text);
+    size_t greeted = 0;
+    for (const Peer* peer : this->nextPeers(this->peers.size())) {
+        if (peer->knownSince == now && greeted++ < greetedAtOnce)
+            this->sendTo(*peer, text);
     }
 }
 
@@ -167,6 +167,35 @@
     return best;
 }
 
+json::object PeerExchange::ledgerHint(TimePoint now)
+{
+    const Peer* peer = this->ledgerPeer(now);
+    if (!peer && !this->proxy.isConfigured())
+        return {};
+    if (!peer)
+        return { { "vm", this->proxy.settings().vmId.value }, { "upMs", toMilliseconds(now - this->startedAt) }, { "silentMs", 0 } };
+    return { { "vm", peer->entry.id.value }, { "upMs", toMilliseconds(now - peer->startedAt) },
+        { "silentMs", toMilliseconds(now - peer->heardAt) } };
+}
+
+void PeerExchange::takeLedgerHint(const json::object& message, TimePoint now)
+{
+    const Result<json::object> hint = objectMember(message, "ledger");
+    if (!hint)
+        return;
+    const Result<std::string> vm = stringMember(hint.value(), "vm");
+    const Result<uint64_t> up = unsignedMember(hint.value(), "upMs");
+    const Result<uint64_t> silent = unsignedMember(hint.value(), "silentMs");
+    const auto peer = vm ? this->peers.find(VmId(vm.value())) : this->peers.end();
+    if (peer == this->peers.end() || !up || !silent)
+        return;
+    const TimePoint heardAt = now - std::chrono::milliseconds(silent.value());
+    if (heardAt <= peer->second.heardAt)
+        return;
+    peer->second.heardAt = heardAt;
+    peer->second.startedAt = now - std::chrono::milliseconds(up.value());
+}
+
 void PeerExchange::announceStop()
 {
     this->isStopping = true;
@@ -216,12 +245,12 @@
     this->sendTo(*peer, json::serialize(message));
 }
 
-std::string PeerExchange::greeting() const
+std::string PeerExchange::greeting()
 {
     return json::serialize(json::object { { "kind", greetingKind }, { "vm", this->proxy.settings().vmId.value },
         { "configuration", this->proxy.isConfigured() ? this->proxy.routeTable().version : 0 },
         { "control", this->proxy.settings().peers.port }, { "upMs", toMilliseconds(bootNow() - this->startedAt) },
-        { "stops", this->isStopping } });
+        { "stops", this->isStopping }, { "ledger", this->ledgerHint(bootNow()) } });
 }
 
 void PeerExchange::scheduleGreetings()
@@ -241,11 +270,24 @@
     if (this->peers.empty())
         return;
     const std::string text = this->greeting();
-    for (size_t count = 0; count < std::min(greetedAtATime, this->peers.size()); ++count) {
-        auto peer = this->peers.begin();
-        std::advance(peer, this->nextPeer++ % this->peers.size());
-        this->sendTo(peer->second, text);
+    const size_t count = std::min(greetedAtATime, this->peers.size());
+    for (const Peer* peer : this->nextPeers(count))
+        this->sendTo(*peer, text);
+    this->nextPeer += count;
+}
+
+std::vector<const PeerExchange::Peer*> PeerExchange::nextPeers(size_t count)
+{
+    std::vector<const Peer*> next;
+    auto peer = this->peers.begin();
+    if (!this->peers.empty())
+        std::advance(peer, this->nextPeer % this->peers.size());
+    while (next.size() < count) {
+        next.push_back(&peer->second);
+        if (++peer == this->peers.end())
+            peer = this->peers.begin();
     }
+    return next;
 }
 
 void PeerExchange::sendTo(const Peer& peer, const std::string& text)
@@ -293,12 +335,14 @@
     if (kind.value() == greetingKind) {
         const Result<uint64_t> up = unsignedMember(message, "upMs");
         const Result<bool> stops = booleanMember(message, "stops");
+        const Result<uint64_t> version = unsignedMember(message, "configuration");
         if (peer != this->peers.end() && up && stops) {
-            peer->second.startedAt = now - std::chrono::milliseconds(up.value());
+            // One without a configuration knows no limits and lends nothing.
+            peer->second.startedAt = version && version.value() > 0 ? now - std::chrono::milliseconds(up.value()) : TimePoint {};
             if (stops.value())
                 peer->second.avoidUntil = now + stopAvoidance;
         }
-        const Result<uint64_t> version = unsignedMember(message, "configuration");
+        this->takeLedgerHint(message, now);
         const uint64_t own = this->proxy.isConfigured() ? this->proxy.routeTable().version : 0;
         // The sender need not be known: a VM that the store rejects from its start on knows no peers.
         const Result<uint64_t> control = unsignedMember(message, "control");
@@ -339,7 +383,7 @@
     // The asker relates the times to the moment at which it sent this request, which came here later.
     this->sendTo(from,
         json::serialize(json::object { { "kind", grantKind }, { "vm", this->proxy.settings().vmId.value }, { "number", number },
-            { "list", grants }, { "news", encodeNews(this->proxy.news(now - leaderLeaseTime), now) } }));
+            { "list", grants }, { "news", encodeNews(this->proxy.news(now - leaderLeaseTime), now) }, { "ledger", this->ledgerHint(now) } }));
 }
 
 void PeerExchange::handleGrant(const json::object& message)
@@ -351,6 +395,7 @@
     this->lastAnswer = this->askNumber;
     this->lastAnswerer = this->askedPeer;
     this->lastAnswerAt = now;
+    this->takeLedgerHint(message, now);
     std::vector<QuotaGrant> grants;
     for (const json::value& each : message.at("list").as_array()) {
         const json::array& grant = each.as_array();
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -74,10 +74,15 @@
     void sendTo(const boost::asio::ip::udp::endpoint&, const std::string&);
     void sendTo(const Peer&, const std::string&);
     bool isLive(const Peer&, TimePoint now) const;
-    std::string greeting() const;
+    std::string greeting();
     // The VM that lends quotas to this one; null for this VM itself. One of the oldest processes is chosen, so that the loans survive
     // restarts of others.
     Peer* ledgerPeer(TimePoint now);
+    // Tells which VM this one takes for the ledger, and how current that is; the VMs agree on one sooner than by their own greetings.
+    json::object ledgerHint(TimePoint now);
+    void takeLedgerHint(const json::object& message, TimePoint now);
+    // The peers in their order, from the place at which this VM's rounds have arrived.
+    std::vector<const Peer*> nextPeers(size_t count);
     void updateFleet(TimePoint now);
 
     boost::asio::io_context& context;
