Start with the configuration of a VM of the same data centre

Cause: after a loss of all VMs the configuration of 1,262 routes crossed the link between the regions to each of 35 VMs; lists of servers timed out behind it, and far VMs served 4 to 5 s after their start (front-ktw-a-5: started 36.2 s, servers read 40.1 s). Ruled out: the store's rate (near VMs had the configuration after 0.4 s). Change: a VM that starts asks the larger VMs of its data centre first and follows the store from where that VM stands; the first of them reads from the store. A version that a greeting names is fetched from the greeter only when the feed has not brought it in 0.8 s or is lost. Tables that fail at the start are tried again soon.

--- a/foxtailtrail/base/Hash.cpp
+++ b/foxtailtrail/base/Hash.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/base/Hash.h"
 
 #include <array>
+#include <cmath>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -105,4 +106,10 @@
     return finalMix(stableHash(key) ^ (stableHash(member) * 0x9e3779b97f4a7c15ULL));
 }
 
+double weightedRendezvousScore(std::string_view key, std::string_view member, double weight)
+{
+    const double uniform = (static_cast<double>(rendezvousWeight(key, member)) + 1) / (static_cast<double>(UINT64_MAX) + 2);
+    return weight / -std::log(uniform);
+}
+
 }
--- a/foxtailtrail/base/Hash.h
+++ b/foxtailtrail/base/Hash.h
@@ -27,4 +27,8 @@
 // The weight of a member for a key in rendezvous hashing: the member with the highest weight owns the key.
 uint64_t rendezvousWeight(std::string_view key, std::string_view member);
 
+// The score of a member for a key in weighted rendezvous hashing: the member with the highest score owns the key, with a probability
+// in proportion to its weight.
+double weightedRendezvousScore(std::string_view key, std::string_view member, double weight);
+
 }
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <memory>
 #include <random>
 #include <utility>
@@ -40,6 +41,17 @@
     constexpr size_t maxContacts = 8;
     // While the store does not serve a configured VM, it asks a peer this often; a configuration is in force within three seconds.
     constexpr Duration askInterval = std::chrono::milliseconds(1500);
+    // The store's feed gives a new configuration to every VM within this time, so a peer's copy is not needed before.
+    constexpr Duration feedDelay = std::chrono::milliseconds(800);
+    // A VM that starts waits this long for the list of VMs, and then for the configuration of another VM.
+    constexpr Duration fleetWait = std::chrono::milliseconds(700);
+    constexpr Duration startFromPeerTime = std::chrono::milliseconds(2000);
+    // Between two questions to a VM that has no configuration yet.
+    constexpr Duration startPollInterval = std::chrono::milliseconds(80);
+    constexpr Duration startAnswerTimeout = std::chrono::milliseconds(600);
+    // Orders the VMs of a data centre for reading the configuration from the store.
+    constexpr const char* sourceKey = "configuration";
+    constexpr const char* followedHeader = "Foxtail-Store-Version";
     constexpr const char* configurationTarget = "/configuration";
     // The version that the asking VM has, and where it answers the same request.
     constexpr const char* versionHeader = "Foxtail-Configuration";
@@ -89,6 +101,14 @@
     bool isLost = false;
     uint64_t version = 0;
     Duration pause = firstPause;
+    if (table == StoreTable::Declarations) {
+        if (const std::optional<uint64_t> followed = this->startFromPeer()) {
+            version = *followed;
+            this->declarationsVersion = version;
+            isListed = true;
+        }
+        this->isStarting = false;
+    }
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(stableHash(this->proxy.settings().vmId.value + name)));
     std::uniform_int_distribution<int> waits(feedWaitMinMilliseconds, feedWaitMaxMilliseconds);
     // Runs until the process ends.
@@ -98,11 +118,14 @@
         if (rows) {
             if (std::exchange(isLost, false)) {
                 --this->tablesLost;
+                this->declarationsLost = this->declarationsLost && table != StoreTable::Declarations;
                 this->regained.notify_all();
                 logEvent(LogLevel::Info, "store regained", { { "table", name } });
             }
             pause = firstPause;
             version = rows.value().version;
+            if (table == StoreTable::Declarations)
+                this->declarationsVersion = version;
             apply(rows.value(), !isListed);
             isListed = true;
             if (table == StoreTable::Fleet && !this->isRegistered)
@@ -117,6 +140,7 @@
         }
         if (!std::exchange(isLost, true)) {
             ++this->tablesLost;
+            this->declarationsLost = this->declarationsLost || table == StoreTable::Declarations;
             logEvent(LogLevel::Warning, "store lost", { { "table", name }, { "detail", rows.error().detail } });
         }
         if (table == StoreTable::Declarations)
@@ -140,7 +164,7 @@
 
 void ControlFollower::pauseAfterLoss(StoreTable table, Duration pause)
 {
-    if (table == StoreTable::Declarations || this->tablesLost < tableCount) {
+    if (table == StoreTable::Declarations || this->tablesLost < tableCount || bootNow() < this->startedAt + startTime) {
         sleepFor(pause);
         return;
     }
@@ -197,6 +221,7 @@
 {
     if (isWhole)
         this->knownPeers.clear();
+    this->fleetWasRead = true;
     std::vector<LeaderRecord> leaders;
     for (const TableRow& row : rows.rows) {
         if (row.removed) {
@@ -253,6 +278,47 @@
         logEvent(LogLevel::Warning, "not registered in the store", { { "detail", stored.error().detail } });
 }
 
+std::optional<uint64_t> ControlFollower::startFromPeer()
+{
+    const TimePoint fleetBy = bootNow() + fleetWait;
+    while (!this->fleetWasRead && bootNow() < fleetBy)
+        sleepFor(startPollInterval);
+    // The VMs of the data centre that come before this one, the largest first; the first of them reads from the store.
+    const ProxySettings& own = this->proxy.settings();
+    using Rank = std::pair<double, uint64_t>;
+    const auto rankOf = [](const VmId& vm, double share) { return Rank { share, rendezvousWeight(sourceKey, vm.value) }; };
+    const Rank ownRank = rankOf(own.vmId, own.processorShare);
+    std::map<Rank, Endpoint, std::greater<>> sources;
+    for (const auto& [key, peer] : this->knownPeers) {
+        const Rank rank = rankOf(peer.id, peer.processorShare);
+        if (peer.dataCentre == own.dataCentre && rank > ownRank)
+            sources.emplace(rank, peer.control);
+    }
+    std::optional<uint64_t> followedUpTo;
+    const TimePoint giveUpAt = bootNow() + startFromPeerTime;
+    for (const auto& [rank, source] : sources) {
+        while (bootNow() < giveUpAt && !followedUpTo && this->startFrom(source, followedUpTo))
+            sleepFor(startPollInterval);
+        if (followedUpTo)
+            return followedUpTo;
+    }
+    return std::nullopt;
+}
+
+bool ControlFollower::startFrom(const Endpoint& source, std::optional<uint64_t>& followedUpTo)
+{
+    const Result<HttpResponse> response = this->askPeer(source, startAnswerTimeout);
+    if (!response)
+        return false;
+    const std::string* followed = response.value().header(followedHeader);
+    if (response.value().status == 200 && followed) {
+        this->installDocument(response.value().body, "peer " + source.address);
+        if (this->proxy.isConfigured())
+            followedUpTo = std::strtoull(followed->c_str(), nullptr, 10);
+    }
+    return true;
+}
+
 uint64_t ControlFollower::configurationVersion() const { return this->proxy.isConfigured() ? this->proxy.routeTable().version : 0; }
 
 void ControlFollower::askNextPeer()
@@ -283,20 +349,23 @@
     }
 }
 
+void ControlFollower::noteNewerConfiguration(const Endpoint& peer, uint64_t version)
+{
+    if (version > this->toldVersion) {
+        this->toldVersion = version;
+        this->toldAt = bootNow();
+    }
+    if (this->declarationsLost || bootNow() >= this->toldAt + feedDelay)
+        this->fetchFromPeer(peer);
+}
+
 void ControlFollower::fetchFromPeer(const Endpoint& peer)
 {
-    if (this->isFetching)
+    if (this->isFetching || this->isStarting)
         return;
     this->isFetching = true;
     startFiber([this, peer] {
-        const Endpoint& own = this->proxy.settings().peers;
-        HttpClient client(peer, 0);
-        HttpRequest request;
-        request.method = "GET";
-        request.target = configurationTarget;
-        request.headers = { { versionHeader, std::to_string(this->configurationVersion()) },
-            { contactHeader, own.address + ":" + std::to_string(own.port) } };
-        const Result<HttpResponse> response = client.send(request, now() + peerTimeout);
+        const Result<HttpResponse> response = this->askPeer(peer, peerTimeout);
         if (response && response.value().status == 200)
             this->installDocument(response.value().body, "peer " + peer.address);
         else if (!response || response.value().status != 204)
@@ -306,6 +375,18 @@
     });
 }
 
+Result<HttpResponse> ControlFollower::askPeer(const Endpoint& peer, Duration timeout) const
+{
+    const Endpoint& own = this->proxy.settings().peers;
+    HttpClient client(peer, 0);
+    HttpRequest request;
+    request.method = "GET";
+    request.target = configurationTarget;
+    request.headers
+        = { { versionHeader, std::to_string(this->configurationVersion()) }, { contactHeader, own.address + ":" + std::to_string(own.port) } };
+    return client.send(request, now() + timeout);
+}
+
 HttpResponse ControlFollower::answerPeer(const HttpRequest& request)
 {
     if (request.target != configurationTarget)
@@ -321,7 +402,7 @@
     const uint64_t held = version ? std::strtoull(version->c_str(), nullptr, 10) : 0;
     if (this->document.empty() || this->configurationVersion() <= held)
         return HttpResponse { 204, "text/plain", {}, {} };
-    return HttpResponse { 200, "application/json", {}, this->document };
+    return HttpResponse { 200, "application/json", { { followedHeader, std::to_string(this->declarationsVersion) } }, this->document };
 }
 
 }
--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -27,8 +27,8 @@
     bool isStoreLost() const { return this->tablesLost == tableCount; }
     // Reads the fleet's rows and the list of servers now. Fails when the store does not answer.
     Result<void> refreshFleet();
-    // Asks a peer for a configuration that is newer than this VM's, in a fiber of its own.
-    void fetchFromPeer(const Endpoint&);
+    // Takes note that a peer has a newer configuration, and asks that peer for it unless the store is about to give it.
+    void noteNewerConfiguration(const Endpoint& peer, uint64_t version);
     // Answers the request of another VM for a newer configuration, and remembers that VM.
     HttpResponse answerPeer(const HttpRequest&);
 
@@ -45,6 +45,14 @@
     void installDocument(const std::string&, std::string_view source);
     // The version of the installed configuration, or 0.
     uint64_t configurationVersion() const;
+    // Takes the configuration from a VM of the same data centre, so that not every VM of a fleet that starts reads it from the store,
+    // perhaps over the link between regions. Returns the version of the store up to which that VM had followed, or nothing.
+    std::optional<uint64_t> startFromPeer();
+    // Asks a peer for its configuration and installs it. Returns false when there is no use in asking it again.
+    bool startFrom(const Endpoint&, std::optional<uint64_t>& followedUpTo);
+    Result<HttpResponse> askPeer(const Endpoint&, Duration timeout) const;
+    // Asks a peer for a configuration that is newer than this VM's, in a fiber of its own.
+    void fetchFromPeer(const Endpoint&);
     // Asks one of the VMs that this one knows, another one each time.
     void askNextPeer();
     // Has the seeds that the store does not list learn of this VM, and asks them for their configuration.
@@ -59,6 +67,15 @@
     TimePoint startedAt {};
     // The newest configuration as the store gave it, for peers; empty when there is none.
     std::string document;
+    // The version of the store up to which this VM has followed the declarations.
+    uint64_t declarationsVersion = 0;
+    bool fleetWasRead = false;
+    // Set until the first configuration has been asked for.
+    bool isStarting = true;
+    bool declarationsLost = false;
+    // The newest version that a peer has told of, and since when.
+    uint64_t toldVersion = 0;
+    TimePoint toldAt {};
     std::map<std::string, PeerEntry> knownPeers;
     // VMs that have asked this one, the newest last. The store need not list them.
     std::vector<Endpoint> contacts;
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -29,7 +29,7 @@
     , store(platform.makeStore(settings))
     , orders(platform.makeOrders(settings))
     , proxy(thread.ioContext(), settings, platform.callers, platform.backends)
-    , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t) { this->follower.fetchFromPeer(peer); })
+    , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t version) { this->follower.noteNewerConfiguration(peer, version); })
     , relay(thread.ioContext(), platform.backends, [this](const BackendServerId& id) { return this->proxy.poolForOthers(id); })
     , follower(proxy, *store, platform.declarations, peers)
     , succession(
--- a/foxtailtrail/scheduling/RelayPlacement.cpp
+++ b/foxtailtrail/scheduling/RelayPlacement.cpp
@@ -3,8 +3,6 @@
 #include "foxtailtrail/base/Hash.h"
 
 #include <algorithm>
-#include <cmath>
-#include <cstdint>
 
 namespace foxtail {
 
@@ -15,12 +13,9 @@
     // A choice is kept for this long, as it is asked for with every statement.
     constexpr Duration choiceLife = std::chrono::milliseconds(100);
 
-    // The score of weighted rendezvous hashing: a member wins with a probability in proportion to its weight.
     double score(const BackendServerId& server, const RelayCandidate& candidate)
     {
-        const double uniform
-            = (static_cast<double>(rendezvousWeight(server.value, candidate.vm.value)) + 1) / (static_cast<double>(UINT64_MAX) + 2);
-        return candidate.processorShare * candidate.processorShare / -std::log(uniform);
+        return weightedRendezvousScore(server.value, candidate.vm.value, candidate.processorShare * candidate.processorShare);
     }
 
 }
