Stop the old primary and pause newcomers before a promotion

The primary drained; the promoter paused both replicas (18.04 s). A new server joined, received commits 2.211 and 2.212, and the old primary acknowledged them (18.62 s); the promoted replica ended at 2.210. Ruled out: a replica that was missing from the list at the claim (the list was read then; the server joined later). Change: after the choice the old primary is demoted if it can be reached, the list is read again, and servers that joined are paused and compared; one that does not answer blocks the promotion unless the old primary, stopped, shows that nothing is missing.

--- a/foxtailtrail/failover/SuccessionPlan.cpp
+++ b/foxtailtrail/failover/SuccessionPlan.cpp
@@ -117,4 +117,25 @@
     return choice;
 }
 
+std::optional<ProbedStatus> confirmSuccessor(
+    const ProbedStatus& chosen, const std::vector<ProbedStatus>& newcomers, const std::optional<ProbedStatus>& oldPrimary)
+{
+    ProbedStatus best = chosen;
+    bool anySilent = false;
+    for (const ProbedStatus& newcomer : newcomers) {
+        if (newcomer.outcome != ProbeOutcome::Answered)
+            anySilent = true;
+        else if (best.received < newcomer.received)
+            best = newcomer;
+    }
+    // A server that leaves cannot succeed, and nobody else has what it has.
+    if (best.draining || best.removed)
+        return std::nullopt;
+    const bool hasAll
+        = oldPrimary && oldPrimary->outcome == ProbeOutcome::Answered && !oldPrimary->isPrimary && oldPrimary->received <= best.received;
+    if (anySilent && !hasAll)
+        return std::nullopt;
+    return best;
+}
+
 }
--- a/foxtailtrail/failover/SuccessionPlan.h
+++ b/foxtailtrail/failover/SuccessionPlan.h
@@ -95,4 +95,10 @@
 // the caller states that the missing replica has been away long enough to count as lost.
 SuccessorChoice chooseSuccessor(const std::vector<ProbedStatus>& replicas, std::optional<LogPoint> acknowledged, bool missingCountAsLost);
 
+// Looks at the choice again after the old primary was told to stop: servers that have joined since the pause may hold commits that it
+// acknowledged meanwhile. Returns the server to promote, or nothing when a commit may be at a server that does not answer. The old
+// primary is given when it has confirmed that it leads no more.
+std::optional<ProbedStatus> confirmSuccessor(
+    const ProbedStatus& chosen, const std::vector<ProbedStatus>& newcomers, const std::optional<ProbedStatus>& oldPrimary);
+
 }
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -382,8 +382,8 @@
     HttpRequest request;
     request.method = "GET";
     request.target = configurationTarget;
-    request.headers
-        = { { versionHeader, std::to_string(this->configurationVersion()) }, { contactHeader, own.address + ":" + std::to_string(own.port) } };
+    request.headers = { { versionHeader, std::to_string(this->configurationVersion()) },
+        { contactHeader, own.address + ":" + std::to_string(own.port) } };
     return client.send(request, now() + timeout);
 }
 
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -66,9 +66,9 @@
 
 std::string encodePeer(const PeerEntry& entry)
 {
-    return json::serialize(json::object { { "address", entry.control.address }, { "controlPort", entry.control.port },
-        { "datagramPort", entry.datagramPort }, { "relayPort", entry.relayPort }, { "dataCentre", entry.dataCentre.value },
-        { "processorShare", entry.processorShare } });
+    return json::serialize(
+        json::object { { "address", entry.control.address }, { "controlPort", entry.control.port }, { "datagramPort", entry.datagramPort },
+            { "relayPort", entry.relayPort }, { "dataCentre", entry.dataCentre.value }, { "processorShare", entry.processorShare } });
 }
 
 std::string encodeLeader(const LeaderRecord& record)
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -382,8 +382,9 @@
     asker = Asker { number, now };
     // The asker relates the times to the moment at which it sent this request, which came here later.
     this->sendTo(from,
-        json::serialize(json::object { { "kind", grantKind }, { "vm", this->proxy.settings().vmId.value }, { "number", number },
-            { "list", grants }, { "news", encodeNews(this->proxy.news(now - leaderLeaseTime), now) }, { "ledger", this->ledgerHint(now) } }));
+        json::serialize(
+            json::object { { "kind", grantKind }, { "vm", this->proxy.settings().vmId.value }, { "number", number }, { "list", grants },
+                { "news", encodeNews(this->proxy.news(now - leaderLeaseTime), now) }, { "ledger", this->ledgerHint(now) } }));
 }
 
 void PeerExchange::handleGrant(const json::object& message)
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -29,7 +29,8 @@
     , store(platform.makeStore(settings))
     , orders(platform.makeOrders(settings))
     , proxy(thread.ioContext(), settings, platform.callers, platform.backends)
-    , peers(thread.ioContext(), proxy, [this](const Endpoint& peer, uint64_t version) { this->follower.noteNewerConfiguration(peer, version); })
+    , peers(thread.ioContext(), proxy,
+          [this](const Endpoint& peer, uint64_t version) { this->follower.noteNewerConfiguration(peer, version); })
     , relay(thread.ioContext(), platform.backends, [this](const BackendServerId& id) { return this->proxy.poolForOthers(id); })
     , follower(proxy, *store, platform.declarations, peers)
     , succession(
@@ -55,8 +56,8 @@
     HttpServerSettings peer = ready;
     peer.address = this->settings.peers.address;
     peer.port = this->settings.peers.port;
-    BOOST_OUTCOME_TRY(
-        this->peerServer, HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->follower.answerPeer(request); }));
+    BOOST_OUTCOME_TRY(this->peerServer,
+        HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) { return this->follower.answerPeer(request); }));
     if (this->settings.metricsPort != 0) {
         HttpServerSettings metrics = peer;
         metrics.port = this->settings.metricsPort;
--- a/foxtailtrail/proxy/RelayFrame.cpp
+++ b/foxtailtrail/proxy/RelayFrame.cpp
@@ -117,7 +117,7 @@
 
 void writeRelaySignal(std::string& out, RelayFrameKind kind, uint32_t channel)
 {
-    writeFrame(out, kind, channel, [] { });
+    writeFrame(out, kind, channel, [] {});
 }
 
 RelayTake takeRelayFrame(std::string_view& bytes, RelayFrame& frame)
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -33,9 +33,9 @@
         this->waiting = bytes;
         this->waitingCount = count;
         auto self = this->shared_from_this();
-        const uint64_t given = this->pool->acquire(request.organisation, request.priority,
-            bootNow() + std::chrono::milliseconds(request.patienceMs),
-            [self](Acquisition outcome, const std::shared_ptr<BackendLink>& acquired) { self->acquired(outcome, acquired); });
+        const uint64_t given
+            = this->pool->acquire(request.organisation, request.priority, bootNow() + std::chrono::milliseconds(request.patienceMs),
+                [self](Acquisition outcome, const std::shared_ptr<BackendLink>& acquired) { self->acquired(outcome, acquired); });
         if (!this->link && !this->over)
             this->ticket = given;
     }
--- a/foxtailtrail/proxy/SuccessionCase.cpp
+++ b/foxtailtrail/proxy/SuccessionCase.cpp
@@ -239,9 +239,12 @@
                 const std::optional<ProbedStatus> successor = this->fence(replicas, oldLeader, statuses, term, failed, *turn);
                 if (!successor)
                     break;
-                if (this->promote(*successor, oldLeader, statuses, term, *turn))
+                const std::optional<ProbedStatus> confirmed = this->closeLog(*successor, replicas, oldLeader, term);
+                if (!confirmed)
+                    continue;
+                if (this->promote(*confirmed, oldLeader, statuses, term, *turn))
                     return;
-                failed.push_back(successor->server);
+                failed.push_back(confirmed->server);
             }
             this->commands.askAll(replicas, ServerOrder::Resume, Term {}, probeTimeout);
             this->duty.endTurn(*turn);
@@ -294,6 +297,34 @@
             return std::nullopt;
         }
 
+        // Has the old primary stop, so that it acknowledges nothing more, and pauses servers that have joined since the others were paused:
+        // until now it may have acknowledged commits that only they received. Returns the server to promote.
+        std::optional<ProbedStatus> closeLog(
+            const ProbedStatus& chosen, std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldLeader, Term term)
+        {
+            std::optional<ProbedStatus> stopped;
+            const ServerEntry* old = oldLeader ? this->proxy.directory().find(*oldLeader) : nullptr;
+            if (old) {
+                stopped = this->ask({ *old }, ServerOrder::Demote, term).front();
+                this->logStatuses("demote", { *stopped });
+            }
+            const Result<void> refreshed = this->duty.refreshRecords();
+            if (!refreshed) {
+                logEvent(LogLevel::Warning, "servers not read before a promotion",
+                    { { "service", this->service.value }, { "detail", refreshed.error().detail } });
+                return std::nullopt;
+            }
+            std::vector<ServerEntry> newcomers = this->members();
+            std::erase_if(newcomers, [&](const ServerEntry& entry) {
+                return (oldLeader && entry.id == *oldLeader)
+                    || std::any_of(replicas.begin(), replicas.end(), [&](const ServerEntry& known) { return known.id == entry.id; });
+            });
+            const std::vector<ProbedStatus> paused = this->ask(newcomers, ServerOrder::Pause, term);
+            this->logStatuses("pause", paused);
+            replicas.insert(replicas.end(), newcomers.begin(), newcomers.end());
+            return confirmSuccessor(chosen, paused, stopped);
+        }
+
         // Makes replicas of servers that still lead in an older term, so that they can be paused.
         void demoteOthers(const std::vector<ServerEntry>& replicas, const std::vector<ProbedStatus>& statuses, Term term)
         {
--- a/foxtailtrail/scheduling/RelayPlacement.cpp
+++ b/foxtailtrail/scheduling/RelayPlacement.cpp
@@ -70,8 +70,7 @@
     return (always != this->passedOver.end() && now < always->second) || (here != this->passedOverFor.end() && now < here->second);
 }
 
-std::optional<VmId> RelayPlacement::bestOf(
-    const BackendServerId& server, const DataCentre& place, bool wholeRegion, TimePoint now) const
+std::optional<VmId> RelayPlacement::bestOf(const BackendServerId& server, const DataCentre& place, bool wholeRegion, TimePoint now) const
 {
     const auto regionOf = [&](const DataCentre& each) {
         const auto found = this->regions.find(each.value);
--- a/tests/failover/SuccessionTest.cpp
+++ b/tests/failover/SuccessionTest.cpp
@@ -29,6 +29,38 @@
         return judgeSuccession({ primary, replica }, primaryId, settled, stalled);
     }
 
+    ProbedStatus withLog(const char* id, uint64_t position, ProbeOutcome outcome = ProbeOutcome::Answered)
+    {
+        ProbedStatus status;
+        status.server = BackendServerId(id);
+        status.outcome = outcome;
+        status.term = Term { 2 };
+        status.received = { Term { 2 }, Position { position } };
+        return status;
+    }
+
+    // Guards against commits that are lost because a server joined after the pause and acknowledged them (LOST on wattle, day
+    // both-replicas-behind, seed 880488725301: two commits were at such a server only).
+    TEST(SuccessionPlanTest, AServerThatJoinedAfterThePauseMayHoldTheNewestCommits)
+    {
+        const ProbedStatus chosen = withLog("b1", 210);
+        EXPECT_EQ(confirmSuccessor(chosen, {}, std::nullopt)->server, chosen.server);
+        EXPECT_EQ(confirmSuccessor(chosen, { withLog("b2", 212) }, withLog("b0", 212))->server, BackendServerId("b2"));
+        EXPECT_EQ(confirmSuccessor(chosen, { withLog("b2", 209) }, withLog("b0", 212))->server, chosen.server);
+        // One that does not answer may hold a commit, unless the old primary has stopped without one.
+        const ProbedStatus silent = withLog("b2", 0, ProbeOutcome::Silent);
+        EXPECT_FALSE(confirmSuccessor(chosen, { silent }, std::nullopt));
+        EXPECT_FALSE(confirmSuccessor(chosen, { silent }, withLog("b0", 212)));
+        EXPECT_EQ(confirmSuccessor(chosen, { silent }, withLog("b0", 210))->server, chosen.server);
+        ProbedStatus stillLeads = withLog("b0", 210);
+        stillLeads.isPrimary = true;
+        EXPECT_FALSE(confirmSuccessor(chosen, { silent }, stillLeads));
+        // What only a leaving server holds would be lost with it.
+        ProbedStatus leaving = withLog("b2", 212);
+        leaving.draining = true;
+        EXPECT_FALSE(confirmSuccessor(chosen, { leaving }, withLog("b0", 212)));
+    }
+
     // Each state of the primary with an answering replica, as rows of a matrix.
     TEST(SuccessionPlanTest, ThePrimaryIsReplacedOnlyForACause)
     {
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -193,8 +193,8 @@
     route("bounded", "bounded_staleness", R"(,"max_staleness_ms":1500)");
     route("own", "read_your_writes", R"(,"max_staleness_ms":2500)");
     out.seekp(-1, std::ios_base::cur);
-    out << R"(],"services":[{"name":"groupa","health_path":"/health","max_conns":)"
-        << this->maxConnections << R"(,"sync_replicas":1}],"limits":{"tx_idle_ms":3000},"tenants":[)";
+    out << R"(],"services":[{"name":"groupa","health_path":"/health","max_conns":)" << this->maxConnections
+        << R"(,"sync_replicas":1}],"limits":{"tx_idle_ms":3000},"tenants":[)";
     for (size_t index = 0; index < this->organisations.size(); ++index) {
         const OrganisationEntry& entry = this->organisations[index];
         out << (index > 0 ? "," : "") << R"({"name":")" << entry.name << R"(","api_keys":[)";
--- a/tests/scheduling/RelayPlacementTest.cpp
+++ b/tests/scheduling/RelayPlacementTest.cpp
@@ -74,6 +74,7 @@
     TEST_F(RelayPlacementTest, OnlyTheServersOfAMissingVmMove)
     {
         std::vector<std::string> before;
+        before.reserve(200);
         for (int number = 0; number < 200; ++number)
             before.push_back(this->relay(number));
         this->placement.passOver(VmId("near0"), start + seconds(2));
--- a/tests/server/ProxySettingsTest.cpp
+++ b/tests/server/ProxySettingsTest.cpp
@@ -9,10 +9,11 @@
 
 namespace {
 
-    constexpr const char* valid = "vm: {id: a, dataCentre: z, region: r, regions: {z: r}}\n"
-                                  "listen: {callers: '10.0.0.1:1', ready: '10.0.0.1:2', peers: '10.0.0.1:3', datagramPort: 4, relayPort: 5}\n"
-                                  "platform: {store: '10.0.0.2:5', promotions: '10.0.0.2:6', seeds: ['10.0.0.3:3']}\n"
-                                  "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
+    constexpr const char* valid
+        = "vm: {id: a, dataCentre: z, region: r, regions: {z: r}}\n"
+          "listen: {callers: '10.0.0.1:1', ready: '10.0.0.1:2', peers: '10.0.0.1:3', datagramPort: 4, relayPort: 5}\n"
+          "platform: {store: '10.0.0.2:5', promotions: '10.0.0.2:6', seeds: ['10.0.0.3:3']}\n"
+          "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
 
     class ProxySettingsTest : public testing::Test {
     protected:
@@ -44,8 +45,8 @@
         std::string all;
         for (const std::string& fault : settings.error())
             all += fault + "\n";
-        for (const char* name : { "vm.dataCentre", "vm.region", "vm.logLevel", "listen.callers", "listen.ready", "listen.datagramPort", "listen.relayPort",
-                 "platform.store", "bounds.stopGraceSeconds", "bounds.quotaWindowSeconds" })
+        for (const char* name : { "vm.dataCentre", "vm.region", "vm.logLevel", "listen.callers", "listen.ready", "listen.datagramPort",
+                 "listen.relayPort", "platform.store", "bounds.stopGraceSeconds", "bounds.quotaWindowSeconds" })
             EXPECT_NE(all.find(name), std::string::npos) << name << " in\n" << all;
     }
 
