Count the replicas that answer as witnesses of the primary

Cause: FleetTest.ACrashedPrimaryIsReplacedWithoutLosingAcknowledgedWrites failed with both ways to the servers since the proof by all replicas: the crashed server stayed in the list, no round was complete, and no write could prove the new primary. Ruled out: the promotion (primary replaced after 0.1 s in the logs). Change: servers that do not answer are no witnesses and no obstacle; all that answer must agree, twice.

--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -104,15 +104,12 @@
 {
     if (!this->hasSettledLeader() || this->leaderTerm == Term {})
         return;
-    bool isComplete = false;
     std::optional<TimePoint> askedAt;
     for (const ProbedStatus& status : statuses) {
         if (status.server == this->lastLeader->server || status.removed)
             continue;
-        if (status.outcome != ProbeOutcome::Answered) {
-            this->firstRoundAt.reset();
-            return;
-        }
+        if (status.outcome != ProbeOutcome::Answered)
+            continue;
         if (this->leaderTerm < status.term) {
             // It follows another primary, or leads itself.
             this->firstRoundAt.reset();
@@ -126,9 +123,8 @@
             return;
         }
         askedAt = std::min(askedAt.value_or(status.askedAt), status.askedAt);
-        isComplete = true;
     }
-    if (!isComplete)
+    if (!askedAt)
         return;
     // An order of promotion ends the pause of the other replicas, which have the old term until they hear of the new primary. So what they
     // say counts once they say it again.
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -59,8 +59,8 @@
     void noteFailure(const BackendServerId&, TimePoint now);
     // Takes a commit that has had no answer until its deadline.
     void noteUnansweredCommit(const BackendServerId&, TimePoint now);
-    // Takes what the servers of the group say. It proves that the primary still leads when every replica says twice, some time apart,
-    // that it receives in the primary's term: then none of them has been promoted before the first time.
+    // Takes what the servers of the group say. It proves that the primary still leads when every replica that answers says twice, some
+    // time apart, that it receives in the primary's term: a promotion would have paused it, or told it of the new primary since.
     void noteRound(const std::vector<ProbedStatus>&);
     // Takes the result of an examination: the primary of the directory answered and no server knows a newer term.
     void confirmLeader(const ProbedStatus&);
