--- /dev/null
+++ b/foxtailtrail/proxy/ConfigurationExchange.cpp
@@ -0,0 +1,76 @@
+#include "foxtailtrail/proxy/ConfigurationExchange.h"
+
+#include "foxtailtrail/net/Clock.h"
+
+#include <charconv>
+#include <cstdlib>
+
+namespace foxtail {
+
+namespace {
+
+    // VMs that have asked this one and are remembered.
+    constexpr size_t maxAskers = 8;
+    constexpr const char* target = "/configuration";
+    // The version that the asking VM has, and where it answers the same request.
+    constexpr const char* versionHeader = "Foxtail-Configuration";
+    constexpr const char* contactHeader = "Foxtail-Contact";
+    constexpr const char* followedHeader = "Foxtail-Store-Version";
+
+    std::optional<Endpoint> parseEndpoint(const std::string& text)
+    {
+        const size_t colon = text.rfind(':');
+        uint16_t port = 0;
+        if (colon == std::string::npos)
+            return std::nullopt;
+        const char* end = text.data() + text.size();
+        const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
+        if (error != std::errc() || stop != end || port == 0)
+            return std::nullopt;
+        return Endpoint { text.substr(0, colon), port };
+    }
+
+}
+
+void ConfigurationExchange::setDocument(std::string newer, uint64_t version)
+{
+    this->document = std::move(newer);
+    this->heldVersion = version;
+}
+
+HttpResponse ConfigurationExchange::answer(const HttpRequest& request)
+{
+    if (request.target != target)
+        return HttpResponse { 404, "text/plain", {}, {} };
+    const std::string* contact = request.header(contactHeader);
+    if (const std::optional<Endpoint> asker = contact ? parseEndpoint(*contact) : std::nullopt) {
+        std::erase(this->askers, *asker);
+        this->askers.push_back(*asker);
+        if (this->askers.size() > maxAskers)
+            this->askers.erase(this->askers.begin());
+    }
+    const std::string* version = request.header(versionHeader);
+    const uint64_t asked = version ? std::strtoull(version->c_str(), nullptr, 10) : 0;
+    if (this->heldVersion <= asked)
+        return HttpResponse { 204, "text/plain", {}, {} };
+    return HttpResponse { 200, "application/json", { { followedHeader, std::to_string(this->followedUpTo) } }, this->document };
+}
+
+Result<std::optional<ConfigurationOffer>> ConfigurationExchange::ask(const Endpoint& peer, Duration timeout) const
+{
+    HttpClient client(peer, 0);
+    HttpRequest request;
+    request.method = "GET";
+    request.target = target;
+    request.headers = { { versionHeader, std::to_string(this->heldVersion) },
+        { contactHeader, this->own.address + ":" + std::to_string(this->own.port) } };
+    BOOST_OUTCOME_TRY(HttpResponse response, client.send(request, now() + timeout));
+    if (response.status == 204)
+        return std::optional<ConfigurationOffer>();
+    const std::string* followed = response.header(followedHeader);
+    if (response.status != 200 || !followed)
+        return fail(ErrorKind::PeerUnavailable, "the peer answered " + std::to_string(response.status));
+    return std::optional(ConfigurationOffer { std::move(response.body), std::strtoull(followed->c_str(), nullptr, 10) });
+}
+
+}
--- /dev/null
+++ b/foxtailtrail/proxy/ConfigurationExchange.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "foxtailtrail/base/Result.h"
+#include "foxtailtrail/net/Http.h"
+#include "foxtailtrail/net/HttpClient.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace foxtail {
+
+// A configuration as another VM gives it.
+struct ConfigurationOffer {
+    std::string document;
+    // The version of the store up to which that VM has followed the declarations.
+    uint64_t followedUpTo = 0;
+};
+
+// The request by which VMs give each other the operators' configuration: who asks names the version that it has and its own address.
+class ConfigurationExchange {
+public:
+    // The endpoint is where this VM answers the request.
+    explicit ConfigurationExchange(Endpoint own)
+        : own(std::move(own))
+    {
+    }
+
+    // Sets what this VM gives to others.
+    void setDocument(std::string document, uint64_t version);
+    void setFollowedUpTo(uint64_t storeVersion) { this->followedUpTo = storeVersion; }
+    // The version of the document, or 0.
+    uint64_t version() const { return this->heldVersion; }
+
+    // Answers another VM, and remembers it: 204 when it has nothing newer to get.
+    HttpResponse answer(const HttpRequest&);
+    // Asks another VM. Blocks the calling fiber. Returns nothing when that VM has no newer configuration.
+    Result<std::optional<ConfigurationOffer>> ask(const Endpoint&, Duration timeout) const;
+    // VMs that have asked this one, the newest last. The store need not list them.
+    const std::vector<Endpoint>& contacts() const { return this->askers; }
+
+private:
+    Endpoint own;
+    std::string document;
+    uint64_t heldVersion = 0;
+    uint64_t followedUpTo = 0;
+    std::vector<Endpoint> askers;
+};
+
+}
--- a/foxtailtrail/proxy/ControlFollower.cpp
+++ b/foxtailtrail/proxy/ControlFollower.cpp
@@ -8,7 +8,6 @@
 #include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <functional>
 #include <memory>
 #include <random>
@@ -37,8 +36,6 @@
     // Seeds that the store does not list are asked after this time, and then less and less often.
     constexpr Duration firstIntroduction = std::chrono::seconds(1);
     constexpr Duration longestIntroductionPause = std::chrono::seconds(16);
-    // VMs that have asked this one and are remembered.
-    constexpr size_t maxContacts = 8;
     // While the store does not serve a configured VM, it asks a peer this often; a configuration is in force within three seconds.
     constexpr Duration askInterval = std::chrono::milliseconds(1500);
     // The store's feed gives a new configuration to every VM within this time, so a peer's copy is not needed before.
@@ -51,24 +48,6 @@
     constexpr Duration startAnswerTimeout = std::chrono::milliseconds(600);
     // Orders the VMs of a data centre for reading the configuration from the store.
     constexpr const char* sourceKey = "configuration";
-    constexpr const char* followedHeader = "Foxtail-Store-Version";
-    constexpr const char* configurationTarget = "/configuration";
-    // The version that the asking VM has, and where it answers the same request.
-    constexpr const char* versionHeader = "Foxtail-Configuration";
-    constexpr const char* contactHeader = "Foxtail-Contact";
-
-    std::optional<Endpoint> parseEndpoint(const std::string& text)
-    {
-        const size_t colon = text.rfind(':');
-        uint16_t port = 0;
-        if (colon == std::string::npos)
-            return std::nullopt;
-        const char* end = text.data() + text.size();
-        const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-        if (error != std::errc() || stop != end || port == 0)
-            return std::nullopt;
-        return Endpoint { text.substr(0, colon), port };
-    }
 
 }
 
@@ -77,6 +56,7 @@
     , store(store)
     , decoder(decoder)
     , peers(peers)
+    , exchange(proxy.settings().peers)
     , startedAt(bootNow())
 {
 }
@@ -104,7 +84,7 @@
     if (table == StoreTable::Declarations) {
         if (const std::optional<uint64_t> followed = this->startFromPeer()) {
             version = *followed;
-            this->declarationsVersion = version;
+            this->exchange.setFollowedUpTo(version);
             isListed = true;
         }
         this->isStarting = false;
@@ -125,7 +105,7 @@
             pause = firstPause;
             version = rows.value().version;
             if (table == StoreTable::Declarations)
-                this->declarationsVersion = version;
+                this->exchange.setFollowedUpTo(version);
             apply(rows.value(), !isListed);
             isListed = true;
             if (table == StoreTable::Fleet && !this->isRegistered)
@@ -188,7 +168,7 @@
         return;
     }
     if (this->proxy.install(std::make_shared<const RouteTable>(std::move(table.value())), source))
-        this->document = newer;
+        this->exchange.setDocument(newer, this->proxy.routeTable().version);
 }
 
 void ControlFollower::applyServers(const RowSet& rows, bool isWhole)
@@ -307,20 +287,17 @@
 
 bool ControlFollower::startFrom(const Endpoint& source, std::optional<uint64_t>& followedUpTo)
 {
-    const Result<HttpResponse> response = this->askPeer(source, startAnswerTimeout);
-    if (!response)
+    const Result<std::optional<ConfigurationOffer>> offer = this->exchange.ask(source, startAnswerTimeout);
+    if (!offer)
         return false;
-    const std::string* followed = response.value().header(followedHeader);
-    if (response.value().status == 200 && followed) {
-        this->installDocument(response.value().body, "peer " + source.address);
+    if (offer.value()) {
+        this->installDocument(offer.value()->document, "peer " + source.address);
         if (this->proxy.isConfigured())
-            followedUpTo = std::strtoull(followed->c_str(), nullptr, 10);
+            followedUpTo = offer.value()->followedUpTo;
     }
     return true;
 }
 
-uint64_t ControlFollower::configurationVersion() const { return this->proxy.isConfigured() ? this->proxy.routeTable().version : 0; }
-
 void ControlFollower::askNextPeer()
 {
     if (this->proxy.isConfigured() && bootNow() < this->askAgainAt)
@@ -329,7 +306,7 @@
     std::vector<Endpoint> known = this->proxy.settings().seeds;
     for (const auto& [key, entry] : this->knownPeers)
         known.push_back(entry.control);
-    known.insert(known.end(), this->contacts.begin(), this->contacts.end());
+    known.insert(known.end(), this->exchange.contacts().begin(), this->exchange.contacts().end());
     std::erase(known, this->proxy.settings().peers);
     if (!known.empty())
         this->fetchFromPeer(known[this->nextAsked++ % known.size()]);
@@ -365,44 +342,14 @@
         return;
     this->isFetching = true;
     startFiber([this, peer] {
-        const Result<HttpResponse> response = this->askPeer(peer, peerTimeout);
-        if (response && response.value().status == 200)
-            this->installDocument(response.value().body, "peer " + peer.address);
-        else if (!response || response.value().status != 204)
+        const Result<std::optional<ConfigurationOffer>> offer = this->exchange.ask(peer, peerTimeout);
+        if (!offer)
             logEvent(LogLevel::Warning, "configuration not fetched from a peer",
-                { { "peer", peer.address }, { "detail", response ? std::to_string(response.value().status) : response.error().detail } });
+                { { "peer", peer.address }, { "detail", offer.error().detail } });
+        else if (offer.value())
+            this->installDocument(offer.value()->document, "peer " + peer.address);
         this->isFetching = false;
     });
 }
 
-Result<HttpResponse> ControlFollower::askPeer(const Endpoint& peer, Duration timeout) const
-{
-    const Endpoint& own = this->proxy.settings().peers;
-    HttpClient client(peer, 0);
-    HttpRequest request;
-    request.method = "GET";
-    request.target = configurationTarget;
-    request.headers = { { versionHeader, std::to_string(this->configurationVersion()) },
-        { contactHeader, own.address + ":" + std::to_string(own.port) } };
-    return client.send(request, now() + timeout);
-}
-
-HttpResponse ControlFollower::answerPeer(const HttpRequest& request)
-{
-    if (request.target != configurationTarget)
-        return HttpResponse { 404, "text/plain", {}, {} };
-    const std::string* contact = request.header(contactHeader);
-    if (const std::optional<Endpoint> asker = contact ? parseEndpoint(*contact) : std::nullopt) {
-        std::erase(this->contacts, *asker);
-        this->contacts.push_back(*asker);
-        if (this->contacts.size() > maxContacts)
-            this->contacts.erase(this->contacts.begin());
-    }
-    const std::string* version = request.header(versionHeader);
-    const uint64_t held = version ? std::strtoull(version->c_str(), nullptr, 10) : 0;
-    if (this->document.empty() || this->configurationVersion() <= held)
-        return HttpResponse { 204, "text/plain", {}, {} };
-    return HttpResponse { 200, "application/json", { { followedHeader, std::to_string(this->declarationsVersion) } }, this->document };
-}
-
 }
--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "foxtailtrail/net/Http.h"
+#include "foxtailtrail/proxy/ConfigurationExchange.h"
 #include "foxtailtrail/proxy/DeclarationDecoder.h"
 #include "foxtailtrail/proxy/PeerExchange.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
@@ -11,7 +11,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <vector>
 
 namespace foxtail {
 
@@ -30,7 +29,7 @@
     // Takes note that a peer has a newer configuration, and asks that peer for it unless the store is about to give it.
     void noteNewerConfiguration(const Endpoint& peer, uint64_t version);
     // Answers the request of another VM for a newer configuration, and remembers that VM.
-    HttpResponse answerPeer(const HttpRequest&);
+    HttpResponse answerPeer(const HttpRequest& request) { return this->exchange.answer(request); }
 
 private:
     static constexpr size_t tableCount = 3;
@@ -43,14 +42,11 @@
     void applyServers(const RowSet&, bool isWhole);
     void applyFleet(const RowSet&, bool isWhole);
     void installDocument(const std::string&, std::string_view source);
-    // The version of the installed configuration, or 0.
-    uint64_t configurationVersion() const;
     // Takes the configuration from a VM of the same data centre, so that not every VM of a fleet that starts reads it from the store,
     // perhaps over the link between regions. Returns the version of the store up to which that VM had followed, or nothing.
     std::optional<uint64_t> startFromPeer();
     // Asks a peer for its configuration and installs it. Returns false when there is no use in asking it again.
     bool startFrom(const Endpoint&, std::optional<uint64_t>& followedUpTo);
-    Result<HttpResponse> askPeer(const Endpoint&, Duration timeout) const;
     // Asks a peer for a configuration that is newer than this VM's, in a fiber of its own.
     void fetchFromPeer(const Endpoint&);
     // Asks one of the VMs that this one knows, another one each time.
@@ -65,10 +61,7 @@
     const DeclarationDecoder& decoder;
     PeerExchange& peers;
     TimePoint startedAt {};
-    // The newest configuration as the store gave it, for peers; empty when there is none.
-    std::string document;
-    // The version of the store up to which this VM has followed the declarations.
-    uint64_t declarationsVersion = 0;
+    ConfigurationExchange exchange;
     bool fleetWasRead = false;
     // Set until the first configuration has been asked for.
     bool isStarting = true;
@@ -77,8 +70,6 @@
     uint64_t toldVersion = 0;
     TimePoint toldAt {};
     std::map<std::string, PeerEntry> knownPeers;
-    // VMs that have asked this one, the newest last. The store need not list them.
-    std::vector<Endpoint> contacts;
     size_t nextAsked = 0;
     // A VM that is configured asks again after this time.
     TimePoint askAgainAt {};
