--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <vector>
 
 namespace foxtail {
@@ -52,6 +53,33 @@
 
 }
 
+// Guards against a call that waits for the kernel to repeat the opening of a connection, which takes seconds and outlasts a partition
+// (CONFIG on scale-2 of the grown sites).
+TEST_F(NetTest, AConnectionThatNobodyAcceptsIsGivenUpSoon)
+{
+    // Once the queue of new connections is full, the kernel drops the packets that open further ones.
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+    acceptor.listen(0);
+    std::vector<boost::asio::ip::tcp::socket> waiting;
+    for (int count = 0; count < 4; ++count) {
+        waiting.emplace_back(context);
+        waiting.back().open(boost::asio::ip::tcp::v4());
+        waiting.back().native_non_blocking(true);
+        const auto endpoint = acceptor.local_endpoint();
+        // Returns before the connection is there, as the socket does not block.
+        ::connect(waiting.back().native_handle(), endpoint.data(), static_cast<socklen_t>(endpoint.size()));
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    const Result<HttpResponse> response = this->clientThread->call([&] {
+        HttpClient client({ "127.0.0.1", acceptor.local_endpoint().port() });
+        return client.send({ "GET", "/", {}, {} }, now() + longTime);
+    });
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.error().kind, ErrorKind::PeerUnavailable);
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(2));
+}
+
 // Guards against answers that reach another fiber's request when many share a client.
 TEST_F(NetTest, EveryFiberGetsTheAnswerToItsOwnRequest)
 {
