Prove the primary at once when all replicas of a current list agree

Change: when every listed replica answers and the store serves this VM, one round is a proof; the promoted server would say that it leads. Otherwise two rounds are asked for as before.

--- a/foxtailtrail/proxy/ControlFollower.h
+++ b/foxtailtrail/proxy/ControlFollower.h
@@ -22,6 +22,8 @@
 
     // Starts the fibers.
     void start();
+    // Whether some table cannot be read at the moment.
+    bool isAnyTableLost() const { return this->tablesLost > 0; }
     // Whether no table has been readable for a while.
     bool isStoreLost() const { return this->tablesLost == tableCount; }
     // Reads the fleet's rows and the list of servers now. Fails when the store does not answer.
--- a/foxtailtrail/proxy/GroupTraffic.cpp
+++ b/foxtailtrail/proxy/GroupTraffic.cpp
@@ -104,12 +104,15 @@
 {
     if (!this->hasSettledLeader() || this->leaderTerm == Term {})
         return;
+    bool isComplete = !this->host.mayMissServers();
     std::optional<TimePoint> askedAt;
     for (const ProbedStatus& status : statuses) {
         if (status.server == this->lastLeader->server || status.removed)
             continue;
-        if (status.outcome != ProbeOutcome::Answered)
+        if (status.outcome != ProbeOutcome::Answered) {
+            isComplete = false;
             continue;
+        }
         if (this->leaderTerm < status.term) {
             // It follows another primary, or leads itself.
             this->firstRoundAt.reset();
@@ -126,6 +129,11 @@
     }
     if (!askedAt)
         return;
+    if (isComplete) {
+        this->lease.prove(this->lastLeader->server, *askedAt);
+        this->serveWaiters();
+        return;
+    }
     // An order of promotion ends the pause of the other replicas, which have the old term until they hear of the new primary. So what they
     // say counts once they say it again.
     if (!this->firstRoundAt) {
--- a/foxtailtrail/proxy/GroupTraffic.h
+++ b/foxtailtrail/proxy/GroupTraffic.h
@@ -40,6 +40,8 @@
     virtual const BackendCodec& backendCodec() const = 0;
     // Whether this VM is cut off from the store and from most other VMs, so that it won't learn of a new primary.
     virtual bool isIsolated() const = 0;
+    // Whether the list of servers may lack some that have joined, as the store does not serve this VM.
+    virtual bool mayMissServers() const = 0;
     // Asks for an examination of the group's primary.
     virtual void examineGroup(const ServiceName&, std::string_view reason) = 0;
 };
@@ -59,8 +61,9 @@
     void noteFailure(const BackendServerId&, TimePoint now);
     // Takes a commit that has had no answer until its deadline.
     void noteUnansweredCommit(const BackendServerId&, TimePoint now);
-    // Takes what the servers of the group say. It proves that the primary still leads when every replica that answers says twice, some
-    // time apart, that it receives in the primary's term: a promotion would have paused it, or told it of the new primary since.
+    // Takes what the servers of the group say. It proves that the primary still leads when every replica says that it receives in the
+    // primary's term, as a promoted one would say that it leads. Where one does not answer, or may be unknown here, the others have to
+    // say so twice, some time apart: a promotion would have paused them, or told them of the new primary since.
     void noteRound(const std::vector<ProbedStatus>&);
     // Takes the result of an examination: the primary of the directory answered and no server knows a newer term.
     void confirmLeader(const ProbedStatus&);
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -43,6 +43,7 @@
 Result<void> ProxyVm::start()
 {
     this->proxy.setExaminer([this](const ServiceName& service, std::string_view reason) { this->succession.examine(service, reason); });
+    this->proxy.setStoreCheck([this] { return this->follower.isAnyTableLost(); });
     this->proxy.setIsolationCheck([this] { return this->isIsolated(); });
     this->proxy.setQuotaTick([this] { this->peers.quotaTick(); });
     BOOST_OUTCOME_TRY(this->peers.start());
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -51,6 +51,8 @@
     // Sets who examines groups whose primary is in doubt.
     void setExaminer(Examine examiner) { this->examine = std::move(examiner); }
 
+    // Sets who knows whether the store serves this VM.
+    void setStoreCheck(std::function<bool()> check) { this->storeLost = std::move(check); }
     // Sets who knows whether this VM is cut off.
     void setIsolationCheck(std::function<bool()> check) { this->isolated = std::move(check); }
     // Sets who asks for grants of quotas; called when one may be due.
@@ -106,6 +108,7 @@
     Distance distanceTo(const ServerEntry&) const override;
     const BackendCodec& backendCodec() const override { return this->backends; }
     bool isIsolated() const override { return this->isolated && this->isolated(); }
+    bool mayMissServers() const override { return !this->storeLost || this->storeLost(); }
     void examineGroup(const ServiceName&, std::string_view reason) override;
 
 private:
@@ -140,6 +143,7 @@
     Examine examine;
     std::function<void()> quotaTick;
     std::function<bool()> isolated;
+    std::function<bool()> storeLost;
     std::shared_ptr<const RouteTable> table;
     std::list<ConfigurationWaiter> configurationWaiters;
     ServerDirectory servers;
--- a/tests/proxy/GroupTrafficTest.cpp
+++ b/tests/proxy/GroupTrafficTest.cpp
@@ -36,11 +36,13 @@
         Distance distanceTo(const ServerEntry&) const override { return Distance::SameDataCentre; }
         const BackendCodec& backendCodec() const override { return this->codec; }
         bool isIsolated() const override { return this->isolated; }
+        bool mayMissServers() const override { return this->missesServers; }
         void examineGroup(const ServiceName&, std::string_view) override { ++this->examinations; }
 
         ServerDirectory servers;
         platform::LineBackendCodec codec;
         bool isolated = false;
+        bool missesServers = true;
         size_t examinations = 0;
     };
 
@@ -132,6 +134,25 @@
         EXPECT_FALSE(this->isUsable(this->now + milliseconds(960)));
     }
 
+    // Guards against callers that wait for a second word where the first one is enough: all replicas have answered and none can be missing.
+    TEST_F(GroupTrafficTest, AllReplicasOfACurrentListProveThePrimaryAtOnce)
+    {
+        ServerEntry entry = *this->host.servers.find(replica);
+        entry.id = BackendServerId("b3");
+        this->host.servers.put(entry);
+        this->host.missesServers = false;
+        this->commitAt(this->now, 6);
+        const TimePoint askedAt = this->now + milliseconds(300);
+        this->group->noteRound({ answered(replica, false, 1, askedAt), answered(entry.id, true, 1, askedAt) });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(900)));
+        ProbedStatus silent;
+        silent.server = entry.id;
+        this->group->noteRound({ answered(replica, false, 1, askedAt), silent });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(900)));
+        this->group->noteRound({ answered(replica, false, 1, askedAt), answered(entry.id, false, 1, askedAt) });
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(900)));
+    }
+
     // Guards against a proof without any replica, against one that a replica contradicts, and against a group that cannot be used while a
     // dead server is still listed.
     TEST_F(GroupTrafficTest, TheReplicasThatAnswerMustAgree)
