Pick the ports of test fleets below the kernel's own range

The fleet picked free ports that the kernel also gives to outgoing connections, and freed them before its VMs listen. Change: ports from 12,000 to 32,000, held for both protocols while they are picked.

--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <spawn.h>
 #include <sstream>
 #include <stdexcept>
@@ -26,6 +27,9 @@
     // A caller gives up an answer after this time; no limit of the sample configuration is longer.
     constexpr timeval answerTimeout { 8, 0 };
 
+    // The kernel's own ports begin at 32768.
+    constexpr uint16_t firstPort = 12000;
+    constexpr uint16_t lastPort = 32000;
     // Three VMs with as many organisations would want more than ten times these connections.
     constexpr size_t relayedMaxConnections = 12;
     constexpr size_t relayedOrganisations = 60;
@@ -161,19 +165,36 @@
 
 void Fleet::pickPorts(size_t vmCount)
 {
-    // All ports are held together and then freed, so that they differ.
+    // All ports are held together and then freed, so that they differ. They lie below those that the kernel gives to outgoing connections,
+    // one of which could otherwise take a port before its VM listens on it.
     boost::asio::io_context context;
     std::vector<Tcp::acceptor> held;
     std::vector<boost::asio::ip::udp::socket> heldDatagrams;
     const auto loopback = boost::asio::ip::address_v4::loopback();
+    std::random_device random;
+    std::uniform_int_distribution<uint16_t> ports(firstPort, lastPort);
     const auto pick = [&] {
-        held.emplace_back(context, Tcp::endpoint(loopback, 0));
-        return held.back().local_endpoint().port();
+        while (true) {
+            const uint16_t port = ports(random);
+            boost::system::error_code code;
+            Tcp::acceptor acceptor(context);
+            boost::asio::ip::udp::socket datagrams(context);
+            acceptor.open(Tcp::v4(), code);
+            acceptor.bind(Tcp::endpoint(loopback, port), code);
+            if (!code)
+                acceptor.listen(boost::asio::socket_base::max_listen_connections, code);
+            datagrams.open(boost::asio::ip::udp::v4());
+            if (!code)
+                datagrams.bind({ loopback, port }, code);
+            if (code)
+                continue;
+            held.push_back(std::move(acceptor));
+            heldDatagrams.push_back(std::move(datagrams));
+            return port;
+        }
     };
-    for (size_t vm = 0; vm < vmCount; ++vm) {
-        heldDatagrams.emplace_back(context, boost::asio::ip::udp::endpoint(loopback, 0));
-        this->ports.push_back({ pick(), pick(), pick(), heldDatagrams.back().local_endpoint().port(), pick(), pick() });
-    }
+    for (size_t vm = 0; vm < vmCount; ++vm)
+        this->ports.push_back({ pick(), pick(), pick(), pick(), pick(), pick() });
 }
 
 std::string Fleet::settingsFile(size_t vm) const { return this->folder + "/vm" + std::to_string(vm) + ".yaml"; }
