Ask the session path for the version in one place

Cause: reading the change again showed three copies of the same condition for the installed version, a member of ConfigurationExchange that nothing called, and a comparison of iterators of two kinds in SessionProxy::usesRelay. Change: SessionProxy::configurationVersion() serves the three places, the unused member is gone, usesRelay returns early. Behaviour is as before.

--- a/foxtailtrail/proxy/ConfigurationExchange.h
+++ b/foxtailtrail/proxy/ConfigurationExchange.h
@@ -30,8 +30,6 @@
     // Sets what this VM gives to others.
     void setDocument(std::string document, uint64_t version);
     void setFollowedUpTo(uint64_t storeVersion) { this->followedUpTo = storeVersion; }
-    // The version of the document, or 0.
-    uint64_t version() const { return this->heldVersion; }
 
     // Answers another VM, and remembers it: 204 when it has nothing newer to get.
     HttpResponse answer(const HttpRequest&);
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -248,9 +248,9 @@
 std::string PeerExchange::greeting()
 {
     return json::serialize(json::object { { "kind", greetingKind }, { "vm", this->proxy.settings().vmId.value },
-        { "configuration", this->proxy.isConfigured() ? this->proxy.routeTable().version : 0 },
-        { "control", this->proxy.settings().peers.port }, { "upMs", toMilliseconds(bootNow() - this->startedAt) },
-        { "stops", this->isStopping }, { "ledger", this->ledgerHint(bootNow()) } });
+        { "configuration", this->proxy.configurationVersion() }, { "control", this->proxy.settings().peers.port },
+        { "upMs", toMilliseconds(bootNow() - this->startedAt) }, { "stops", this->isStopping },
+        { "ledger", this->ledgerHint(bootNow()) } });
 }
 
 void PeerExchange::scheduleGreetings()
@@ -343,7 +343,7 @@
                 peer->second.avoidUntil = now + stopAvoidance;
         }
         this->takeLedgerHint(message, now);
-        const uint64_t own = this->proxy.isConfigured() ? this->proxy.routeTable().version : 0;
+        const uint64_t own = this->proxy.configurationVersion();
         // The sender need not be known: a VM that the store rejects from its start on knows no peers.
         const Result<uint64_t> control = unsignedMember(message, "control");
         if (version && control && version.value() > own)
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -127,7 +127,7 @@
     if (request.target != "/metrics")
         return HttpResponse { 404, "text/plain", {}, {} };
     const ProxyGauges gauges { this->proxy.sessionCount(), this->proxy.backendConnections(), this->proxy.fleetSize(),
-        this->proxy.isConfigured() ? this->proxy.routeTable().version : 0, !this->follower.isStoreLost(), this->isReady() };
+        this->proxy.configurationVersion(), !this->follower.isStoreLost(), this->isReady() };
     return HttpResponse { 200, "text/plain; version=0.0.4", {}, this->proxy.metrics().exposition(gauges) };
 }
 
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -150,9 +150,10 @@
 
 bool SessionProxy::usesRelay(const ServiceName& service) const
 {
-    const auto group = this->table ? this->table->groups.find(service.value) : decltype(this->table->groups.end()) {};
-    return this->table && group != this->table->groups.end()
-        && needsRelay(this->vmCount, this->table->organisations.size(), group->second.maxConnections);
+    if (!this->table)
+        return false;
+    const auto group = this->table->groups.find(service.value);
+    return group != this->table->groups.end() && needsRelay(this->vmCount, this->table->organisations.size(), group->second.maxConnections);
 }
 
 void SessionProxy::setRelays(const std::vector<RelayCandidate>& candidates, std::map<VmId, Endpoint> addresses)
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -62,6 +62,8 @@
     // The source tells the log where it came from.
     bool install(std::shared_ptr<const RouteTable>, std::string_view source);
     bool isConfigured() const { return this->table != nullptr; }
+    // The version of the installed configuration, or 0.
+    uint64_t configurationVersion() const { return this->table ? this->table->version : 0; }
     const RouteTable& routeTable() const { return *this->table; }
     // Calls back once a configuration is there, or with false after a bounded time.
     void whenConfigured(std::function<void(bool)>);
