Demote a former primary that missed its demotion

Cause: after a promotion whose demotion command had no reply, the old primary came back as primary of its older term. Ruled out: demoting without the promotion lock. A running promotion that counts the silent former primary as lost does not pause it; as a replica of the replaced primary it could let that one acknowledge commits. Change: supersededPrimaries decides which servers lead in an older term than the newest primary; an examination that finds one acquires the promotion lock and demotes it. For the lease, such a server counts as one that does not answer, so the others have to report twice.

--- a/foxtailtrail/failover/FailoverPlan.cpp
+++ b/foxtailtrail/failover/FailoverPlan.cpp
@@ -54,6 +54,17 @@
     return newest;
 }
 
+std::vector<BackendServerId> supersededPrimaries(const std::vector<ProbedStatus>& statuses)
+{
+    std::vector<BackendServerId> superseded;
+    const ProbedStatus* newest = newestPrimary(statuses);
+    for (const ProbedStatus& status : statuses) {
+        if (newest && status.outcome == ProbeOutcome::Answered && status.isPrimary && status.term < newest->term)
+            superseded.push_back(status.server);
+    }
+    return superseded;
+}
+
 const ProbedStatus* discoverPrimary(const std::vector<ProbedStatus>& statuses, const std::optional<KnownPrimary>& known)
 {
     const ProbedStatus* newest = newestPrimary(statuses);
--- a/foxtailtrail/failover/FailoverPlan.h
+++ b/foxtailtrail/failover/FailoverPlan.h
@@ -66,6 +66,10 @@
 // Returns the primary of the newest term among the servers that answered, or null.
 const ProbedStatus* newestPrimary(const std::vector<ProbedStatus>&);
 
+// Returns the servers that answered as primaries of an older term than the newest primary that answered. Such a server missed
+// its demotion.
+std::vector<BackendServerId> supersededPrimaries(const std::vector<ProbedStatus>&);
+
 // The primary of a group as this VM knows it.
 struct KnownPrimary {
     BackendServerId server;
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -55,7 +55,7 @@
             this->confirmPrimary(primary, statuses);
             this->proxy.group(this->service)->applyStatusRound(statuses);
             if (cause == FailoverCause::None) {
-                this->resumePausedReplicas(statuses);
+                this->completeEndedPromotion(statuses);
                 return;
             }
             logEvent(LogLevel::Info, "replacing the primary",
@@ -159,21 +159,29 @@
                 this->proxy.group(this->service)->confirmPrimary(*newest);
         }
 
-        // Resumes replicas that are still paused by an ended promotion. Only the holder of the promotion lock can be sure that no running
-        // promotion relies on the pause.
-        void resumePausedReplicas(const std::vector<ProbedStatus>& statuses)
+        // Completes the commands of an ended promotion that did not reach their servers: resumes replicas that are still paused and
+        // demotes former primaries that still lead. Only the holder of the promotion lock can be sure that no running promotion relies
+        // on the pause, or counts the former primary as lost.
+        void completeEndedPromotion(const std::vector<ProbedStatus>& statuses)
         {
             const bool hasPausedReplicas = std::any_of(statuses.begin(), statuses.end(), [](const ProbedStatus& status) {
                 return status.outcome == ProbeOutcome::Answered && !status.isPrimary && status.pausedForTerm != Term {};
             });
-            if (!hasPausedReplicas)
+            const std::vector<BackendServerId> formerPrimaries = supersededPrimaries(statuses);
+            if (!hasPausedReplicas && formerPrimaries.empty())
                 return;
             const std::optional<HeldPromotionLock> lock = this->coordinator.acquireLock();
             if (!lock)
                 return;
-            logEvent(LogLevel::Info, "resuming replicas that are still paused",
-                { { "service", this->service.value }, { "fence", lock->record.fencingToken } });
-            this->resumeReplicas();
+            logEvent(LogLevel::Info, "completing the commands of an ended promotion",
+                { { "service", this->service.value }, { "fence", lock->record.fencingToken }, { "pausedReplicas", hasPausedReplicas },
+                    { "formerPrimaries", formerPrimaries.size() } });
+            if (hasPausedReplicas)
+                this->resumeReplicas();
+            for (const BackendServerId& id : formerPrimaries) {
+                if (const ServerEntry* former = this->proxy.directory().find(id))
+                    this->logStatuses("demote", this->sendCommand({ *former }, BackendCommand::Demote, newestPrimary(statuses)->term));
+            }
             this->coordinator.releaseLock(*lock);
         }
 
--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -120,6 +120,12 @@
             this->recordNotPrimary(this->lastPrimaryView->server);
             return;
         }
+        if (status.isPrimary && status.term < this->knownPrimaryTerm) {
+            // A former primary receives nothing, so it shows no more about the current one than a server without an answer.
+            isComplete = false;
+            this->groupContext.examineGroup(this->serviceName, "a former primary still leads");
+            continue;
+        }
         if (status.isPrimary || status.pausedForTerm != Term {} || status.term != this->knownPrimaryTerm) {
             this->firstRoundAt.reset();
             this->logLeaseNotRenewed(status);
--- a/tests/failover/FailoverPlanTest.cpp
+++ b/tests/failover/FailoverPlanTest.cpp
@@ -40,6 +40,27 @@
         return status;
     }
 
+    // Guards against a former primary that missed its demotion and goes on as a primary because no later command reaches it (soak seed
+    // 9411).
+    TEST(FailoverPlanTest, FindsPrimariesThatANewerOneHasReplaced)
+    {
+        ProbedStatus current = withLog("b0", 9);
+        current.isPrimary = true;
+        ProbedStatus former = withLog("b1", 7);
+        former.isPrimary = true;
+        former.term = Term { 1 };
+        const ProbedStatus replica = withLog("b2", 9);
+        EXPECT_EQ(supersededPrimaries({ former, current, replica }), std::vector { former.server });
+        EXPECT_TRUE(supersededPrimaries({ current, replica }).empty());
+        // Without an answer of a newer primary, the server may be the only one that leads.
+        EXPECT_TRUE(supersededPrimaries({ former, replica }).empty());
+        current.outcome = ProbeOutcome::Silent;
+        EXPECT_TRUE(supersededPrimaries({ former, current, replica }).empty());
+        current.outcome = ProbeOutcome::Answered;
+        former.outcome = ProbeOutcome::Silent;
+        EXPECT_TRUE(supersededPrimaries({ former, current, replica }).empty());
+    }
+
     // Guards against the loss of acknowledged commits that only a server that joined after the pause holds. Two such commits
     // were lost with seed 880488725301 of day both-replicas-behind on wattle.
     TEST(FailoverPlanTest, ConfirmsSuccessorAgainstServersThatJoinedAfterPause)
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -93,6 +93,38 @@
         EXPECT_EQ(this->context.examinationCount, 1U);
     }
 
+    // Guards against a former primary that missed its demotion and keeps the lease of its successor from being renewed, so that every
+    // statement is refused (soak seed 9411).
+    TEST_F(GroupTrackerTest, RenewsLeaseWhileFormerPrimaryStillLeadsInOlderTerm)
+    {
+        const BackendServerId formerPrimary("b3");
+        const auto applyRoundAt = [&](TimePoint requestedAt, uint64_t formerTerm) {
+            this->group->applyStatusRound(
+                { answeredStatus(replica, false, 2, requestedAt), answeredStatus(formerPrimary, true, formerTerm, requestedAt) });
+        };
+        this->context.canMissServers = false;
+        this->group->recordReply(oldPrimary, point(2, 6), this->now, true);
+        applyRoundAt(this->now + milliseconds(100), 1);
+        // The former primary proves nothing about the replication of the new one, so one round is not enough.
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(800)));
+        EXPECT_EQ(this->context.examinationCount, 1U);
+        applyRoundAt(this->now + milliseconds(250), 1);
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(800)));
+        // A server that leads in the term of this primary or a newer one does end the use of the lease.
+        applyRoundAt(this->now + milliseconds(400), 3);
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(400)));
+    }
+
+    // Guards against a former primary that alone answers and is taken as proof that its successor still leads.
+    TEST_F(GroupTrackerTest, DoesNotRenewLeaseFromFormerPrimaryAlone)
+    {
+        this->context.canMissServers = false;
+        this->group->recordReply(oldPrimary, point(2, 6), this->now, true);
+        for (const int delay : { 100, 250, 400 })
+            this->group->applyStatusRound({ answeredStatus(BackendServerId("b3"), true, 1, this->now + milliseconds(delay)) });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(701)));
+    }
+
     // Guards against a former primary that serves reads as a replica of the new primary and is mistaken for the primary of the new
     // term (STALE on kongres-app-grown trouble-1).
     TEST_F(GroupTrackerTest, DoesNotRenewLeaseFromReadReplyWithNewerTerm)
