Allocate no quota before a new VM can know the fleet

Cause: VMs that register together read each other's rows up to 1.5 s later. Until then each one takes itself for the whole fleet and admits the whole rate of every organisation. A VM that the store never served took the whole rate as well. Change: a VM whose row was not in the fleet table allocates no quota, and reports itself not ready, until 2 s after it has written the row. Heartbeats say whether the sender may allocate. The test now takes the greatest number of statements that the servers ran in any 5 s of 9 s, in place of the number served in one run of about 5 s; its bound is unchanged.

--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -153,13 +153,14 @@
 {
     const auto canAllocate
         = [&](const Peer& peer) { return peer.startedAt != TimePoint {} && this->isLive(peer, now) && now >= peer.excludedUntil; };
-    TimePoint oldestStartAt = this->isStopping ? now : this->startedAt;
+    const bool isCandidate = !this->isStopping && this->mayAllocate(now);
+    TimePoint oldestStartAt = isCandidate ? this->startedAt : now;
     for (const auto& [id, peer] : this->peers) {
         if (canAllocate(peer))
             oldestStartAt = std::min(oldestStartAt, peer.startedAt);
     }
     Peer* best = nullptr;
-    uint64_t bestScore = this->isStopping || oldestStartAt + startTimeTolerance < this->startedAt
+    uint64_t bestScore = !isCandidate || oldestStartAt + startTimeTolerance < this->startedAt
         ? 0
         : rendezvousScore(quotaAllocatorKey, this->proxy.settings().vmId.value);
     for (auto& [id, peer] : this->peers) {
@@ -177,7 +178,7 @@
 json::object PeerExchange::quotaAllocatorHint(TimePoint now)
 {
     const Peer* peer = this->quotaAllocatorPeer(now);
-    if (!peer && !this->proxy.isConfigured())
+    if (!peer && (!this->proxy.isConfigured() || !this->mayAllocate(now)))
         return {};
     if (!peer)
         return { { "vm", this->proxy.settings().vmId.value }, { "upMs", toMilliseconds(now - this->startedAt) }, { "silentMs", 0 } };
@@ -227,9 +228,11 @@
     LocalQuota& share = this->proxy.quota();
     if (!share.isRequestDue(this->proxy.fleetSize(), now))
         return;
+    Peer* peer = this->quotaAllocatorPeer(now);
+    if (!peer && !this->mayAllocate(now))
+        return;
     const std::vector<QuotaRequest> quotaRequests = share.collectRequests(now);
     share.recordRequestSent(now);
-    Peer* peer = this->quotaAllocatorPeer(now);
     if (!peer) {
         const RouteTable& table = this->proxy.routeTable();
         share.applyGrants(
@@ -260,7 +263,7 @@
     return json::serialize(json::object { { "kind", heartbeatKind }, { "vm", this->proxy.settings().vmId.value },
         { "configuration", this->proxy.configurationVersion() }, { "control", this->proxy.settings().peerEndpoint.port },
         { "upMs", toMilliseconds(bootNow() - this->startedAt) }, { "stops", this->isStopping },
-        { "ledger", this->quotaAllocatorHint(bootNow()) } });
+        { "allocates", this->mayAllocate(bootNow()) }, { "ledger", this->quotaAllocatorHint(bootNow()) } });
 }
 
 void PeerExchange::scheduleHeartbeats()
@@ -349,7 +352,9 @@
         const Result<uint64_t> version = unsignedMember(message, "configuration");
         if (peer != this->peers.end() && up && stops) {
             // A VM without a configuration knows no limits and cannot allocate quota.
-            peer->second.startedAt = version && version.value() > 0 ? now - std::chrono::milliseconds(up.value()) : TimePoint {};
+            const Result<bool> allocates = booleanMember(message, "allocates");
+            const bool canAllocate = version && version.value() > 0 && (!allocates || allocates.value());
+            peer->second.startedAt = canAllocate ? now - std::chrono::milliseconds(up.value()) : TimePoint {};
             if (stops.value())
                 peer->second.excludedUntil = now + stoppingExclusionLifetime;
         }
@@ -373,9 +378,9 @@
 
 void PeerExchange::handleQuotaRequest(const VmId& vm, const json::object& message, const Udp::endpoint& from)
 {
-    if (!this->proxy.isConfigured())
-        return;
     const TimePoint now = bootNow();
+    if (!this->proxy.isConfigured() || !this->mayAllocate(now))
+        return;
     std::vector<QuotaRequest> quotaRequests;
     for (const json::value& each : message.at("list").as_array()) {
         const json::array& quotaRequest = each.as_array();
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -43,6 +43,12 @@
     // Notifies the peers that this VM stops, so that they use another quota allocator.
     void announceStop();
     void setPeers(const std::vector<PeerEntry>&);
+    // Sets the time from which this VM may allocate quota. A VM that has just joined the fleet does not know the VMs that join with it, and
+    // would take the rates of all of them for its own.
+    void allowAllocationFrom(TimePoint time) { this->allocatesFrom = time; }
+    bool mayAllocate(TimePoint now) const { return this->allocatesFrom <= now; }
+    // Returns true when this VM has just joined the fleet.
+    bool isDiscoveringFleet(TimePoint now) const { return this->allocatesFrom != TimePoint::max() && now < this->allocatesFrom; }
     // Requests a quota grant if one is due. Called often.
     void requestQuotaIfDue();
     // Returns the rank of this VM among the live VMs in the rendezvous order of the key; 0 is the first.
@@ -77,7 +83,8 @@
     void sendTo(const Peer&, const std::string&);
     bool isLive(const Peer&, TimePoint now) const;
     std::string heartbeatMessage();
-    // Returns the VM that allocates quota to this one, or null when that is this VM itself. It is one of the oldest processes, so that the
+    // Returns the VM that allocates quota to this one, or null when that is this VM itself or, while this VM may not allocate, when
+    // there is none. It is one of the oldest processes, so that the
     // grants survive restarts of other VMs.
     Peer* quotaAllocatorPeer(TimePoint now);
     // Returns which VM this one uses as the quota allocator and how recent that information is. With these hints the VMs agree on one
@@ -98,6 +105,7 @@
     std::map<VmId, Peer> peers;
     size_t nextPeerIndex = 0;
     TimePoint startedAt {};
+    TimePoint allocatesFrom = TimePoint::max();
     bool isStopping = false;
     QuotaAllocator quotaAllocator;
     uint64_t quotaRequestNumber = 0;
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -121,7 +121,10 @@
 
 bool ProxyVm::isIsolated() const { return this->storeFollower.isStoreUnavailable() && this->peers.areMostPeersSilent(); }
 
-bool ProxyVm::isReady() const { return !this->isStopping && this->proxy.isConfigured() && !this->isIsolated(); }
+bool ProxyVm::isReady() const
+{
+    return !this->isStopping && this->proxy.isConfigured() && !this->peers.isDiscoveringFleet(bootNow()) && !this->isIsolated();
+}
 
 HttpResponse ProxyVm::handleReadinessRequest(const HttpRequest&) const
 {
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -45,6 +45,8 @@
     // A starting VM waits this long for the list of VMs, and then for the configuration of another VM.
     constexpr Duration fleetListTimeout = std::chrono::milliseconds(700);
     constexpr Duration initialFetchTimeout = std::chrono::milliseconds(2000);
+    // The VMs that join the fleet together know each other within this time after they have registered.
+    constexpr Duration fleetDiscoveryPeriod = std::chrono::milliseconds(2000);
     // Interval between two requests to a VM that has no configuration yet.
     constexpr Duration startupPollInterval = std::chrono::milliseconds(80);
     constexpr Duration initialFetchRequestTimeout = std::chrono::milliseconds(600);
@@ -252,8 +254,13 @@
     const auto known = this->knownPeers.find(vmRowKey(self.id));
     if (known != this->knownPeers.end() && known->second == self) {
         this->isRegistered = true;
+        // A row that was there before this VM started is known to the other VMs.
+        if (!this->hasWrittenRow)
+            this->peers.allowAllocationFrom(bootNow());
         return;
     }
+    this->hasWrittenRow = true;
+    this->peers.allowAllocationFrom(bootNow() + fleetDiscoveryPeriod);
     StoreTransaction transaction;
     transaction.puts.push_back({ StoreTable::Fleet, vmRowKey(self.id), encodePeer(self) });
     const Result<uint64_t> stored = this->store.commit(transaction, now() + listTimeout);
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -86,6 +86,7 @@
     boost::fibers::condition_variable tableRestored;
     bool isFetching = false;
     bool isRegistered = false;
+    bool hasWrittenRow = false;
 };
 
 }
--- a/standins/platform/LineProtocolGroup.cpp
+++ b/standins/platform/LineProtocolGroup.cpp
@@ -288,7 +288,8 @@
 void LineProtocolGroup::recordStatement(Connection& connection, const std::string& id, const std::string& text)
 {
     if (id != "-")
-        this->statementListener({ this->servers[connection.serverIndex].id, connection.organisation, id, text, connection.sessionValues });
+        this->statementListener({ this->servers[connection.serverIndex].id, connection.organisation, id, text, connection.sessionValues,
+            std::chrono::steady_clock::now() });
 }
 
 std::string LineProtocolGroup::newDigest(const Server& server, const std::string& id)
--- a/standins/platform/LineProtocolGroup.h
+++ b/standins/platform/LineProtocolGroup.h
@@ -25,6 +25,7 @@
     std::string text;
     // The session variables of the connection.
     std::map<std::string, std::string> sessionValues;
+    std::chrono::steady_clock::time_point ranAt;
 };
 
 // A committed write.
