Read the store for a data centre by two of its VMs

Cause: every VM follows three tables of the store by itself. Lists come in pages of 50 rows, and the VMs of a starting fleet read each other's registrations one batch after the other. Change: in a data centre of 8 VMs or more, two VMs (the largest, by a rendezvous order) follow the store and pass the changes on by a request that is held back until there are some. StoreReaders decides whom to ask; a reader that does not answer, or does not read the store itself, is excluded for 4 s or longer and the store is followed directly.

--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -21,12 +21,21 @@
     // seconds; this wait is the second bound on the detection. It is random so that the feeds of the VMs do not end at the same time.
     constexpr int minFeedWaitMs = 10000;
     constexpr int maxFeedWaitMs = 15000;
+    // How long another VM may hold a request for changes open. It bounds the time until a VM notices that its reader does not respond.
+    constexpr Duration readerFeedWait = std::chrono::milliseconds(2500);
     // Changes often come in bursts, and each response of a feed has a cost for every VM, so further changes are collected for this
     // time.
     constexpr Duration changeBatchDelay = std::chrono::milliseconds(400);
     // Used while a fleet starts, when VMs and servers register one after the other.
     constexpr Duration startupBatchDelay = std::chrono::milliseconds(1500);
     constexpr Duration startupPeriod = std::chrono::seconds(4);
+    // The VMs that join the fleet together know each other within this time after they have registered.
+    constexpr Duration fleetDiscoveryPeriod = std::chrono::milliseconds(2000);
+    // All rows share one part of the store, which handles a few hundred transactions a second and rejects those that would wait for more
+    // than a second. The VMs of a starting fleet that are rejected retry spread over this time.
+    constexpr Duration registrationTimeout = std::chrono::milliseconds(2500);
+    constexpr int minRegistrationRetryMs = 300;
+    constexpr int maxRegistrationRetryMs = 1500;
     constexpr Duration listTimeout = std::chrono::milliseconds(1000);
     // The delay after a failed call doubles up to the maximum.
     constexpr Duration initialRetryDelay = std::chrono::milliseconds(100);
@@ -45,8 +54,6 @@
     // A starting VM waits this long for the list of VMs, and then for the configuration of another VM.
     constexpr Duration fleetListTimeout = std::chrono::milliseconds(700);
     constexpr Duration initialFetchTimeout = std::chrono::milliseconds(2000);
-    // The VMs that join the fleet together know each other within this time after they have registered.
-    constexpr Duration fleetDiscoveryPeriod = std::chrono::milliseconds(2000);
     // Interval between two requests to a VM that has no configuration yet.
     constexpr Duration startupPollInterval = std::chrono::milliseconds(80);
     constexpr Duration initialFetchRequestTimeout = std::chrono::milliseconds(600);
@@ -62,9 +69,17 @@
     , peers(peers)
     , configurationExchange(proxy.settings().peerEndpoint)
     , startedAt(bootNow())
+    , storeReaders(proxy.settings().vmId)
 {
 }
 
+HttpResponse StoreFollower::handlePeerRequest(const HttpRequest& request)
+{
+    if (ChangeExchange::isChangeRequest(request))
+        return this->changeExchange.handleRequest(request);
+    return this->configurationExchange.handleRequest(request);
+}
+
 void StoreFollower::start()
 {
     startFiber([this] {
@@ -97,7 +112,7 @@
     std::uniform_int_distribution<int> feedWaitMs(minFeedWaitMs, maxFeedWaitMs);
     // Runs until the process ends.
     while (true) {
-        const Result<RowSet> rows = isListed ? this->store.follow(table, version, std::chrono::milliseconds(feedWaitMs(random)))
+        const Result<RowSet> rows = isListed ? this->receiveChanges(table, version, std::chrono::milliseconds(feedWaitMs(random)))
                                              : this->store.list(table, now() + listTimeout);
         if (rows) {
             if (std::exchange(isUnavailable, false)) {
@@ -110,14 +125,19 @@
             version = rows.value().version;
             if (table == StoreTable::Declarations)
                 this->configurationExchange.setFollowedStoreVersion(version);
+            if (!isListed)
+                this->changeExchange.recordList(table, rows.value());
             apply(rows.value(), !isListed);
+            if (table == StoreTable::Fleet && !std::exchange(this->hasStartedRegistration, true))
+                startFiber([this] { this->registerSelf(); });
+            // The VMs and servers of a starting fleet register within a short time, so the first changes are collected too.
+            const bool isFirstRead = !isListed && table != StoreTable::Declarations;
             isListed = true;
-            if (table == StoreTable::Fleet && !this->isRegistered)
-                this->registerSelf();
-            if (!rows.value().rows.empty())
+            if (isFirstRead || !rows.value().rows.empty())
                 sleepFor(this->batchDelay(table, rows.value()));
             continue;
         }
+        this->changeExchange.stopServing(table);
         if (rows.error().kind == ErrorKind::VersionConflict) {
             isListed = false;
             continue;
@@ -134,6 +154,26 @@
     }
 }
 
+Result<RowSet> StoreFollower::receiveChanges(StoreTable table, uint64_t afterVersion, Duration storeWait)
+{
+    const std::optional<VmId> reader = this->storeReaders.readerAt(bootNow());
+    const auto known = reader ? this->knownPeers.find(vmRowKey(*reader)) : this->knownPeers.end();
+    if (known != this->knownPeers.end()) {
+        this->changeExchange.stopServing(table);
+        Result<RowSet> changes = this->changeExchange.fetch(known->second.configurationEndpoint, table, afterVersion, readerFeedWait);
+        if (changes) {
+            this->storeReaders.recordSuccess(*reader);
+            return changes;
+        }
+        this->storeReaders.recordFailure(*reader, bootNow());
+        logEvent(LogLevel::Info, "store reader excluded", { { "reader", reader->value }, { "detail", changes.error().detail } });
+    }
+    Result<RowSet> changes = this->store.follow(table, afterVersion, storeWait);
+    if (changes)
+        this->changeExchange.recordChanges(table, changes.value());
+    return changes;
+}
+
 Duration StoreFollower::batchDelay(StoreTable table, const RowSet& rows) const
 {
     const bool isStartingUp = bootNow() < this->startedAt + startupPeriod;
@@ -224,6 +264,13 @@
     for (const auto& [key, entry] : this->knownPeers)
         entries.push_back(entry);
     this->peers.setPeers(entries);
+    const ProxySettings& own = this->proxy.settings();
+    std::vector<StoreReaderCandidate> readers { { own.vmId, own.processorShare } };
+    for (const PeerEntry& entry : entries) {
+        if (entry.dataCentre == own.dataCentre && entry.id != own.vmId)
+            readers.push_back({ entry.id, entry.processorShare });
+    }
+    this->storeReaders.setCandidates(std::move(readers));
     if (primaries.empty())
         return;
     this->proxy.updateServerDirectory([&](ServerDirectory& directory) {
@@ -247,28 +294,34 @@
 }
 
 void StoreFollower::registerSelf()
+{
+    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(stableHash(this->proxy.settings().vmId.value)));
+    std::uniform_int_distribution<int> retryMs(minRegistrationRetryMs, maxRegistrationRetryMs);
+    const VmId& self = this->proxy.settings().vmId;
+    const Duration discovery = this->knownPeers.count(vmRowKey(self)) > 0 ? Duration(0) : fleetDiscoveryPeriod;
+    this->peers.allowAllocationFrom(bootNow() + discovery);
+    while (!this->tryToRegister()) {
+        const Duration delay = std::chrono::milliseconds(retryMs(random));
+        this->peers.allowAllocationFrom(bootNow() + delay + discovery);
+        sleepFor(delay);
+    }
+    this->peers.allowAllocationFrom(bootNow() + discovery);
+}
+
+bool StoreFollower::tryToRegister()
 {
     const ProxySettings& settings = this->proxy.settings();
     const PeerEntry self { settings.vmId, settings.peerEndpoint, settings.datagramPort, settings.relayPort, settings.dataCentre,
         settings.processorShare };
     const auto known = this->knownPeers.find(vmRowKey(self.id));
-    if (known != this->knownPeers.end() && known->second == self) {
-        this->isRegistered = true;
-        // A row that was there before this VM started is known to the other VMs.
-        if (!this->hasWrittenRow)
-            this->peers.allowAllocationFrom(bootNow());
-        return;
-    }
-    this->hasWrittenRow = true;
-    this->peers.allowAllocationFrom(bootNow() + fleetDiscoveryPeriod);
+    if (known != this->knownPeers.end() && known->second == self)
+        return true;
     StoreTransaction transaction;
     transaction.puts.push_back({ StoreTable::Fleet, vmRowKey(self.id), encodePeer(self) });
-    const Result<uint64_t> stored = this->store.commit(transaction, now() + listTimeout);
-    if (stored)
-        this->isRegistered = true;
-    else
-        logEvent(LogLevel::Warning, "registration in the store failed; retrying after the next read of the fleet table",
-            { { "detail", stored.error().detail } });
+    const Result<uint64_t> stored = this->store.commit(transaction, now() + registrationTimeout);
+    if (!stored)
+        logEvent(LogLevel::Warning, "registration in the store failed; it is retried", { { "detail", stored.error().detail } });
+    return stored.has_value();
 }
 
 std::optional<uint64_t> StoreFollower::fetchInitialConfiguration()
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "foxtailtrail/membership/StoreReaders.h"
+#include "foxtailtrail/proxy/ChangeExchange.h"
 #include "foxtailtrail/proxy/ConfigurationExchange.h"
 #include "foxtailtrail/proxy/DeclarationDecoder.h"
 #include "foxtailtrail/proxy/PeerExchange.h"
@@ -31,12 +33,14 @@
     // Handles the report of a peer that it has a newer configuration: fetches it from that peer unless the store is expected to deliver it
     // first.
     void handleNewerConfiguration(const Endpoint& peer, uint64_t version);
-    // Handles the request of another VM for a newer configuration and records its address.
-    HttpResponse handlePeerRequest(const HttpRequest& request) { return this->configurationExchange.handleRequest(request); }
+    // Handles the request of another VM, for a newer configuration or for the changes of a table.
+    HttpResponse handlePeerRequest(const HttpRequest&);
 
 private:
     static constexpr size_t followedTableCount = 3;
     void follow(StoreTable, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply);
+    // Returns the changes of a table after a version, from another VM that reads the store for this data centre or from the store.
+    Result<RowSet> receiveChanges(StoreTable, uint64_t afterVersion, Duration storeWait);
     // Returns how long to collect further changes after some rows have changed.
     Duration batchDelay(StoreTable, const RowSet&) const;
     // Waits before the next attempt to read a table. When all tables are unavailable, and the VM is not starting up, only the
@@ -60,15 +64,17 @@
     void fetchFromNextPeer();
     // Fetches the configuration from the seeds that the store does not list; the request also gives them the address of this VM.
     void contactUnlistedSeeds();
-    // Writes this VM's row to the fleet table unless the table already holds it.
+    // Writes this VM's row to the fleet table unless the table already holds it, and repeats that until it succeeds.
     void registerSelf();
+    // Returns true when this VM's row has been written or was there already.
+    bool tryToRegister();
 
     SessionProxy& proxy;
     SharedStore& store;
     const DeclarationDecoder& decoder;
     PeerExchange& peers;
-    TimePoint startedAt {};
     ConfigurationExchange configurationExchange;
+    TimePoint startedAt {};
     bool hasReadFleet = false;
     // True until the attempt to fetch the initial configuration has ended.
     bool isStarting = true;
@@ -85,8 +91,9 @@
     boost::fibers::mutex tableRestoredMutex;
     boost::fibers::condition_variable tableRestored;
     bool isFetching = false;
-    bool isRegistered = false;
-    bool hasWrittenRow = false;
+    bool hasStartedRegistration = false;
+    ChangeExchange changeExchange;
+    StoreReaders storeReaders;
 };
 
 }
--- /dev/null
+++ b/foxtailtrail/proxy/TableChangeLog.cpp
@@ -0,0 +1,50 @@
+#include "foxtailtrail/proxy/TableChangeLog.h"
+
+#include <algorithm>
+
+namespace foxtail {
+
+namespace {
+
+    // A VM that follows this one asks again after a few seconds, so a short log serves it.
+    constexpr size_t maxLoggedRows = 2000;
+
+}
+
+void TableChangeLog::restart(uint64_t version)
+{
+    this->hasStarted = true;
+    this->oldestVersion = version;
+    this->newestVersion = version;
+    this->batches.clear();
+    this->rowCount = 0;
+}
+
+void TableChangeLog::append(const RowSet& changes)
+{
+    this->newestVersion = std::max(this->newestVersion, changes.version);
+    if (changes.rows.empty())
+        return;
+    this->batches.push_back({ this->newestVersion, changes.rows });
+    this->rowCount += changes.rows.size();
+    while (this->rowCount > maxLoggedRows) {
+        this->oldestVersion = this->batches.front().version;
+        this->rowCount -= this->batches.front().rows.size();
+        this->batches.pop_front();
+    }
+}
+
+std::optional<RowSet> TableChangeLog::changesAfter(uint64_t version) const
+{
+    if (!this->hasStarted || version < this->oldestVersion)
+        return std::nullopt;
+    RowSet changes;
+    changes.version = std::max(version, this->newestVersion);
+    for (const Batch& batch : this->batches) {
+        if (batch.version > version)
+            changes.rows.insert(changes.rows.end(), batch.rows.begin(), batch.rows.end());
+    }
+    return changes;
+}
+
+}
