Read the rest of a pipelining caller's requests once the queue is empty

Cause: a VM queues 64 requests of a caller. The bytes of further ones stayed unread until the caller sent more, so a caller that sends 200 requests at once and waits got 66 answers. Change: bytes that were not consumed are parsed again when the queue is empty. Reading pauses at 3 MiB of unconsumed bytes, which were unbounded.

--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -67,6 +67,8 @@
         this->queuedMessages.pop_front();
         this->handleMessage(std::move(message));
     }
+    if (!this->isRequestInProgress && !this->hasSessionEnded)
+        this->processBufferedBytes();
 }
 
 void CallerConnection::handleMessage(CallerMessage&& message)
@@ -396,7 +398,7 @@
 {
     this->isRequestInProgress = false;
     this->lastActivityAt = bootNow();
-    if (this->queuedMessages.empty())
+    if (this->queuedMessages.empty() && !this->hasBufferedBytes())
         return;
     // Handles the next request from the event loop, so that a long queue of requests does not recurse.
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
--- a/foxtailtrail/proxy/TcpStream.cpp
+++ b/foxtailtrail/proxy/TcpStream.cpp
@@ -16,6 +16,8 @@
     constexpr size_t readChunkBytes = size_t { 32 } * 1024;
     // The maximum number of bytes buffered for a peer that does not read; beyond it the connection is closed.
     constexpr size_t maxSendBufferBytes = size_t { 4 } << 20;
+    // Reading pauses while this many received bytes are not consumed. Larger than two messages of the maximum size.
+    constexpr size_t maxReceiveBufferBytes = size_t { 3 } << 20;
 
     // Returns the read buffer that all connections of the thread share. Each read is handled before the next one starts.
     std::array<char, readChunkBytes>& sharedReadBuffer()
@@ -69,23 +71,37 @@
         if (this->receiveBuffer.empty()) {
             const size_t consumed = this->received(newBytes);
             this->receiveBuffer.assign(newBytes.substr(consumed));
+            if (consumed > 0)
+                this->processBufferedBytes();
         } else {
             this->receiveBuffer.append(newBytes);
-            // The handler may close this connection, so the bytes are moved out of the member while it runs.
-            std::string bytes = std::move(this->receiveBuffer);
-            this->receiveBuffer.clear();
-            const size_t consumed = this->received(bytes);
-            this->receiveBuffer.assign(bytes, consumed);
+            this->processBufferedBytes();
         }
         if (this->receiveBuffer.empty() && this->receiveBuffer.capacity() > readChunkBytes)
             this->receiveBuffer.shrink_to_fit();
         if (count < readChunkBytes)
             break;
     }
-    if (this->socket.is_open())
+    this->isReadingPaused = this->receiveBuffer.size() >= maxReceiveBufferBytes;
+    if (this->socket.is_open() && !this->isReadingPaused)
         this->waitForBytes();
 }
 
+void TcpStream::processBufferedBytes()
+{
+    size_t consumed = 1;
+    while (consumed > 0 && this->socket.is_open() && !this->receiveBuffer.empty()) {
+        // The handler may close this connection, so the bytes are moved out of the member while it runs.
+        const std::string bytes = std::exchange(this->receiveBuffer, {});
+        consumed = this->received(bytes);
+        this->receiveBuffer.assign(bytes, consumed);
+    }
+    if (this->isReadingPaused && this->socket.is_open() && this->receiveBuffer.size() < maxReceiveBufferBytes) {
+        this->isReadingPaused = false;
+        this->waitForBytes();
+    }
+}
+
 void TcpStream::send(std::string_view bytes)
 {
     if (!this->socket.is_open() || this->isClosing)
--- a/foxtailtrail/proxy/TcpStream.h
+++ b/foxtailtrail/proxy/TcpStream.h
@@ -32,6 +32,9 @@
 
     // Handles new bytes. Returns the number of bytes consumed; the rest is passed again together with the bytes that follow.
     virtual size_t received(std::string_view bytes) = 0;
+    // Passes the bytes that were not consumed to received() again, until it consumes nothing. To be called when it can consume more.
+    void processBufferedBytes();
+    bool hasBufferedBytes() const { return !this->receiveBuffer.empty(); }
     // Called when the peer has closed the connection or the connection has failed.
     virtual void disconnected() = 0;
 
@@ -43,8 +46,10 @@
     void writeSendBuffer();
     void failConnection();
 
-    // Received bytes that do not form a complete message yet.
+    // Received bytes that were not consumed yet.
     std::string receiveBuffer;
+    // Whether reading waits until bytes of a full receive buffer are consumed.
+    bool isReadingPaused = false;
     std::string sendBuffer;
     bool isWriting = false;
     bool isClosing = false;
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -48,13 +48,13 @@
     Reply query(const std::string& id, const std::string& text);
     // Sends bytes unmodified.
     void sendRaw(const std::string& bytes);
+    // Reads the reply to the oldest request without one.
+    Reply readReply();
     // Returns the next line, or an empty optional when the connection has ended or no line arrives in time.
     std::optional<std::string> readLine();
     void close();
 
 private:
-    Reply readReply();
-
     boost::asio::io_context context;
     boost::asio::ip::tcp::socket socket;
     boost::asio::streambuf buffer;
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -131,6 +131,24 @@
         EXPECT_EQ(this->fleet.logs().find("key-of"), std::string::npos);
     }
 
+    // Guards against requests without an answer when a caller sends more of them at once than a VM queues: the rest was not read until the
+    // caller sent further bytes.
+    TEST_P(FleetTest, AnswersAllRequestsOfPipeliningCaller)
+    {
+        Caller caller(this->fleet.callerPort(0));
+        startSession(caller, "strict");
+        constexpr size_t requestCount = 200;
+        std::string requests;
+        for (size_t index = 0; index < requestCount; ++index)
+            requests += "QUERY p" + std::to_string(index) + (index % 2 == 0 ? " READ p\r\n" : " SET v 1\r\n");
+        caller.sendRaw(requests);
+        ASSERT_TRUE(eventually([&] { return this->fleet.records().size() >= requestCount / 2; })) << this->fleet.records().size();
+        for (size_t index = 0; index < requestCount; ++index) {
+            const Reply reply = caller.readReply();
+            ASSERT_FALSE(reply.isConnectionLost) << "request " << index;
+        }
+    }
+
     // Guards against VMs that together admit more than the fleet-wide rate of an organisation, or far less.
     TEST_P(FleetTest, EnforcesOrganisationQuotaAcrossVms)
     {
