Accept the log level trace that the settings allow

Cause: the settings of serve accept log.level trace, the log did not know it, and Main dereferenced an empty optional at the start. Change: trace logs like debug.

--- a/foxtailtrail/server/Log.cpp
+++ b/foxtailtrail/server/Log.cpp
@@ -62,6 +62,9 @@
 
 std::optional<LogLevel> logLevelByName(std::string_view name)
 {
+    // Settings may name the level "trace", which logs no more than "debug".
+    if (name == "trace")
+        return LogLevel::Debug;
     for (size_t index = 0; index < logLevelNames.size(); ++index) {
         if (logLevelNames[index] == name)
             return static_cast<LogLevel>(index);
--- a/tests/server/LogOutputTest.cpp
+++ b/tests/server/LogOutputTest.cpp
@@ -1,4 +1,5 @@
 #include "foxtailtrail/server/LogOutput.h"
+#include "foxtailtrail/server/Log.h"
 
 #include <array>
 #include <gtest/gtest.h>
@@ -9,6 +10,14 @@
 
 namespace {
 
+    // Guards against a process that starts with an undefined level: the settings accept "trace", which the log did not know.
+    TEST(LogOutputTest, KnowsEveryLevelOfTheSettings)
+    {
+        for (const char* name : { "trace", "debug", "info", "warning", "error" })
+            EXPECT_TRUE(logLevelByName(name)) << name;
+        EXPECT_FALSE(logLevelByName("loud"));
+    }
+
     // Guards against a VM that stops serving because its log output blocks on a pipe that is not read.
     TEST(LogOutputTest, DropsLinesInsteadOfBlockingWhenPipeIsFull)
     {
