Receive datagrams of any size

Cause: datagrams were received into 4,096 bytes. A quota grant carries the updates of all groups; with 40 groups and 190 organisations it is longer, would be cut, and was dropped with a line of level debug: the VM falls back to its static share and loses the updates. With 20 groups, as on the large site, it fits; no loss of this kind was seen there. Change: the buffer takes the largest datagram, and a message that is too long to send is logged as a warning. Result: GroupUpdateCodecTest.GrantOfLargeFleetFitsDatagram.

--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -306,7 +306,8 @@
     boost::system::error_code code;
     this->socket.send_to(boost::asio::buffer(text), endpoint, 0, code);
     if (code && code != boost::asio::error::would_block)
-        logEvent(LogLevel::Debug, "sending a datagram failed", { { "detail", code.message() } });
+        logEvent(text.size() > maxDatagramBytes ? LogLevel::Warning : LogLevel::Debug, "sending a datagram failed",
+            { { "bytes", text.size() }, { "detail", code.message() } });
 }
 
 void PeerExchange::receiveNext()
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -33,6 +33,9 @@
 // The datagrams between VMs: heartbeats with the version of the configuration, and requests and grants of quota.
 class PeerExchange {
 public:
+    // The size of the largest UDP datagram. A longer message is not sent.
+    static constexpr size_t maxDatagramBytes = 65507;
+
     // Called when a peer has a newer configuration.
     using NewerConfigurationCallback = std::function<void(const Endpoint&, uint64_t version)>;
 
@@ -102,7 +105,7 @@
     boost::asio::ip::udp::socket socket;
     boost::asio::steady_timer heartbeatTimer;
     boost::asio::ip::udp::endpoint sender;
-    std::array<char, 4096> buffer {};
+    std::array<char, maxDatagramBytes> buffer {};
     std::map<VmId, Peer> peers;
     size_t nextPeerIndex = 0;
     TimePoint startedAt {};
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/proxy/GroupTracker.h"
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/GroupUpdateCodec.h"
+#include "foxtailtrail/proxy/PeerExchange.h"
 #include "platform/LineProtocol.h"
 
 #include <gtest/gtest.h>
@@ -93,6 +94,25 @@
         EXPECT_EQ(this->context.examinationCount, 1U);
     }
 
+    // Guards against quota grants that are cut and ignored because they carry the updates of many groups: with 40 groups and 190
+    // organisations a grant is longer than the 4,096 bytes that were received.
+    TEST(GroupUpdateCodecTest, GrantOfLargeFleetFitsDatagram)
+    {
+        const TimePoint reference = bootNow();
+        std::vector<GroupUpdate> updates;
+        for (size_t index = 0; index < 40; ++index)
+            updates.push_back({ ServiceName("bookings-db-" + std::to_string(index)), BackendServerId("i-b0030de9" + std::to_string(index)),
+                Term { 12 }, reference - milliseconds(345), point(12, 123456789), reference - milliseconds(456) });
+        json::array grants;
+        for (size_t index = 0; index < 190; ++index)
+            grants.push_back(json::array { "organisation" + std::to_string(index), 1.0 / 3 });
+        const std::string message
+            = json::serialize(json::object { { "list", grants }, { "news", encodeGroupUpdates(updates, reference) } });
+        EXPECT_GT(message.size(), 4096U);
+        EXPECT_LT(message.size(), PeerExchange::maxDatagramBytes);
+        EXPECT_EQ(decodeGroupUpdates(encodeGroupUpdates(updates, reference), reference).size(), updates.size());
+    }
+
     // Guards against a former primary that missed its demotion and keeps the lease of its successor from being renewed, so that every
     // statement is refused (soak seed 9411).
     TEST_F(GroupTrackerTest, RenewsLeaseWhileFormerPrimaryStillLeadsInOlderTerm)
