Revert the choice of the quota allocator from the list of VMs

One allocator for the whole fleet does not answer in time there; before, the VMs used several for a while.

--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -2,7 +2,6 @@
 
 #include "foxtailtrail/base/Hash.h"
 #include "foxtailtrail/base/Json.h"
-#include "foxtailtrail/limits/QuotaAllocatorChoice.h"
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/GroupUpdateCodec.h"
 #include "foxtailtrail/server/Log.h"
@@ -33,6 +32,9 @@
     constexpr Duration unansweredExclusionLifetime = std::chrono::seconds(2);
     // A peer that announces its stop has exited within this time.
     constexpr Duration stoppingExclusionLifetime = std::chrono::seconds(6);
+    // Processes that started within this time of each other count as equally old.
+    constexpr Duration startTimeTolerance = std::chrono::seconds(2);
+    constexpr const char* quotaAllocatorKey = "quota";
 
     // Kinds of datagrams.
     constexpr std::string_view heartbeatKind = "hello";
@@ -86,7 +88,7 @@
         if (known != this->peers.end() && known->second.entry == entry)
             updated.emplace(entry.id, known->second);
         else
-            updated.emplace(entry.id, Peer { entry, now, TimePoint {}, TimePoint {}, TimePoint {}, false });
+            updated.emplace(entry.id, Peer { entry, now, TimePoint {}, TimePoint {}, TimePoint {} });
     }
     this->peers = std::move(updated);
     this->updateFleet(now);
@@ -149,19 +151,28 @@
 
 PeerExchange::Peer* PeerExchange::quotaAllocatorPeer(TimePoint now)
 {
-    const ProxySettings& own = this->proxy.settings();
-    std::vector<QuotaAllocatorCandidate> candidates;
-    if (!this->isStopping && this->mayAllocate(now))
-        candidates.push_back({ own.vmId, own.processorShare, this->startedAt });
+    const auto canAllocate
+        = [&](const Peer& peer) { return peer.startedAt != TimePoint {} && this->isLive(peer, now) && now >= peer.excludedUntil; };
+    const bool isCandidate = !this->isStopping && this->mayAllocate(now);
+    TimePoint oldestStartAt = isCandidate ? this->startedAt : now;
     for (const auto& [id, peer] : this->peers) {
-        if (peer.cannotAllocate || !this->isLive(peer, now) || now < peer.excludedUntil)
+        if (canAllocate(peer))
+            oldestStartAt = std::min(oldestStartAt, peer.startedAt);
+    }
+    Peer* best = nullptr;
+    uint64_t bestScore = !isCandidate || oldestStartAt + startTimeTolerance < this->startedAt
+        ? 0
+        : rendezvousScore(quotaAllocatorKey, this->proxy.settings().vmId.value);
+    for (auto& [id, peer] : this->peers) {
+        if (!canAllocate(peer) || oldestStartAt + startTimeTolerance < peer.startedAt)
             continue;
-        const bool isStartKnown = peer.startedAt != TimePoint {};
-        candidates.push_back({ id, peer.entry.processorShare, isStartKnown ? std::optional(peer.startedAt) : std::nullopt });
+        const uint64_t score = rendezvousScore(quotaAllocatorKey, id.value);
+        if (score > bestScore) {
+            best = &peer;
+            bestScore = score;
+        }
     }
-    const std::optional<VmId> chosen = chooseQuotaAllocator(candidates, this->startedAt, now);
-    const auto peer = chosen ? this->peers.find(*chosen) : this->peers.end();
-    return peer == this->peers.end() ? nullptr : &peer->second;
+    return best;
 }
 
 json::object PeerExchange::quotaAllocatorHint(TimePoint now)
@@ -190,7 +201,6 @@
     if (seenAt <= peer->second.lastSeenAt)
         return;
     peer->second.lastSeenAt = seenAt;
-    peer->second.cannotAllocate = false;
     peer->second.startedAt = now - std::chrono::milliseconds(up.value());
 }
 
@@ -345,7 +355,6 @@
             // A VM without a configuration knows no limits and cannot allocate quota.
             const Result<bool> allocates = booleanMember(message, "allocates");
             const bool canAllocate = version && version.value() > 0 && (!allocates || allocates.value());
-            peer->second.cannotAllocate = !canAllocate;
             peer->second.startedAt = canAllocate ? now - std::chrono::milliseconds(up.value()) : TimePoint {};
             if (stops.value())
                 peer->second.excludedUntil = now + stoppingExclusionLifetime;
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -69,8 +69,6 @@
         TimePoint excludedUntil {};
         // When its process started, by the clock of this VM, not corrected for the transit time of the heartbeat.
         TimePoint startedAt {};
-        // Whether its last heartbeat reported that it cannot allocate quota.
-        bool cannotAllocate = false;
     };
     // The last quota request that this VM answered for another VM. The requester gives the times of its group updates relative to this
     // answer.
@@ -88,8 +86,9 @@
     void sendTo(const Peer&, const std::string&);
     bool isLive(const Peer&, TimePoint now) const;
     std::string heartbeatMessage();
-    // Returns the VM that allocates quota to this one, or null when that is this VM itself or, while this VM may not allocate, when there
-    // is none.
+    // Returns the VM that allocates quota to this one, or null when that is this VM itself or, while this VM may not allocate, when
+    // there is none. It is one of the oldest processes, so that the
+    // grants survive restarts of other VMs.
     Peer* quotaAllocatorPeer(TimePoint now);
     // Returns which VM this one uses as the quota allocator and how recent that information is. With these hints the VMs agree on one
     // sooner than by their own heartbeats alone.
