Start the log of passed-on changes again after a gap

A VM that received a table from its reader for a time and then followed the store again appended the new changes to its old log, and would have served the time between as if nothing had changed: a VM that followed it could miss a configuration, a server or a promotion. Change: the log is appended to only from its newest version, else it starts again at the version that was followed. Result: TableChangeLogTest.DoesNotServeChangesAcrossAGap failed before and passes; the other five tests of the exchange pass.

--- a/foxtailtrail/proxy/ChangeExchange.cpp
+++ b/foxtailtrail/proxy/ChangeExchange.cpp
@@ -76,9 +76,9 @@
     this->served(table).isServing = true;
 }
 
-void ChangeExchange::recordChanges(StoreTable table, const RowSet& changes)
+void ChangeExchange::recordChanges(StoreTable table, uint64_t afterVersion, const RowSet& changes)
 {
-    this->served(table).log.append(changes);
+    this->served(table).log.append(afterVersion, changes);
     this->served(table).isServing = true;
     if (!changes.rows.empty())
         this->changed.notify_all();
--- a/foxtailtrail/proxy/ChangeExchange.h
+++ b/foxtailtrail/proxy/ChangeExchange.h
@@ -16,9 +16,10 @@
 // held back for a time.
 class ChangeExchange {
 public:
-    // Records that this VM has read a whole table from the store, and changes that it has read since.
+    // Records that this VM has read a whole table from the store.
     void recordList(StoreTable, const RowSet&);
-    void recordChanges(StoreTable, const RowSet&);
+    // Records the changes after a version that this VM has read from the store.
+    void recordChanges(StoreTable, uint64_t afterVersion, const RowSet&);
     // Records that this VM cannot read the table from the store or receives it from another VM. It then passes no changes on, so that no
     // VMs follow each other in a circle.
     void stopServing(StoreTable);
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -170,7 +170,7 @@
     }
     Result<RowSet> changes = this->store.follow(table, afterVersion, storeWait);
     if (changes)
-        this->changeExchange.recordChanges(table, changes.value());
+        this->changeExchange.recordChanges(table, afterVersion, changes.value());
     return changes;
 }
 
--- a/foxtailtrail/proxy/TableChangeLog.cpp
+++ b/foxtailtrail/proxy/TableChangeLog.cpp
@@ -20,8 +20,10 @@
     this->rowCount = 0;
 }
 
-void TableChangeLog::append(const RowSet& changes)
+void TableChangeLog::append(uint64_t afterVersion, const RowSet& changes)
 {
+    if (!this->hasStarted || afterVersion != this->newestVersion)
+        this->restart(afterVersion);
     this->newestVersion = std::max(this->newestVersion, changes.version);
     if (changes.rows.empty())
         return;
--- a/foxtailtrail/proxy/TableChangeLog.h
+++ b/foxtailtrail/proxy/TableChangeLog.h
@@ -13,8 +13,9 @@
 public:
     // Starts the log at a version, after the whole table was read.
     void restart(uint64_t version);
-    // Appends the changes from the newest version of the log to that of the row set.
-    void append(const RowSet& changes);
+    // Appends the changes from a version to that of the row set. When the log ends at another version, it starts again, because it lacks
+    // the changes between them.
+    void append(uint64_t afterVersion, const RowSet& changes);
     // Returns the changes after a version, possibly with some that are not after it, or std::nullopt when the log does not go back that
     // far. The result is empty for the newest version, and for a version that is newer than the log.
     std::optional<RowSet> changesAfter(uint64_t version) const;
--- a/tests/proxy/ChangeExchangeTest.cpp
+++ b/tests/proxy/ChangeExchangeTest.cpp
@@ -24,9 +24,9 @@
         TableChangeLog log;
         EXPECT_FALSE(log.changesAfter(0));
         log.restart(10);
-        log.append(rowSet(12, { { "a", "1", 12, false } }));
-        log.append(rowSet(15));
-        log.append(rowSet(17, { { "a", "", 17, true } }));
+        log.append(10, rowSet(12, { { "a", "1", 12, false } }));
+        log.append(12, rowSet(15));
+        log.append(15, rowSet(17, { { "a", "", 17, true } }));
         EXPECT_FALSE(log.changesAfter(9));
         ASSERT_TRUE(log.changesAfter(10));
         EXPECT_EQ(log.changesAfter(10)->rows.size(), 2U);
@@ -40,13 +40,33 @@
         EXPECT_FALSE(log.changesAfter(17));
     }
 
+    // Guards against changes that are skipped by a VM that received the table from another VM for a time and then reads the store again:
+    // the log had no part of that time and served it as if nothing had changed.
+    TEST(TableChangeLogTest, DoesNotServeChangesAcrossAGap)
+    {
+        TableChangeLog log;
+        log.restart(10);
+        log.append(10, rowSet(12, { { "a", "1", 12, false } }));
+        // The changes from 12 to 20 came from another VM and are not in the log.
+        log.append(20, rowSet(22, { { "b", "1", 22, false } }));
+        EXPECT_FALSE(log.changesAfter(12));
+        EXPECT_FALSE(log.changesAfter(15));
+        ASSERT_TRUE(log.changesAfter(20));
+        EXPECT_EQ(log.changesAfter(20)->rows.size(), 1U);
+        // A log that starts with changes, as after the configuration came from another VM.
+        TableChangeLog other;
+        other.append(7, rowSet(9, { { "c", "1", 8, false } }));
+        EXPECT_FALSE(other.changesAfter(6));
+        EXPECT_EQ(other.changesAfter(7)->rows.size(), 1U);
+    }
+
     // Guards against a log that grows without bound.
     TEST(TableChangeLogTest, DropsOldestChanges)
     {
         TableChangeLog log;
         log.restart(0);
         for (uint64_t version = 1; version <= 5000; ++version)
-            log.append(rowSet(version, { { "a", "1", version, false } }));
+            log.append(version - 1, rowSet(version, { { "a", "1", version, false } }));
         EXPECT_FALSE(log.changesAfter(0));
         ASSERT_TRUE(log.changesAfter(4000));
         EXPECT_EQ(log.changesAfter(4000)->rows.size(), 1000U);
@@ -88,7 +108,7 @@
         this->thread->call([&] { this->reader.recordList(StoreTable::Servers, rowSet(5)); });
         this->thread->post([&] {
             sleepFor(milliseconds(50));
-            this->reader.recordChanges(StoreTable::Servers, rowSet(7, { { "s1", bytes, 6, false }, { "s2", "", 7, true } }));
+            this->reader.recordChanges(StoreTable::Servers, 5, rowSet(7, { { "s1", bytes, 6, false }, { "s2", "", 7, true } }));
         });
         const Result<RowSet> changes = this->fetch(5, std::chrono::seconds(5));
         ASSERT_TRUE(changes);
@@ -113,7 +133,7 @@
             this->reader.stopServing(StoreTable::Servers);
         });
         EXPECT_FALSE(this->fetch(5, std::chrono::seconds(5)));
-        this->thread->call([&] { this->reader.recordChanges(StoreTable::Servers, rowSet(8)); });
+        this->thread->call([&] { this->reader.recordChanges(StoreTable::Servers, 5, rowSet(8)); });
         EXPECT_TRUE(this->fetch(5, milliseconds(20)));
         EXPECT_FALSE(this->fetch(4, milliseconds(20)));
     }
