Count operations that wait for a grant and get none in the quota test

QuotaFleet dropped an operation that still waited after a grant, neither admitted nor refused, and counted one that had waited twice. The tests of wrongful refusals could not see what they guard against.

--- a/tests/limits/QuotaTest.cpp
+++ b/tests/limits/QuotaTest.cpp
@@ -17,6 +17,10 @@
     // A fleet whose VMs send requests to the allocators that they know. Datagrams are lost, VMs pause, restart and are partitioned,
     // and VMs differ in which allocator they use. Times are in milliseconds.
     struct QuotaFleet {
+        // As in SessionProxy.
+        static constexpr int64_t sweepInterval = 50;
+        static constexpr int64_t grantTimeout = 200;
+
         QuotaFleet(uint32_t seed, size_t vmCount, OrganisationLimit organisationLimit, double load)
             : random(seed)
             , limit(std::move(organisationLimit))
@@ -42,7 +46,8 @@
             bool hasOutstandingRequest = false;
             int64_t requestSentAt = 0;
             std::deque<Reply> inbox;
-            size_t waitingCount = 0;
+            // The times at which operations that wait for a grant are refused.
+            std::deque<int64_t> waitingUntil;
         };
 
         double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
@@ -91,17 +96,23 @@
                 vm.inbox.push_back({ now + 1 + static_cast<int64_t>(this->random() % 30), now, vm.requestNumber, grants });
         }
 
-        void admit(Vm& vm, int64_t now, bool hasWaited)
+        void admit(Vm& vm, int64_t now, int64_t giveUpAt, bool hasWaited)
         {
             const TimePoint time { milliseconds(now) };
             const QuotaDecision decision = vm.quota.admit(this->limit, this->vms.size(), time, hasWaited);
             if (decision == QuotaDecision::Admitted)
                 this->admitted.push_back(now);
-            else if (decision == QuotaDecision::Wait && !hasWaited)
-                ++vm.waitingCount;
-            else if (decision == QuotaDecision::Refused)
+            else if (decision == QuotaDecision::Wait && now < giveUpAt)
+                vm.waitingUntil.push_back(giveUpAt);
+            else
                 ++this->refusedCount;
-            ++this->operationCount;
+        }
+
+        // Evaluates the operations that wait for a grant again, as a VM does after each grant and in each sweep.
+        void serveWaiting(Vm& vm, int64_t now)
+        {
+            for (const int64_t giveUpAt : std::exchange(vm.waitingUntil, {}))
+                this->admit(vm, now, giveUpAt, true);
         }
 
         void step(int64_t now, bool hasFaults)
@@ -120,11 +131,14 @@
                         continue;
                     vm.hasOutstandingRequest = false;
                     vm.quota.applyGrants(reply.grants, TimePoint(milliseconds(reply.sentAt)), time);
-                    for (size_t waiting = std::exchange(vm.waitingCount, 0); waiting > 0; --waiting)
-                        this->admit(vm, now, true);
+                    this->serveWaiting(vm, now);
+                }
+                if (now % sweepInterval == 0)
+                    this->serveWaiting(vm, now);
+                if (this->uniform() < this->arrivalsPerMillisecond) {
+                    ++this->operationCount;
+                    this->admit(vm, now, now + grantTimeout, false);
                 }
-                if (this->uniform() < this->arrivalsPerMillisecond)
-                    this->admit(vm, now, false);
                 this->requestGrants(index, now);
             }
         }
