Repeat quota requests while operations wait, and give an allocator up after three

Cause: a VM forgot the operations that wait for a grant once it had sent a request, so after a lost message it did not request their tokens again; it waited 250 ms for a reply, longer than the 200 ms after which a waiting operation is refused; and one unanswered request excluded the allocator for 2 s, which gave up a VM that was only slow to reply. Ruled out: the shortage of tokens; without message loss both tests pass with a timeout of 100 ms as well. Change: waiting operations are counted until they end. QuotaRequestLog decides when a request is repeated (60 ms, then 120 ms), which replies count (late ones too, as the allocator took their grants for used) and when an allocator does not respond (three in a row). The quota test drives it.

--- a/foxtailtrail/limits/LocalQuota.cpp
+++ b/foxtailtrail/limits/LocalQuota.cpp
@@ -57,7 +57,9 @@
 QuotaDecision LocalQuota::admit(const OrganisationLimit& limit, size_t fleetSize, TimePoint now, bool hasWaited)
 {
     OrganisationQuota& quota = this->quotas[limit.organisation];
-    if (!hasWaited)
+    if (hasWaited)
+        quota.waitingCount -= 1;
+    else
         quota.arrivals += 1;
     if (now < quota.usableUntil && quota.grantedTokens >= 1) {
         quota.grantedTokens -= 1;
@@ -73,11 +75,12 @@
     quota.staticShareFilledAt = now;
     if (now < quota.refuseUntil)
         return QuotaDecision::Refused;
-    if (!hasWaited)
-        quota.waitingCount += 1;
+    quota.waitingCount += 1;
     return QuotaDecision::Wait;
 }
 
+void LocalQuota::stopWaiting(const OrganisationId& organisation) { this->quotas[organisation].waitingCount -= 1; }
+
 std::vector<QuotaRequest> LocalQuota::collectRequests(TimePoint now)
 {
     const double elapsed
@@ -101,7 +104,6 @@
         // The request returns these tokens, so they must not be used while it is in flight.
         quota.grantedTokens = 0;
         quota.needsMore = false;
-        quota.waitingCount = 0;
     }
     return requests;
 }
--- a/foxtailtrail/limits/LocalQuota.h
+++ b/foxtailtrail/limits/LocalQuota.h
@@ -26,8 +26,10 @@
     }
 
     // Admits one operation of the organisation if the quota allows it. An operation that has waited before is not counted as new
-    // demand.
+    // demand. One that waits is requested again until it is evaluated again or stops waiting, as a message may be lost.
     QuotaDecision admit(const OrganisationLimit&, size_t fleetSize, TimePoint now, bool hasWaited = false);
+    // Records that a waiting operation is not evaluated again.
+    void stopWaiting(const OrganisationId&);
 
     // Returns the requests to send now, for every organisation that needs more tokens.
     std::vector<QuotaRequest> collectRequests(TimePoint now);
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -28,7 +28,6 @@
     constexpr Duration isolationTimeout = std::chrono::milliseconds(2500);
     // A peer that has been silent for this long is not counted as part of the fleet.
     constexpr Duration fleetMembershipTimeout = std::chrono::seconds(60);
-    constexpr Duration quotaRequestTimeout = std::chrono::milliseconds(250);
     constexpr Duration unansweredExclusionLifetime = std::chrono::seconds(2);
     // A peer that announces its stop has exited within this time.
     constexpr Duration stoppingExclusionLifetime = std::chrono::seconds(6);
@@ -217,16 +216,16 @@
     if (!this->proxy.isConfigured())
         return;
     const TimePoint now = bootNow();
-    if (this->isQuotaRequestOutstanding) {
-        if (now < this->quotaRequestSentAt + quotaRequestTimeout)
-            return;
-        this->isQuotaRequestOutstanding = false;
-        const auto silent = this->peers.find(this->quotaRequestPeer);
+    if (this->quotaRequestLog.isReplyAwaited(now))
+        return;
+    const bool isRepetition = this->quotaRequestLog.isRepetitionDue(now);
+    if (const std::optional<VmId> unresponsive = this->quotaRequestLog.takeUnresponsiveAllocator(now)) {
+        const auto silent = this->peers.find(*unresponsive);
         if (silent != this->peers.end())
             silent->second.excludedUntil = now + unansweredExclusionLifetime;
     }
     LocalQuota& share = this->proxy.quota();
-    if (!share.isRequestDue(this->proxy.fleetSize(), now))
+    if (!isRepetition && !share.isRequestDue(this->proxy.fleetSize(), now))
         return;
     Peer* peer = this->quotaAllocatorPeer(now);
     if (!peer && !this->mayAllocate(now))
@@ -244,11 +243,8 @@
     json::array list;
     for (const QuotaRequest& quotaRequest : quotaRequests)
         list.push_back(json::array { quotaRequest.organisation.value, quotaRequest.wanted, quotaRequest.unused });
-    this->isQuotaRequestOutstanding = true;
-    this->quotaRequestSentAt = now;
-    this->quotaRequestPeer = peer->entry.id;
     json::object message { { "kind", quotaRequestKind }, { "vm", this->proxy.settings().vmId.value },
-        { "number", ++this->quotaRequestNumber }, { "list", list } };
+        { "number", this->quotaRequestLog.recordSent(peer->entry.id, now) }, { "list", list } };
     // The quota allocator reads the times of the updates relative to the moment at which it sent its last answer, which is earlier than the
     // moment at which this VM received it.
     if (this->lastGrantPeer == peer->entry.id) {
@@ -408,12 +404,12 @@
 
 void PeerExchange::handleGrant(const json::object& message)
 {
-    if (!this->isQuotaRequestOutstanding || message.at("number").to_number<uint64_t>() != this->quotaRequestNumber)
+    const std::optional<SentQuotaRequest> request = this->quotaRequestLog.recordReply(message.at("number").to_number<uint64_t>());
+    if (!request)
         return;
     const TimePoint now = bootNow();
-    this->isQuotaRequestOutstanding = false;
-    this->lastGrantNumber = this->quotaRequestNumber;
-    this->lastGrantPeer = this->quotaRequestPeer;
+    this->lastGrantNumber = request->number;
+    this->lastGrantPeer = request->allocator;
     this->lastGrantReceivedAt = now;
     this->applyQuotaAllocatorHint(message, now);
     std::vector<QuotaGrant> grants;
@@ -421,8 +417,8 @@
         const json::array& grant = each.as_array();
         grants.push_back({ OrganisationId(std::string(std::string_view(grant.at(0).as_string()))), numberAt(grant, 1) });
     }
-    this->proxy.applyGroupUpdates(decodeGroupUpdates(message.at("news").as_array(), this->quotaRequestSentAt));
-    this->proxy.quota().applyGrants(grants, this->quotaRequestSentAt, now);
+    this->proxy.applyGroupUpdates(decodeGroupUpdates(message.at("news").as_array(), request->sentAt));
+    this->proxy.quota().applyGrants(grants, request->sentAt, now);
     this->proxy.serveQuotaWaiters();
 }
 
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/base/Json.h"
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
+#include "foxtailtrail/limits/QuotaRequestLog.h"
 #include "foxtailtrail/net/HttpClient.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
 
@@ -64,8 +65,8 @@
         PeerEntry entry;
         TimePoint addedAt {};
         TimePoint lastSeenAt {};
-        // After an unanswered quota request or the announcement of its stop, the peer is excluded as quota allocator and relay until this
-        // time.
+        // After several unanswered quota requests or the announcement of its stop, the peer is excluded as quota allocator and relay until
+        // this time.
         TimePoint excludedUntil {};
         // When its process started, by the clock of this VM, not corrected for the transit time of the heartbeat.
         TimePoint startedAt {};
@@ -111,10 +112,7 @@
     TimePoint allocatesFrom = TimePoint::max();
     bool isStopping = false;
     QuotaAllocator quotaAllocator;
-    uint64_t quotaRequestNumber = 0;
-    bool isQuotaRequestOutstanding = false;
-    TimePoint quotaRequestSentAt {};
-    VmId quotaRequestPeer;
+    QuotaRequestLog quotaRequestLog;
     // The last grant message: the number of its request, the VM that sent it, and when it was received.
     uint64_t lastGrantNumber = 0;
     VmId lastGrantPeer;
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -324,10 +324,13 @@
     const TimePoint now = bootNow();
     for (QuotaWaiter& waiter : waiting) {
         const QuotaDecision decision = this->localQuota.admit(waiter.limit, this->vmCount, now, true);
-        if (decision == QuotaDecision::Wait && now < waiter.giveUpAt)
+        if (decision == QuotaDecision::Wait && now < waiter.giveUpAt) {
             this->quotaWaiters.push_back(std::move(waiter));
-        else
-            waiter.callback(decision == QuotaDecision::Admitted);
+            continue;
+        }
+        if (decision == QuotaDecision::Wait)
+            this->localQuota.stopWaiting(waiter.limit.organisation);
+        waiter.callback(decision == QuotaDecision::Admitted);
     }
 }
 
--- a/tests/limits/QuotaTest.cpp
+++ b/tests/limits/QuotaTest.cpp
@@ -1,5 +1,6 @@
 #include "foxtailtrail/limits/LocalQuota.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
+#include "foxtailtrail/limits/QuotaRequestLog.h"
 
 #include <deque>
 #include <gtest/gtest.h>
@@ -32,7 +33,6 @@
 
         struct Reply {
             int64_t deliverAt = 0;
-            int64_t sentAt = 0;
             uint64_t requestNumber = 0;
             std::vector<QuotaGrant> grants;
         };
@@ -42,9 +42,7 @@
             int64_t pausedUntil = 0;
             int64_t partitionedUntil = 0;
             size_t allocatorIndex = 0;
-            uint64_t requestNumber = 0;
-            bool hasOutstandingRequest = false;
-            int64_t requestSentAt = 0;
+            QuotaRequestLog requestLog;
             std::deque<Reply> inbox;
             // The times at which operations that wait for a grant are refused.
             std::deque<int64_t> waitingUntil;
@@ -64,7 +62,7 @@
                 vm.quota = LocalQuota(bounds);
                 vm.allocator = QuotaAllocator(bounds);
                 vm.inbox.clear();
-                vm.hasOutstandingRequest = false;
+                vm.requestLog = QuotaRequestLog();
                 vm.pausedUntil = now + 300;
             }
             if (faultChoice == 3)
@@ -75,16 +73,15 @@
         {
             Vm& vm = this->vms[index];
             const TimePoint time { milliseconds(now) };
-            if (vm.hasOutstandingRequest && now < vm.requestSentAt + 250)
+            if (vm.requestLog.isReplyAwaited(time))
                 return;
-            vm.hasOutstandingRequest = false;
-            if (!vm.quota.isRequestDue(this->vms.size(), time))
+            const bool isRepetition = vm.requestLog.isRepetitionDue(time);
+            vm.requestLog.takeUnresponsiveAllocator(time);
+            if (!isRepetition && !vm.quota.isRequestDue(this->vms.size(), time))
                 return;
             const std::vector<QuotaRequest> requests = vm.quota.collectRequests(time);
             vm.quota.recordRequestSent(time);
-            vm.hasOutstandingRequest = true;
-            vm.requestSentAt = now;
-            ++vm.requestNumber;
+            const uint64_t number = vm.requestLog.recordSent(VmId(std::to_string(vm.allocatorIndex)), time);
             Vm& lender = this->vms[vm.allocatorIndex];
             const bool isDelivered
                 = now >= vm.partitionedUntil && now >= lender.partitionedUntil && now >= lender.pausedUntil && this->uniform() > 0.05;
@@ -93,7 +90,7 @@
             const std::vector<QuotaGrant> grants
                 = lender.allocator.grant(VmId(std::to_string(index)), requests, { this->limit }, this->vms.size(), time);
             if (this->uniform() > 0.05)
-                vm.inbox.push_back({ now + 1 + static_cast<int64_t>(this->random() % 30), now, vm.requestNumber, grants });
+                vm.inbox.push_back({ now + 1 + static_cast<int64_t>(this->random() % 30), number, grants });
         }
 
         void admit(Vm& vm, int64_t now, int64_t giveUpAt, bool hasWaited)
@@ -104,8 +101,11 @@
                 this->admitted.push_back(now);
             else if (decision == QuotaDecision::Wait && now < giveUpAt)
                 vm.waitingUntil.push_back(giveUpAt);
-            else
+            else {
+                if (decision == QuotaDecision::Wait)
+                    vm.quota.stopWaiting(this->limit.organisation);
                 ++this->refusedCount;
+            }
         }
 
         // Evaluates the operations that wait for a grant again, as a VM does after each grant and in each sweep.
@@ -127,10 +127,10 @@
                 while (!vm.inbox.empty() && vm.inbox.front().deliverAt <= now) {
                     const Reply reply = vm.inbox.front();
                     vm.inbox.pop_front();
-                    if (!vm.hasOutstandingRequest || reply.requestNumber != vm.requestNumber)
+                    const std::optional<SentQuotaRequest> request = vm.requestLog.recordReply(reply.requestNumber);
+                    if (!request)
                         continue;
-                    vm.hasOutstandingRequest = false;
-                    vm.quota.applyGrants(reply.grants, TimePoint(milliseconds(reply.sentAt)), time);
+                    vm.quota.applyGrants(reply.grants, request->sentAt, time);
                     this->serveWaiting(vm, now);
                 }
                 if (now % sweepInterval == 0)
