Hold a store reader's calls for five seconds at most

A reader whose calls the store leaves without a reply, while it serves other VMs, notices that after the wait of the call, up to 16 s. Until then it passes on that nothing has changed, and half of its data centre misses servers that drain; a request may reach them up to 10 s after the store has accepted that. Change: the calls of a reader are held for 5 s at most, so its requests end after about 6 s and the others read the store themselves.

--- a/foxtailtrail/membership/StoreReaders.cpp
+++ b/foxtailtrail/membership/StoreReaders.cpp
@@ -22,6 +22,7 @@
 void StoreReaders::setCandidates(std::vector<StoreReaderCandidate> candidates)
 {
     this->readers.clear();
+    this->isSelfReader = false;
     if (candidates.size() < minVmsForReaders)
         return;
     // Every VM computes the same order without exchanging messages, the largest VMs first.
@@ -32,7 +33,8 @@
         [&](const StoreReaderCandidate& left, const StoreReaderCandidate& right) { return rankOf(left) > rankOf(right); });
     for (size_t index = 0; index < readersPerDataCentre; ++index)
         this->readers.push_back(candidates[index].vm);
-    if (std::find(this->readers.begin(), this->readers.end(), this->self) != this->readers.end())
+    this->isSelfReader = std::find(this->readers.begin(), this->readers.end(), this->self) != this->readers.end();
+    if (this->isSelfReader)
         this->readers.clear();
 }
 
--- a/foxtailtrail/membership/StoreReaders.h
+++ b/foxtailtrail/membership/StoreReaders.h
@@ -29,6 +29,8 @@
     void setCandidates(std::vector<StoreReaderCandidate>);
     // Returns the reader for this VM, or std::nullopt when this VM reads the store itself.
     std::optional<VmId> readerAt(TimePoint now) const;
+    // Returns true when other VMs of the data centre depend on this VM's reads of the store.
+    bool isReader() const { return this->isSelfReader; }
     // Records that a reader did not answer or does not read the store itself. It is excluded for a time that grows with each failure.
     void recordFailure(const VmId&, TimePoint now);
     void recordSuccess(const VmId& reader) { this->failures.erase(reader); }
@@ -41,6 +43,7 @@
     VmId self;
     // The readers of the data centre. Empty in a small data centre, and on a reader itself.
     std::vector<VmId> readers;
+    bool isSelfReader = false;
     std::map<VmId, Failure> failures;
 };
 
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -87,9 +87,8 @@
     void sendTo(const Peer&, const std::string&);
     bool isLive(const Peer&, TimePoint now) const;
     std::string heartbeatMessage();
-    // Returns the VM that allocates quota to this one, or null when that is this VM itself or, while this VM may not allocate, when
-    // there is none. It is one of the oldest processes, so that the
-    // grants survive restarts of other VMs.
+    // Returns the VM that allocates quota to this one, or null when that is this VM itself or, while this VM may not allocate, when there
+    // is none. It is one of the oldest processes, so that the grants survive restarts of other VMs.
     Peer* quotaAllocatorPeer(TimePoint now);
     // Returns which VM this one uses as the quota allocator and how recent that information is. With these hints the VMs agree on one
     // sooner than by their own heartbeats alone.
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -23,6 +23,9 @@
     constexpr int maxFeedWaitMs = 15000;
     // How long another VM may hold a request for changes open. It bounds the time until a VM notices that its reader does not respond.
     constexpr Duration readerFeedWait = std::chrono::milliseconds(2500);
+    // How long the store may hold a call of a reader open. The store may leave the calls of one VM without a reply while it serves others;
+    // the VMs that depend on this reader then read the store themselves within this time and the reply timeout.
+    constexpr Duration maxStoreWaitOfReader = std::chrono::seconds(5);
     // Changes often come in bursts, and each response of a feed has a cost for every VM, so further changes are collected for this
     // time.
     constexpr Duration changeBatchDelay = std::chrono::milliseconds(400);
@@ -168,7 +171,8 @@
         this->storeReaders.recordFailure(*reader, bootNow());
         logEvent(LogLevel::Info, "store reader excluded", { { "reader", reader->value }, { "detail", changes.error().detail } });
     }
-    Result<RowSet> changes = this->store.follow(table, afterVersion, storeWait);
+    const Duration wait = this->storeReaders.isReader() ? std::min(storeWait, maxStoreWaitOfReader) : storeWait;
+    Result<RowSet> changes = this->store.follow(table, afterVersion, wait);
     if (changes)
         this->changeExchange.recordChanges(table, afterVersion, changes.value());
     return changes;
--- a/tests/membership/StoreReadersTest.cpp
+++ b/tests/membership/StoreReadersTest.cpp
@@ -31,6 +31,7 @@
         size_t directCount = 0;
         for (const StoreReaderCandidate& candidate : vmsOfDataCentre(50)) {
             const auto reader = readersSeenBy(candidate.vm, 50).readerAt(TimePoint {});
+            EXPECT_EQ(readersSeenBy(candidate.vm, 50).isReader(), !reader) << candidate.vm.value;
             if (reader)
                 ++usersByReader[*reader];
             else
@@ -47,8 +48,10 @@
     // Guards against VMs of a small fleet that wait for each other.
     TEST(StoreReadersTest, ReadsStoreDirectlyInSmallDataCentre)
     {
-        for (const StoreReaderCandidate& candidate : vmsOfDataCentre(7))
+        for (const StoreReaderCandidate& candidate : vmsOfDataCentre(7)) {
             EXPECT_FALSE(readersSeenBy(candidate.vm, 7).readerAt(TimePoint {}));
+            EXPECT_FALSE(readersSeenBy(candidate.vm, 7).isReader());
+        }
     }
 
     // Guards against a VM that goes on asking a reader that is gone.
