Let the random witness test complete replacements like a VM, with draws in a fixed order

The test completed a replacement only if the last proposal was accepted, so every later change was refused with 'the last replacement of a witness is not settled yet', and no proposal could be accepted. A VM of the product does not depend on the proposer: the live VM with the lowest id completes a replacement that majorities of both lists have acknowledged (docs/design.md). The product is not changed.

--- a/tests/config/ConfigurationFaultMatrixTest.cpp
+++ b/tests/config/ConfigurationFaultMatrixTest.cpp
@@ -1,5 +1,6 @@
 #include "tests/config/FakeFleet.h"
 
+#include <algorithm>
 #include <random>
 
 namespace foxtail {
@@ -175,10 +176,13 @@
     {
         const VmId chosen("vm" + std::to_string(this->randomBelow(5) + 1));
         switch (this->randomBelow(4)) {
-        case 0:
-            this->fleet.propose(this->randomBelow(5), "limit",
-                ChangeOrganisation { OrganisationId("wattle"), static_cast<double>(100 + this->randomBelow(50)), {} });
+        case 0: {
+            // Drawn one after the other, because the order in which arguments are evaluated differs between platforms.
+            const size_t vm = this->randomBelow(5);
+            const auto rate = static_cast<double>(100 + this->randomBelow(50));
+            this->fleet.propose(vm, "limit", ChangeOrganisation { OrganisationId("wattle"), rate, {} });
             break;
+        }
         case 1:
             this->fleet.propose(this->randomBelow(5), "add", ReplaceWitness { {}, VmAddress { chosen, "127.0.0.1", 9000 } });
             break;
@@ -191,12 +195,36 @@
         }
     }
 
-    // Completes a replacement of witnesses once a version with both lists has been accepted.
+    size_t countInstalled(const std::vector<VmAddress>& list, uint64_t version) const
+    {
+        return static_cast<size_t>(std::count_if(list.begin(), list.end(), [&](const VmAddress& address) {
+            return this->fleet.vms[static_cast<size_t>(address.id.value.back() - '1')].installedConfiguration.version() == version;
+        }));
+    }
+
+    // Returns whether the stored version has both lists of witnesses and a majority of each has installed it.
+    bool isStoredReplacementAcknowledged() const
+    {
+        const ConfigurationRow& row = this->fleet.store.row;
+        const Configuration stored
+            = parseConfiguration(this->fleet.store.objects.at(configurationObjectName(row.version(), row.digest))).value();
+        const auto hasMajority
+            = [&](const std::vector<VmAddress>& list) { return this->countInstalled(list, row.version()) * 2 > list.size(); };
+        return !stored.previousWitnesses.empty() && hasMajority(stored.witnesses) && hasMajority(stored.previousWitnesses);
+    }
+
+    // Completes a replacement of witnesses once a version with both lists has been accepted. As on a VM, this does not depend on whether
+    // the proposal that stored the version received its outcome.
     void completeReplacement()
     {
         const auto& lastProposal = *this->fleet.operators.back().proposal;
-        if (!lastProposal.outcome() || lastProposal.outcome()->decision != ProposalDecision::Accepted)
+        if (!lastProposal.outcome())
             return;
+        if (lastProposal.outcome()->decision != ProposalDecision::Accepted) {
+            if (this->isStoredReplacementAcknowledged())
+                this->fleet.propose(this->randomBelow(5), "settle", CompleteWitnessReplacement { this->fleet.store.row.version() });
+            return;
+        }
         ++this->acceptedCount;
         if (!lastProposal.storedDocument()->previousWitnesses.empty())
             this->fleet.propose(this->randomBelow(5), "settle", CompleteWitnessReplacement { lastProposal.outcome()->version });
