Log the requests that a stopping VM leaves without a reply

SIGTERM at 23 or 24 s; requests sent to the VM 4.3 to 5.2 s later; the connection ends without a reply 5.5 s after SIGTERM, when the process exits.

Hypotheses: (1) sessions that the load balancer opened during the stop, whose requests wait with their own time limit, which is later than the exit; (2) long sessions that the stop never closes, because they are busy or in a transaction; (3) statements that run on a slow server when the process exits. The logs could not tell them apart.

Change: before the exit, a line for each request without a reply with its state, its wait and the age of its session, and the counts in the line "stopped".

--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -4,6 +4,7 @@
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/LinkRollback.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
+#include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
 #include <array>
@@ -43,7 +44,8 @@
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, SessionProxy& proxy)
     : TcpStream(std::move(socket))
     , proxy(proxy)
-    , lastActivityAt(bootNow())
+    , acceptedAt(bootNow())
+    , lastActivityAt(acceptedAt)
 {
 }
 
@@ -459,6 +461,20 @@
     this->proxy.removeConnection(*this);
 }
 
+size_t CallerConnection::logUnansweredRequests(TimePoint now) const
+{
+    if (!this->isRequestInProgress)
+        return 0;
+    const std::string_view state = !this->hasStarted ? "waiting for the configuration"
+        : this->run                                  ? this->run->phaseName()
+                                                     : "waiting for quota";
+    logEvent(LogLevel::Warning, "request without a reply: the process ends",
+        { { "request", this->request.requestId }, { "database", this->database }, { "state", state },
+            { "waitedMs", toMilliseconds(now - this->requestStartedAt) }, { "sessionAgeMs", toMilliseconds(now - this->acceptedAt) },
+            { "queuedRequests", this->queuedMessages.size() } });
+    return 1 + this->queuedMessages.size();
+}
+
 void CallerConnection::recordOutcome(const std::optional<ErrorKind>& error, std::string_view detail)
 {
     RequestOutcome outcome { this->request.requestId, this->database, this->organisation, this->lastServer.value, this->attempts, error,
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -28,6 +28,9 @@
     bool isIdle() const;
     // Closes the connection and releases the resources that it holds.
     void disconnect();
+    // Logs the request that is being handled, if there is one, because the process ends before its reply. Returns the number of requests
+    // without a reply.
+    size_t logUnansweredRequests(TimePoint now) const;
     // Returns whether the connection has a statement or an open transaction whose time limits sweep() must check.
     bool needsSweep() const { return this->run != nullptr || this->session.currentTransactionState() == TransactionState::Open; }
 
@@ -80,6 +83,7 @@
     // The server that handled the current request last, and the number of attempts.
     BackendServerId lastServer;
     uint32_t attempts = 0;
+    TimePoint acceptedAt {};
     TimePoint requestStartedAt {};
     TimePoint lastActivityAt {};
     // Whether this VM has aborted the transaction and the caller has not been notified yet.
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -114,7 +114,10 @@
     while (bootNow() < exitBy
         && (bootNow() < stopStartedAt + rotationDelay || this->proxy.sessionCount() > 0 || this->relayServer.channelCount() > 0))
         sleepFor(stopPollInterval);
-    logEvent(LogLevel::Info, "stopped", { { "sessions", this->proxy.sessionCount() } });
+    const size_t unansweredRequests = this->proxy.logUnansweredRequests();
+    logEvent(LogLevel::Info, "stopped",
+        { { "sessions", this->proxy.sessionCount() }, { "unansweredRequests", unansweredRequests },
+            { "relayChannels", this->relayServer.channelCount() } });
     flushLog();
     this->onEnded();
 }
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -378,6 +378,15 @@
     this->endTransactionsAt = endTransactionsFrom;
 }
 
+size_t SessionProxy::logUnansweredRequests() const
+{
+    const TimePoint now = bootNow();
+    size_t count = 0;
+    for (const auto& [address, connection] : this->connections)
+        count += connection->logUnansweredRequests(now);
+    return count;
+}
+
 void SessionProxy::scheduleSweep()
 {
     this->sweepTimer.expires_after(sweepInterval);
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -89,6 +89,8 @@
     // Starts draining the callers: idle sessions are closed from the first time on, open transactions are aborted at the second.
     void startDraining(TimePoint closeIdleFrom, TimePoint endTransactionsFrom);
     size_t sessionCount() const { return this->connections.size(); }
+    // Logs the requests that have no reply when the process ends. Returns their number.
+    size_t logUnansweredRequests() const;
 
     std::shared_ptr<GroupTracker> group(const ServiceName&);
     // Exchanges group updates with other VMs: returns those of this VM that are newer than the given time, and applies those of
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -3,6 +3,7 @@
 #include "foxtailtrail/proxy/BootClock.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cassert>
@@ -57,6 +58,13 @@
     this->giveUpAt = now + scaled(this->task.deadline - now, startTimeoutFraction);
 }
 
+std::string_view StatementRun::phaseName() const
+{
+    constexpr std::array<std::string_view, 5> names { "waiting for a primary", "waiting for a connection", "preparing the connection",
+        "running on a backend server", "waiting to retry" };
+    return names[static_cast<size_t>(this->phase)];
+}
+
 bool StatementRun::needsPrimary() const
 {
     if (this->inTransaction())
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace foxtail {
@@ -66,6 +67,8 @@
     // so that the connection can be reused.
     void abandon();
     bool isFinished() const { return this->hasFinished; }
+    // Returns what the run is doing, for logs.
+    std::string_view phaseName() const;
 
 private:
     enum class Phase : uint8_t {
