End each request before a stopping VM exits, and take no work it cannot finish

Cause: the time limits of requests were not bounded by the exit of the process. While fewer than half of the VMs of a data centre are ready, the load balancer sends sessions to a stopping VM too; it accepted them until its exit, which also delayed the exit and the start of its successor by up to 2.4 s. Ruled out: old sessions that are never closed.

Change: StopSchedule decides what a stopping VM still begins. New sessions are refused at once when idle ones are closed (2.3 s); an operation begins only while it can meet its objective before the replies are due; time limits end there, and each request that is left then gets its final reply, true about whether it ran. Only resting transactions are aborted in the second half of the grace period. Before the exit, established connections are accepted and refused, then the port is closed.

Tests, with the program of before: FleetTest.AnswersEveryRequestTakenWhileStopping fails with 7 of 34 sessions lost in both connection modes, FleetTest.ReportsUnknownOutcomeOfWriteBeforeVmExits with a lost connection in both.

--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -20,6 +20,8 @@
     constexpr size_t maxSessionVariables = 1000;
     // The organisation name that backend servers receive for callers of open-access routes.
     constexpr const char* openAccessOrganisation = "public";
+    // A caller sends its first message within this time after it has connected.
+    constexpr Duration startTimeout = std::chrono::milliseconds(200);
     // The statement timeout of routes that do not define one.
     constexpr Duration defaultStatementTimeout = std::chrono::seconds(2);
 
@@ -137,6 +139,11 @@
             self->sendErrorAndClose(ErrorKind::KeyUnknown, "the key is not known");
             return;
         }
+        const std::optional<StopSchedule>& stop = self->proxy.stopSchedule();
+        if (stop && !stop->canBeginSession(bootNow())) {
+            self->sendErrorAndClose(ErrorKind::Stopping, "this VM is stopping");
+            return;
+        }
         self->hasStarted = true;
         std::string out;
         self->sendReady(out, std::nullopt);
@@ -275,6 +282,10 @@
         this->sendErrorReply(ErrorKind::UnknownRoute, "the database has been removed");
         return;
     }
+    if (this->isTooLateFor(*databaseRoute)) {
+        this->refuseForStop();
+        return;
+    }
     this->route = *databaseRoute;
     const OrganisationLimit* organisationLimit = table.findOrganisation(this->keyDigest);
     if (!organisationLimit && !databaseRoute->isOpenAccess) {
@@ -298,6 +309,18 @@
     });
 }
 
+bool CallerConnection::isTooLateFor(const DatabaseRoute& databaseRoute) const
+{
+    const std::optional<StopSchedule>& stop = this->proxy.stopSchedule();
+    return stop && !stop->canBeginOperation(this->requestStartedAt, databaseRoute.latencyObjective);
+}
+
+void CallerConnection::refuseForStop()
+{
+    this->isEnding = true;
+    this->sendErrorReply(ErrorKind::Stopping, "this VM is stopping");
+}
+
 void CallerConnection::startRun(bool writes, std::optional<PreparedStatement> prepared)
 {
     this->isWriteRequest = writes;
@@ -310,6 +333,8 @@
     task.organisation = this->organisation;
     task.deadline
         = this->requestStartedAt + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
+    if (const std::optional<StopSchedule>& stop = this->proxy.stopSchedule())
+        task.deadline = std::min(task.deadline, stop->replyBy());
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
     const auto group = this->proxy.group(this->route->service);
     this->run = StatementRun::start(this->proxy.ioContext(), this->proxy, group, this->session, this->pinnedLink, std::move(task),
@@ -400,8 +425,11 @@
 {
     this->isRequestInProgress = false;
     this->lastActivityAt = bootNow();
-    if (this->queuedMessages.empty() && !this->hasBufferedBytes())
+    if (this->queuedMessages.empty() && !this->hasBufferedBytes()) {
+        if (this->isEnding)
+            this->closeSession();
         return;
+    }
     // Handles the next request from the event loop, so that a long queue of requests does not recurse.
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
     this->proxy.post([self] { self->handleNextMessage(); });
@@ -440,6 +468,50 @@
     return !this->isRequestInProgress && this->queuedMessages.empty() && this->session.currentTransactionState() == TransactionState::None;
 }
 
+void CallerConnection::applyStop(const StopSchedule& stop, TimePoint now)
+{
+    const auto self = this->shared_from_this();
+    if (this->hasSessionEnded)
+        return;
+    if (stop.hasToEndSessions(now)) {
+        this->endSession();
+        return;
+    }
+    if (stop.hasToAbortTransaction(this->lastActivityAt, now))
+        this->abortTransaction();
+    const bool mayStartSession = !this->hasStarted && now < this->acceptedAt + startTimeout;
+    if (this->isIdle() && !mayStartSession && stop.hasToCloseIdleSessions(now))
+        this->disconnect();
+}
+
+void CallerConnection::endSession()
+{
+    this->isEnding = true;
+    if (this->run) {
+        this->run->endForStop();
+        return;
+    }
+    if (!this->isRequestInProgress) {
+        if (this->queuedMessages.empty())
+            this->closeSession();
+        return;
+    }
+    // The request waits for the configuration or for quota.
+    if (this->hasStarted)
+        this->sendErrorReply(ErrorKind::Stopping, "this VM is stopping");
+    else
+        this->sendErrorAndClose(ErrorKind::Stopping, "this VM is stopping");
+}
+
+void CallerConnection::closeSession()
+{
+    const auto self = this->shared_from_this();
+    this->rollBackPinnedLink();
+    this->hasSessionEnded = true;
+    this->closeAfterSending();
+    this->proxy.removeConnection(*this);
+}
+
 void CallerConnection::disconnect()
 {
     if (this->hasSessionEnded)
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -3,6 +3,7 @@
 #include "foxtailtrail/proxy/CallerCodec.h"
 #include "foxtailtrail/proxy/StatementRun.h"
 #include "foxtailtrail/proxy/TcpStream.h"
+#include "foxtailtrail/session/StopSchedule.h"
 
 #include <deque>
 #include <functional>
@@ -21,13 +22,8 @@
 
     // Ends attempts that have exceeded their time limit and transactions that have exceeded the idle timeout.
     void sweep(TimePoint now);
-    // Aborts the open transaction because it has exceeded the idle timeout or the VM is stopping. The caller receives the error in
-    // reply to its next statement.
-    void abortTransaction();
-    // Returns whether the connection can be closed without interrupting work: no transaction is open and no request is outstanding.
-    bool isIdle() const;
-    // Closes the connection and releases the resources that it holds.
-    void disconnect();
+    // Aborts the open transaction and ends the session as the schedule of the stopping VM demands.
+    void applyStop(const StopSchedule&, TimePoint now);
     // Logs the request that is being handled, if there is one, because the process ends before its reply. Returns the number of requests
     // without a reply.
     size_t logUnansweredRequests(TimePoint now) const;
@@ -39,6 +35,17 @@
     size_t received(std::string_view bytes) override;
     void disconnected() override;
 
+    // Returns whether the connection can be closed without interrupting work: no transaction is open and no request is outstanding.
+    bool isIdle() const;
+    // Closes the connection and releases the resources that it holds.
+    void disconnect();
+    // Closes the connection once its replies have been sent. No request may be outstanding.
+    void closeSession();
+    // Sends the final reply to each outstanding request, then closes the session.
+    void endSession();
+    // Aborts the open transaction because it has exceeded the idle timeout or the VM is stopping. The caller receives the error in
+    // reply to its next statement.
+    void abortTransaction();
     void handleNextMessage();
     void handleMessage(CallerMessage&&);
     void handleStart(const CallerMessage&);
@@ -51,6 +58,10 @@
     void runStatement(bool writes, std::optional<PreparedStatement>);
     // Checks the key, route and quota of a new operation, then calls the function; sends an error to the caller otherwise.
     void admit(std::function<void()> onAdmitted);
+    // Returns whether this VM is stopping and cannot finish an operation of the route any more.
+    bool isTooLateFor(const DatabaseRoute&) const;
+    // Refuses an operation because this VM is stopping, and closes the session, so that the caller goes to another VM.
+    void refuseForStop();
     void startRun(bool writes, std::optional<PreparedStatement>);
     void handleRunResult(RunResult&&);
     void sendReply(const LinkReply&);
@@ -88,6 +99,8 @@
     TimePoint lastActivityAt {};
     // Whether this VM has aborted the transaction and the caller has not been notified yet.
     bool hasUnreportedAbort = false;
+    // Whether the session is closed once no request is outstanding, because this VM is stopping.
+    bool isEnding = false;
     bool hasSessionEnded = false;
 };
 
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -12,10 +12,6 @@
 
 namespace {
 
-    // The load balancer takes a VM out of rotation after two probes, one second apart; idle sessions are closed after that.
-    constexpr Duration rotationDelay = std::chrono::milliseconds(2300);
-    // The process exits this long before the platform would kill it.
-    constexpr Duration exitMargin = std::chrono::milliseconds(500);
     constexpr Duration stopPollInterval = std::chrono::milliseconds(50);
 
 }
@@ -105,14 +101,16 @@
 {
     if (std::exchange(this->isStopping, true))
         return;
-    const TimePoint stopStartedAt = bootNow();
-    const TimePoint exitBy = stopStartedAt + this->settings.stopGracePeriod - exitMargin;
+    const StopSchedule schedule = StopSchedule::create(bootNow(), this->settings.stopGracePeriod);
     logEvent(LogLevel::Info, "stopping", { { "sessions", this->proxy.sessionCount() } });
     this->peers.announceStop();
     this->relayServer.announceStop();
-    this->proxy.startDraining(stopStartedAt + rotationDelay, stopStartedAt + this->settings.stopGracePeriod / 2);
-    while (bootNow() < exitBy
-        && (bootNow() < stopStartedAt + rotationDelay || this->proxy.sessionCount() > 0 || this->relayServer.channelCount() > 0))
+    this->proxy.startStopping(schedule);
+    while (bootNow() < schedule.exitBy()
+        && (bootNow() < schedule.closeIdleFrom() || this->proxy.sessionCount() > 0 || this->relayServer.channelCount() > 0))
+        sleepFor(stopPollInterval);
+    this->proxy.stopAccepting();
+    while (bootNow() < schedule.exitBy() && this->proxy.sessionCount() > 0)
         sleepFor(stopPollInterval);
     const size_t unansweredRequests = this->proxy.logUnansweredRequests();
     logEvent(LogLevel::Info, "stopped",
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -78,16 +78,35 @@
     this->acceptor.async_accept([this](const boost::system::error_code& code, Tcp::socket socket) {
         if (code == boost::asio::error::operation_aborted)
             return;
-        if (!code) {
-            const auto connection = CallerConnection::accept(std::move(socket), *this);
-            this->connections.emplace(connection.get(), connection);
-        } else {
+        if (!code)
+            this->addConnection(std::move(socket));
+        else
             logEvent(LogLevel::Warning, "accepting a caller connection failed", { { "detail", code.message() } });
-        }
         this->acceptNext();
     });
 }
 
+void SessionProxy::addConnection(Tcp::socket socket)
+{
+    const auto connection = CallerConnection::accept(std::move(socket), *this);
+    this->connections.emplace(connection.get(), connection);
+}
+
+void SessionProxy::stopAccepting()
+{
+    boost::system::error_code code;
+    this->acceptor.non_blocking(true, code);
+    while (!code) {
+        Tcp::socket socket(this->context);
+        this->acceptor.accept(socket, code);
+        if (!code)
+            this->addConnection(std::move(socket));
+    }
+    if (code != boost::asio::error::would_block)
+        logEvent(LogLevel::Warning, "accepting a caller connection failed", { { "detail", code.message() } });
+    this->acceptor.close(code);
+}
+
 bool SessionProxy::installConfiguration(std::shared_ptr<const RouteTable> newer, std::string_view source)
 {
     if (this->table && newer->version <= this->table->version)
@@ -371,13 +390,6 @@
 
 void SessionProxy::post(std::function<void()> task) { boost::asio::post(this->context, std::move(task)); }
 
-void SessionProxy::startDraining(TimePoint closeIdleFrom, TimePoint endTransactionsFrom)
-{
-    this->isProxyDraining = true;
-    this->closeIdleAt = closeIdleFrom;
-    this->endTransactionsAt = endTransactionsFrom;
-}
-
 size_t SessionProxy::logUnansweredRequests() const
 {
     const TimePoint now = bootNow();
@@ -433,17 +445,11 @@
         this->retireRemovedServerPools();
         this->updateServerDirectory([](ServerDirectory&) {});
     }
-    if (!this->isProxyDraining)
+    if (!this->stop)
         return;
     const auto sessions = this->connections;
-    const bool mustEndTransactions
-        = now >= this->endTransactionsAt && !std::exchange(this->hasEndedTransactions, now >= this->endTransactionsAt);
-    for (const auto& [address, connection] : sessions) {
-        if (mustEndTransactions)
-            connection->abortTransaction();
-        if (now >= this->closeIdleAt && connection->isIdle())
-            connection->disconnect();
-    }
+    for (const auto& [address, connection] : sessions)
+        connection->applyStop(*this->stop, now);
 }
 
 }
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -10,6 +10,7 @@
 #include "foxtailtrail/proxy/ProxyMetrics.h"
 #include "foxtailtrail/proxy/ProxySettings.h"
 #include "foxtailtrail/proxy/RelayedPool.h"
+#include "foxtailtrail/session/StopSchedule.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -86,8 +87,12 @@
     // Evaluates the operations that wait for a grant again.
     void serveQuotaWaiters();
 
-    // Starts draining the callers: idle sessions are closed from the first time on, open transactions are aborted at the second.
-    void startDraining(TimePoint closeIdleFrom, TimePoint endTransactionsFrom);
+    // Starts to end the sessions of the callers by the schedule.
+    void startStopping(const StopSchedule& schedule) { this->stop = schedule; }
+    // Accepts the connections that callers have already established, and no further ones.
+    void stopAccepting();
+    // Returns the schedule by which this VM stops, or an empty optional when it was not told to stop.
+    const std::optional<StopSchedule>& stopSchedule() const { return this->stop; }
     size_t sessionCount() const { return this->connections.size(); }
     // Logs the requests that have no reply when the process ends. Returns their number.
     size_t logUnansweredRequests() const;
@@ -129,6 +134,7 @@
         std::function<void(bool)> callback;
     };
     void acceptNext();
+    void addConnection(boost::asio::ip::tcp::socket);
     void scheduleSweep();
     void sweep();
     // Returns whether the connections to each server of the service are held by a relay, that is by one VM for all.
@@ -168,10 +174,7 @@
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections;
     // The connections with a running request or an open transaction.
     std::set<CallerConnection*> connectionsToSweep;
-    bool isProxyDraining = false;
-    TimePoint closeIdleAt {};
-    TimePoint endTransactionsAt {};
-    bool hasEndedTransactions = false;
+    std::optional<StopSchedule> stop;
     ProxyMetrics proxyMetrics;
 };
 
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -320,8 +320,7 @@
     else if (!this->needsPrimary())
         this->group->selector().deprioritize(this->target, now);
 
-    const bool isTransactionEstablished = this->inTransaction() && !this->beginsTransaction;
-    if (isTransactionEstablished) {
+    if (this->isTransactionEstablished()) {
         // Only the transaction's own connection can run the statement.
         if (code == BackendErrorCode::Busy && reply.transactionState == TransactionState::Open && now + busyRetryDelay < this->giveUpAt) {
             this->currentLink.link->setListener(nullptr);
@@ -378,10 +377,9 @@
     }
     if (this->phase != Phase::Restoring)
         return;
-    const bool isTransactionEstablished = this->inTransaction() && !this->beginsTransaction;
     const bool isServerFailure = this->currentLink.link->lossIndicatesServerFailure();
     this->dropLink();
-    if (isTransactionEstablished) {
+    if (this->isTransactionEstablished()) {
         this->finishWithError(ErrorKind::TransactionAborted, "the transaction's connection was lost");
         return;
     }
@@ -422,20 +420,25 @@
             this->startNextAttempt();
             return;
         }
-        this->finishWithError(ErrorKind::StatementFailed, std::string(reason));
+        this->finishWithoutReply(reason);
         return;
     }
-    // The connection is closed, so the server rolls back a transaction whose commit was not requested.
-    if (this->inTransaction() && !isCommit) {
-        this->finishWithError(ErrorKind::TransactionAborted, std::string(reason));
-        return;
-    }
-    if (isCommit && !this->session.hasWritten()) {
-        this->finishWithError(ErrorKind::StatementFailed, std::string(reason));
-        return;
-    }
-    this->group->recordUnansweredCommit(this->target, now);
-    this->finishWithError(ErrorKind::OutcomeUnknown, std::string(reason));
+    const bool isRolledBack = this->inTransaction() && !isCommit;
+    if (!isRolledBack && !(isCommit && !this->session.hasWritten()))
+        this->group->recordUnansweredCommit(this->target, now);
+    this->finishWithoutReply(reason);
+}
+
+void StatementRun::finishWithoutReply(std::string_view reason)
+{
+    const bool isCommit = this->task.statement.kind == StatementKind::Commit;
+    ErrorKind error = ErrorKind::OutcomeUnknown;
+    if (this->isSafeToRetry() || (isCommit && !this->session.hasWritten()))
+        error = ErrorKind::StatementFailed;
+    else if (this->inTransaction() && !isCommit)
+        // The connection is closed, so the server rolls back a transaction whose commit was not requested.
+        error = ErrorKind::TransactionAborted;
+    this->finishWithError(error, std::string(reason));
 }
 
 void StatementRun::releaseLink()
@@ -478,10 +481,9 @@
     if (this->phase == Phase::Running) {
         this->handleLostReply("the backend server did not reply in time");
     } else if (this->phase == Phase::Restoring) {
-        const bool isTransactionEstablished = this->inTransaction() && !this->beginsTransaction;
         this->dropLink();
         this->group->recordFailure(this->target, now);
-        if (isTransactionEstablished) {
+        if (this->isTransactionEstablished()) {
             this->finishWithError(ErrorKind::TransactionAborted,
                 "the backend server did not reply in time to the preparation of the transaction's connection");
             return;
@@ -498,13 +500,33 @@
     // A run that has already sent messages continues to its end, so that its connection can be reused.
     if (this->phase == Phase::Running || this->phase == Phase::Restoring)
         return;
+    this->cancelWaits();
+    RunResult result;
+    result.detail = "the caller disconnected";
+    this->finish(std::move(result));
+}
+
+void StatementRun::cancelWaits()
+{
     if (this->acquireTicket != 0 && this->currentLink.pool)
         this->currentLink.pool->cancel(this->acquireTicket);
     if (this->primaryTicket != 0)
         this->group->cancel(this->primaryTicket);
-    RunResult result;
-    result.detail = "the caller disconnected";
-    this->finish(std::move(result));
+}
+
+void StatementRun::endForStop()
+{
+    if (this->hasFinished)
+        return;
+    const auto self = this->shared_from_this();
+    if (this->phase == Phase::Running) {
+        this->dropLink();
+        this->finishWithoutReply("this VM stopped before the backend server replied");
+        return;
+    }
+    this->cancelWaits();
+    this->dropLink();
+    this->finishWithError(this->isTransactionEstablished() ? ErrorKind::TransactionAborted : ErrorKind::Stopping, "this VM is stopping");
 }
 
 void StatementRun::finishWithError(ErrorKind error, std::string detail)
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -66,6 +66,8 @@
     // Stops the run because the caller has disconnected. A run that has already sent messages on its connection continues to its end,
     // so that the connection can be reused.
     void abandon();
+    // Ends the run because this VM stops. A statement that was not sent is refused as not run; one without a reply is reported as such.
+    void endForStop();
     bool isFinished() const { return this->hasFinished; }
     // Returns what the run is doing, for logs.
     std::string_view phaseName() const;
@@ -102,6 +104,11 @@
     void handleRejection(const LinkReply&);
     // Handles a lost reply to a statement that may have run.
     void handleLostReply(std::string_view reason);
+    // Reports to the caller that a statement that may have run has no reply.
+    void finishWithoutReply(std::string_view reason);
+    // Returns whether the transaction has a connection on which its earlier statements ran.
+    bool isTransactionEstablished() const { return this->inTransaction() && !this->beginsTransaction; }
+    void cancelWaits();
     // Records a failure of the server, unless the failure lies between this VM and the server.
     void recordServerFailure(bool isServerFailure);
     // Returns the connection to its pool and detaches it from the transaction that it was pinned to.
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -1,8 +1,11 @@
 #include "tests/fleet/Fleet.h"
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -238,6 +241,82 @@
         EXPECT_EQ(this->fleet.waitForVm(0), 0);
     }
 
+    // Guards against a stopping VM that takes a request it cannot finish and ends the connection without a reply. The load balancer goes on
+    // to send sessions to the VM, and shortly before the exit the servers stop to reply.
+    TEST_P(FleetTest, AnswersEveryRequestTakenWhileStopping)
+    {
+        constexpr std::chrono::milliseconds sessionInterval { 150 };
+        constexpr std::chrono::milliseconds lastSessionAfter { 5250 };
+        constexpr std::chrono::milliseconds silentAfter { 4300 };
+        // A session that does not end keeps the VM running for the whole grace period.
+        Caller resting(this->fleet.callerPort(0));
+        startSession(resting, "strict");
+        ASSERT_EQ(resting.query("b1", "BEGIN").state, 'T');
+        // The statements of a transaction that goes on are answered as well.
+        std::thread busy([port = this->fleet.callerPort(0)] {
+            Caller caller(port);
+            startSession(caller, "strict");
+            Reply reply = caller.query("b0", "BEGIN");
+            for (int number = 1; reply.succeeded(); ++number) {
+                std::this_thread::sleep_for(std::chrono::milliseconds(100));
+                reply = caller.query("b" + std::to_string(number), "READ b");
+            }
+            EXPECT_FALSE(reply.isConnectionLost);
+        });
+        const auto stoppedAt = std::chrono::steady_clock::now();
+        this->fleet.signalVm(0, SIGTERM);
+        std::atomic<size_t> answeredCount { 0 };
+        std::mutex lostMutex;
+        std::vector<std::string> lost;
+        std::vector<std::thread> callers;
+        for (auto after = sessionInterval; after <= lastSessionAfter; after += sessionInterval) {
+            callers.emplace_back([&, after] {
+                std::this_thread::sleep_until(stoppedAt + after);
+                Caller caller(this->fleet.callerPort(0));
+                if (!caller.isConnected())
+                    return;
+                Reply reply = caller.start("strict", "key-of-orga");
+                if (reply.succeeded())
+                    reply = caller.query("q" + std::to_string(after.count()), "WRITE q 1");
+                if (!reply.isConnectionLost) {
+                    ++answeredCount;
+                    return;
+                }
+                const std::lock_guard<std::mutex> lock(lostMutex);
+                lost.push_back(std::to_string(after.count()) + " ms after the signal");
+            });
+        }
+        std::this_thread::sleep_until(stoppedAt + silentAfter);
+        for (size_t server = 0; server < standins::LineProtocolGroup::serverCount; ++server)
+            this->fleet.group().setUnresponsive(server, true);
+        for (std::thread& caller : callers)
+            caller.join();
+        busy.join();
+        EXPECT_EQ(lost, std::vector<std::string>());
+        EXPECT_GT(answeredCount, callers.size() / 2);
+        EXPECT_EQ(this->fleet.waitForVm(0), 0);
+    }
+
+    // Guards against a stopping VM that exits while a write waits for the reply of a silent server: its caller learns that the outcome is
+    // unknown.
+    TEST_P(FleetTest, ReportsUnknownOutcomeOfWriteBeforeVmExits)
+    {
+        Caller caller(this->fleet.callerPort(0));
+        startSession(caller, "strict");
+        ASSERT_TRUE(queryUntilRun(caller, "u1", "WRITE u 1").succeeded());
+        const auto stoppedAt = std::chrono::steady_clock::now();
+        this->fleet.signalVm(0, SIGTERM);
+        // A write whose timeout ends after the exit, at a primary whose lease the last one has just renewed.
+        for (int number = 2; std::chrono::steady_clock::now() < stoppedAt + std::chrono::milliseconds(2000); ++number)
+            ASSERT_TRUE(queryUntilRun(caller, "u" + std::to_string(number), "WRITE u 2").succeeded());
+        for (size_t server = 0; server < standins::LineProtocolGroup::serverCount; ++server)
+            this->fleet.group().setUnresponsive(server, true);
+        const Reply reply = caller.query("u-last", "WRITE u 3");
+        EXPECT_FALSE(reply.isConnectionLost);
+        EXPECT_EQ(reply.error, "INDOUBT");
+        EXPECT_EQ(this->fleet.waitForVm(0), 0);
+    }
+
     // Guards against VMs that receive a new configuration only from the store, while the store rejects half of the connections.
     TEST_P(FleetTest, DeliversConfigurationToVmsRejectedByStore)
     {
