Ignore the quota decision of a request that has its reply

With another request in the pipeline the session stays open for it, the quota decision comes later, and the first request would get a second reply, or the next one the reply of the first. Change: the callback of the quota decision checks that its request is still the one in progress. Test: AnswersEveryRequestTakenWhileStopping covers the path without a pipeline only; the callback was checked by reading.

--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -155,6 +155,7 @@
 {
     this->isRequestInProgress = true;
     this->request = std::move(message);
+    ++this->requestNumber;
     this->requestStartedAt = bootNow();
     const StatementKind kind = this->statement().kind;
     if (!this->hasStarted || kind == StatementKind::Malformed) {
@@ -299,8 +300,9 @@
     }
     this->organisation = organisationLimit->organisation.value;
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
-    this->proxy.admit(*organisationLimit, [self, proceed = std::move(onAdmitted)](bool isAdmitted) {
-        if (self->hasSessionEnded)
+    this->proxy.admit(*organisationLimit, [self, number = this->requestNumber, proceed = std::move(onAdmitted)](bool isAdmitted) {
+        // The request may have received its reply while it waited, because this VM is stopping.
+        if (self->hasSessionEnded || !self->isRequestInProgress || self->requestNumber != number)
             return;
         if (isAdmitted)
             proceed();
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -85,6 +85,8 @@
     // Whether a request is being handled. Later requests wait in queuedMessages.
     bool isRequestInProgress = false;
     CallerMessage request;
+    // Counts the requests of the session, so that a late callback of an earlier request is recognised.
+    uint64_t requestNumber = 0;
     bool isWriteRequest = false;
     std::deque<CallerMessage> queuedMessages;
     std::shared_ptr<StatementRun> run;
