Do not take the stop of a VM for a failure of a backend server

Cause, found by the review of: runs that began after SIGTERM had their own deadline cut to the time at which replies are due. Ending one run could also free a connection on which a waiting statement of another session was sent, just to be ended as unknown. Change: the end by the stop is a time of its own in the task; it bounds when a statement is given up, and the run itself is ended by endForStop only, the waiting ones first.

--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -336,7 +336,7 @@
     task.deadline
         = this->requestStartedAt + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
     if (const std::optional<StopSchedule>& stop = this->proxy.stopSchedule())
-        task.deadline = std::min(task.deadline, stop->replyBy());
+        task.stopBy = stop->replyBy();
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
     const auto group = this->proxy.group(this->route->service);
     this->run = StatementRun::start(this->proxy.ioContext(), this->proxy, group, this->session, this->pinnedLink, std::move(task),
@@ -486,6 +486,12 @@
         this->disconnect();
 }
 
+void CallerConnection::refuseWaitingRequest()
+{
+    if (this->run && this->run->isWaiting())
+        this->run->endForStop();
+}
+
 void CallerConnection::endSession()
 {
     this->isEnding = true;
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -24,6 +24,8 @@
     void sweep(TimePoint now);
     // Aborts the open transaction and ends the session as the schedule of the stopping VM demands.
     void applyStop(const StopSchedule&, TimePoint now);
+    // Refuses the request that waits for a backend server, if there is one.
+    void refuseWaitingRequest();
     // Logs the request that is being handled, if there is one, because the process ends before its reply. Returns the number of requests
     // without a reply.
     size_t logUnansweredRequests(TimePoint now) const;
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -445,9 +445,20 @@
         this->retireRemovedServerPools();
         this->updateServerDirectory([](ServerDirectory&) {});
     }
+    this->applyStop();
+}
+
+void SessionProxy::applyStop()
+{
     if (!this->stop)
         return;
+    const TimePoint now = bootNow();
     const auto sessions = this->connections;
+    // Requests that wait end first: a connection that the end of another request frees would start them.
+    if (this->stop->hasToEndSessions(now)) {
+        for (const auto& [address, connection] : sessions)
+            connection->refuseWaitingRequest();
+    }
     for (const auto& [address, connection] : sessions)
         connection->applyStop(*this->stop, now);
 }
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -87,8 +87,10 @@
     // Evaluates the operations that wait for a grant again.
     void serveQuotaWaiters();
 
-    // Starts to end the sessions of the callers by the schedule.
+    // Begins a graceful stop of the sessions.
     void startStopping(const StopSchedule& schedule) { this->stop = schedule; }
+    // Ends the transactions and sessions whose time has come by the schedule.
+    void applyStop();
     // Accepts the connections that callers have already established, and no further ones.
     void stopAccepting();
     // Returns the schedule by which this VM stops, or an empty optional when it was not told to stop.
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -55,7 +55,7 @@
 {
     this->beginsTransaction = this->inTransaction() && !this->pinnedLink;
     const TimePoint now = bootNow();
-    this->giveUpAt = now + scaled(this->task.deadline - now, startTimeoutFraction);
+    this->giveUpAt = now + scaled(std::min(this->task.deadline, this->task.stopBy) - now, startTimeoutFraction);
 }
 
 std::string_view StatementRun::phaseName() const
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -36,7 +36,10 @@
     std::optional<PreparedStatement> prepared;
     DatabaseRoute route;
     std::string organisation;
+    // The end of the route's statement timeout.
     TimePoint deadline {};
+    // The time at which this VM ends the run because it stops. A statement that has not started shortly before is refused.
+    TimePoint stopBy = TimePoint::max();
 };
 
 // The outcome of a statement.
@@ -69,6 +72,8 @@
     // Ends the run because this VM stops. A statement that was not sent is refused as not run; one without a reply is reported as such.
     void endForStop();
     bool isFinished() const { return this->hasFinished; }
+    // Returns whether nothing has been sent to a backend server in the current attempt.
+    bool isWaiting() const { return this->phase != Phase::Running && this->phase != Phase::Restoring; }
     // Returns what the run is doing, for logs.
     std::string_view phaseName() const;
 
