--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -20,7 +20,7 @@
     constexpr size_t maxSessionVariables = 1000;
     // The organisation name that backend servers receive for callers of open-access routes.
     constexpr const char* openAccessOrganisation = "public";
-    // A caller sends its first message within this time after it has connected.
+    // While the VM stops, a connection without a START message is kept open for this long.
     constexpr Duration startTimeout = std::chrono::milliseconds(200);
     // The statement timeout of routes that do not define one.
     constexpr Duration defaultStatementTimeout = std::chrono::seconds(2);
@@ -115,8 +115,13 @@
         this->sendErrorAndClose(ErrorKind::MalformedRequest, "the session has already started");
         return;
     }
-    this->isRequestInProgress = true;
     this->requestStartedAt = bootNow();
+    const std::optional<StopSchedule>& stop = this->proxy.stopSchedule();
+    if (stop && !stop->canBeginSession(this->requestStartedAt)) {
+        this->sendErrorAndClose(ErrorKind::Stopping, "this VM is stopping");
+        return;
+    }
+    this->isRequestInProgress = true;
     this->database = message.database;
     this->keyDigest = sha256Hex(message.key);
     // On a VM that has just started, waits for the configuration.
@@ -139,11 +144,6 @@
             self->sendErrorAndClose(ErrorKind::KeyUnknown, "the key is not known");
             return;
         }
-        const std::optional<StopSchedule>& stop = self->proxy.stopSchedule();
-        if (stop && !stop->canBeginSession(bootNow())) {
-            self->sendErrorAndClose(ErrorKind::Stopping, "this VM is stopping");
-            return;
-        }
         self->hasStarted = true;
         std::string out;
         self->sendReady(out, std::nullopt);
@@ -326,6 +326,15 @@
 void CallerConnection::startRun(bool writes, std::optional<PreparedStatement> prepared)
 {
     this->isWriteRequest = writes;
+    const std::optional<StopSchedule>& stop = this->proxy.stopSchedule();
+    if (stop && stop->hasToEndSessions(this->requestStartedAt)) {
+        const bool isInTransaction = this->session.currentTransactionState() == TransactionState::Open;
+        RunResult refused;
+        refused.error = isInTransaction ? ErrorKind::TransactionAborted : ErrorKind::Stopping;
+        refused.detail = "this VM is stopping";
+        this->handleRunResult(std::move(refused));
+        return;
+    }
     StatementTask task;
     task.requestId = this->request.requestId;
     task.statement = this->statement();
@@ -335,7 +344,7 @@
     task.organisation = this->organisation;
     task.deadline
         = this->requestStartedAt + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
-    if (const std::optional<StopSchedule>& stop = this->proxy.stopSchedule())
+    if (stop)
         task.stopBy = stop->replyBy();
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
     const auto group = this->proxy.group(this->route->service);
@@ -427,14 +436,15 @@
 {
     this->isRequestInProgress = false;
     this->lastActivityAt = bootNow();
-    if (this->queuedMessages.empty() && !this->hasBufferedBytes()) {
-        if (this->isEnding)
-            this->closeSession();
+    if (this->queuedMessages.empty() && !this->hasBufferedBytes() && !this->isEnding)
         return;
-    }
     // Handles the next request from the event loop, so that a long queue of requests does not recurse.
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
-    this->proxy.post([self] { self->handleNextMessage(); });
+    this->proxy.post([self] {
+        self->handleNextMessage();
+        if (self->isEnding && !self->hasSessionEnded && !self->isRequestInProgress && self->queuedMessages.empty())
+            self->closeSession();
+    });
 }
 
 void CallerConnection::rollBackPinnedLink()
@@ -473,17 +483,17 @@
 void CallerConnection::applyStop(const StopSchedule& stop, TimePoint now)
 {
     const auto self = this->shared_from_this();
-    if (this->hasSessionEnded)
-        return;
     if (stop.hasToEndSessions(now)) {
         this->endSession();
         return;
     }
+    if (this->hasSessionEnded)
+        return;
     if (stop.hasToAbortTransaction(this->lastActivityAt, now))
         this->abortTransaction();
     const bool mayStartSession = !this->hasStarted && now < this->acceptedAt + startTimeout;
     if (this->isIdle() && !mayStartSession && stop.hasToCloseIdleSessions(now))
-        this->disconnect();
+        this->closeSession();
 }
 
 void CallerConnection::refuseWaitingRequest()
@@ -499,6 +509,8 @@
         this->run->endForStop();
         return;
     }
+    if (this->hasSessionEnded)
+        return;
     if (!this->isRequestInProgress) {
         if (this->queuedMessages.empty())
             this->closeSession();
@@ -543,12 +555,12 @@
 
 size_t CallerConnection::logUnansweredRequests(TimePoint now) const
 {
-    if (!this->isRequestInProgress)
+    if (!this->isRequestInProgress || this->hasSessionEnded)
         return 0;
     const std::string_view state = !this->hasStarted ? "waiting for the configuration"
         : this->run                                  ? this->run->phaseName()
                                                      : "waiting for quota";
-    logEvent(LogLevel::Warning, "request without a reply: the process ends",
+    logEvent(LogLevel::Warning, "unanswered request at exit",
         { { "request", this->request.requestId }, { "database", this->database }, { "state", state },
             { "waitedMs", toMilliseconds(now - this->requestStartedAt) }, { "sessionAgeMs", toMilliseconds(now - this->acceptedAt) },
             { "queuedRequests", this->queuedMessages.size() } });
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -22,7 +22,7 @@
 
     // Ends attempts that have exceeded their time limit and transactions that have exceeded the idle timeout.
     void sweep(TimePoint now);
-    // Aborts the open transaction and ends the session as the schedule of the stopping VM demands.
+    // Aborts the open transaction and ends the session as the schedule of the stopping VM requires.
     void applyStop(const StopSchedule&, TimePoint now);
     // Refuses the request that waits for a backend server, if there is one.
     void refuseWaitingRequest();
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -106,12 +106,15 @@
     this->peers.announceStop();
     this->relayServer.announceStop();
     this->proxy.startStopping(schedule);
-    while (bootNow() < schedule.exitBy()
-        && (bootNow() < schedule.closeIdleFrom() || this->proxy.sessionCount() > 0 || this->relayServer.channelCount() > 0))
+    const auto hasWork = [this] { return this->proxy.sessionCount() > 0 || this->relayServer.channelCount() > 0; };
+    while (bootNow() < schedule.closeIdleFrom() || (bootNow() < schedule.replyBy() && hasWork()))
         sleepFor(stopPollInterval);
     this->proxy.stopAccepting();
-    while (bootNow() < schedule.exitBy() && this->proxy.sessionCount() > 0)
+    // Does not rely on the timer of the sweep, which may be late on a VM that has used up its processor share.
+    this->proxy.applyStop();
+    do {
         sleepFor(stopPollInterval);
+    } while (bootNow() < schedule.exitBy() && hasWork());
     const size_t unansweredRequests = this->proxy.logUnansweredRequests();
     logEvent(LogLevel::Info, "stopped",
         { { "sessions", this->proxy.sessionCount() }, { "unansweredRequests", unansweredRequests },
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -82,7 +82,8 @@
             this->addConnection(std::move(socket));
         else
             logEvent(LogLevel::Warning, "accepting a caller connection failed", { { "detail", code.message() } });
-        this->acceptNext();
+        if (this->acceptor.is_open())
+            this->acceptNext();
     });
 }
 
@@ -96,7 +97,8 @@
 {
     boost::system::error_code code;
     this->acceptor.non_blocking(true, code);
-    while (!code) {
+    // A caller that has closed its connection again does not end the queue of established connections.
+    while (!code || code == boost::asio::error::connection_aborted) {
         Tcp::socket socket(this->context);
         this->acceptor.accept(socket, code);
         if (!code)
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -69,7 +69,8 @@
     // Stops the run because the caller has disconnected. A run that has already sent messages on its connection continues to its end,
     // so that the connection can be reused.
     void abandon();
-    // Ends the run because this VM stops. A statement that was not sent is refused as not run; one without a reply is reported as such.
+    // Ends the run because this VM stops. Without a statement at a backend server the request is refused, as nothing of it is kept;
+    // otherwise the caller learns that the statement has no reply.
     void endForStop();
     bool isFinished() const { return this->hasFinished; }
     // Returns whether nothing has been sent to a backend server in the current attempt.
--- a/foxtailtrail/session/StopSchedule.cpp
+++ b/foxtailtrail/session/StopSchedule.cpp
@@ -13,8 +13,8 @@
     constexpr Duration exitMargin = std::chrono::milliseconds(500);
     // Time in which the last replies leave the VM before the process exits.
     constexpr Duration sendMargin = std::chrono::milliseconds(150);
-    // A transaction whose caller has sent nothing for this time is resting.
-    constexpr Duration restingTime = std::chrono::milliseconds(500);
+    // A transaction whose caller has sent nothing for this time is idle.
+    constexpr Duration transactionIdleTime = std::chrono::milliseconds(500);
     // Margins take at most this fraction of a short grace period.
     constexpr int maxMarginDivisor = 4;
 
@@ -32,7 +32,7 @@
 
 bool StopSchedule::hasToAbortTransaction(TimePoint idleSince, TimePoint now) const
 {
-    return now >= this->abortTransactionsAt && now >= idleSince + restingTime;
+    return now >= this->abortTransactionsAt && now >= idleSince + transactionIdleTime;
 }
 
 }
--- a/foxtailtrail/session/StopSchedule.h
+++ b/foxtailtrail/session/StopSchedule.h
@@ -17,7 +17,7 @@
     {
         return now < this->abortTransactionsAt || now + latencyObjective <= this->replyAt;
     }
-    // Returns true when an open transaction that has been idle since the given time is aborted. One that goes on may end before the replies
+    // Returns true when an open transaction that has been idle since the given time is aborted. An active one may end before the replies
     // are due.
     bool hasToAbortTransaction(TimePoint idleSince, TimePoint now) const;
     // Returns true while new sessions are accepted. Later ones would keep the process from exiting, and other VMs can serve them.
@@ -27,7 +27,7 @@
     // Returns true once each outstanding request gets its final reply and all sessions are closed.
     bool hasToEndSessions(TimePoint now) const { return now >= this->replyAt; }
 
-    // The earliest time at which the process exits.
+    // The time from which idle sessions are closed. The process exits no earlier.
     TimePoint closeIdleFrom() const { return this->closeIdleAt; }
     // The latest time at which every request has its reply.
     TimePoint replyBy() const { return this->replyAt; }
