Refuse new connections on all traffic workers before a stop waits for one

A worker whose turn came late had taken requests that the exit would cut. Change: all workers refuse callers first. The order in Vm::stop itself has no test of its own.

--- a/foxtailtrail/net/HttpServer.cpp
+++ b/foxtailtrail/net/HttpServer.cpp
@@ -276,9 +276,14 @@
 
 uint16_t HttpServer::port() const { return this->implementation->boundPort; }
 
-bool HttpServer::drain(TimePoint deadline)
+void HttpServer::stopAccepting()
 {
     this->implementation->thread.call([this] { this->implementation->stopAccepting(); });
+}
+
+bool HttpServer::drain(TimePoint deadline)
+{
+    this->stopAccepting();
     constexpr Duration pollInterval = std::chrono::milliseconds(2);
     while (this->implementation->connectionCount > 0) {
         if (now() >= deadline)
--- a/foxtailtrail/net/HttpServer.h
+++ b/foxtailtrail/net/HttpServer.h
@@ -43,6 +43,8 @@
 
     uint16_t port() const;
 
+    // Stops accepting connections and closes idle ones, without waiting for running requests.
+    void stopAccepting();
     // Stops accepting connections, closes idle ones, and completes running requests with "Connection: close". Blocks the calling
     // thread or fiber until all connections are closed or the deadline has passed. Returns whether all are closed.
     bool drain(TimePoint deadline);
--- a/foxtailtrail/server/TrafficWorker.cpp
+++ b/foxtailtrail/server/TrafficWorker.cpp
@@ -218,6 +218,8 @@
     return this->runOnOwnThread([&] { return this->peers.transferredBytes(purpose); });
 }
 
+void TrafficWorker::stopAcceptingCallers() { this->callerServer->stopAccepting(); }
+
 bool TrafficWorker::drainCallers(TimePoint deadline) { return this->callerServer->drain(deadline); }
 
 void TrafficWorker::stop(TimePoint deadline)
--- a/foxtailtrail/server/TrafficWorker.h
+++ b/foxtailtrail/server/TrafficWorker.h
@@ -40,6 +40,8 @@
     uint16_t callerPort() const { return this->callerServer->port(); }
     uint16_t peerPort() const { return this->peerServer->port(); }
 
+    // Refuses new connections of callers.
+    void stopAcceptingCallers();
     // Refuses new connections of callers and waits for the running requests. Returns false if some were still running at the deadline.
     bool drainCallers(TimePoint deadline);
 
--- a/foxtailtrail/server/Vm.cpp
+++ b/foxtailtrail/server/Vm.cpp
@@ -114,6 +114,9 @@
     // Peers send no new requests to a leaving VM and claim its homes.
     this->controlThread->call([this] { this->controlPlane->setLeaving(); });
     sleepFor(leavingNoticePeriod);
+    // All workers refuse callers before the first one is waited for.
+    for (const auto& worker : this->workers)
+        worker->stopAcceptingCallers();
     bool allFinished = true;
     for (const auto& worker : this->workers)
         allFinished = worker->drainCallers(deadline) && allFinished;
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -151,6 +151,39 @@
     EXPECT_EQ(refused.error().kind, ErrorKind::PeerUnavailable);
 }
 
+// Guards against a server that takes new requests while a stop waits for those of another one.
+TEST_F(HttpTest, RefusesConnectionsWhileRunningRequestGoesOn)
+{
+    std::atomic<bool> started { false };
+    std::atomic<bool> released { false };
+    this->start([&](const HttpRequest&) {
+        started = true;
+        while (!released)
+            sleepFor(std::chrono::milliseconds(1));
+        return HttpResponse { 200, "text/plain", {}, "whole" };
+    });
+    const Endpoint endpoint { "127.0.0.1", this->server->port() };
+    std::atomic<bool> ended { false };
+    std::string body;
+    this->clientThread->post([&] {
+        HttpClient client(endpoint);
+        const auto response = client.send({ "GET", "/", {}, "" }, now() + longTimeout);
+        body = response ? response.value().body : response.error().detail;
+        ended = true;
+    });
+    while (!started)
+        sleepFor(std::chrono::milliseconds(1));
+    this->server->stopAccepting();
+    const auto refused = this->clientThread->call([&] { return HttpClient(endpoint).send({ "GET", "/", {}, "" }, now() + longTimeout); });
+    EXPECT_EQ(refused.error().kind, ErrorKind::PeerUnavailable);
+    EXPECT_FALSE(ended);
+    released = true;
+    EXPECT_TRUE(this->server->drain(now() + longTimeout));
+    while (!ended)
+        sleepFor(std::chrono::milliseconds(1));
+    EXPECT_EQ(body, "whole");
+}
+
 // Guards against reporting a request as not run although its bytes have been sent.
 TEST_F(HttpTest, ReportsUnknownOutcomeWhenResponseMissesDeadline)
 {
