--- a/standins/platform/RowStore.cpp
+++ b/standins/platform/RowStore.cpp
@@ -79,17 +79,48 @@
 void RowStore::put(const std::string& table, const std::string& key, const std::string& value)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->rows[{ table, key }] = Row { value, ++this->version, false };
+    ++this->version;
+    this->write({ table, key }, Row { value, this->version, false });
     this->stateCondition.notify_all();
 }
 
 void RowStore::remove(const std::string& table, const std::string& key)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->rows[{ table, key }] = Row { {}, ++this->version, true };
+    ++this->version;
+    this->write({ table, key }, Row { {}, this->version, true });
     this->stateCondition.notify_all();
 }
 
+void RowStore::write(const std::pair<std::string, std::string>& name, Row row)
+{
+    this->changes.push_back({ std::chrono::steady_clock::now(), name, row });
+    this->rows[name] = std::move(row);
+}
+
+void RowStore::restore(std::chrono::milliseconds ageOfCopy)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto copiedAt = std::chrono::steady_clock::now() - ageOfCopy;
+    std::erase_if(this->changes, [&](const Change& change) { return copiedAt < change.changedAt; });
+    this->rows.clear();
+    this->version = 1;
+    for (const Change& change : this->changes) {
+        this->rows[change.name] = change.row;
+        this->version = std::max(this->version, change.row.version);
+    }
+    this->historyStartVersion = std::min(this->historyStartVersion, this->version);
+    ++this->era;
+    this->stateCondition.notify_all();
+}
+
+std::optional<std::string> RowStore::value(const std::string& table, const std::string& key)
+{
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->rows.find({ table, key });
+    return found == this->rows.end() || found->second.isDeleted ? std::nullopt : std::optional(found->second.value);
+}
+
 void RowStore::compact()
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
@@ -144,6 +175,10 @@
             return;
         http::response<http::string_body> response(static_cast<http::status>(result.status), 11);
         response.set(http::field::content_type, "application/json");
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            response.set("Store-Era", std::to_string(this->era));
+        }
         response.body() = result.body;
         response.prepare_payload();
         http::write(socket, response, code);
@@ -198,8 +233,12 @@
     const uint64_t after = std::stoull(query.at("after"));
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoi(query.at("wait_ms")));
     std::unique_lock<std::mutex> lock(this->mutex);
+    const uint64_t startedInEra = this->era;
     while (true) {
-        if (after < this->historyStartVersion)
+        // The process that served the call is gone.
+        if (this->era != startedInEra)
+            return { 503, "{}", true };
+        if (after < this->historyStartVersion || this->version < after)
             return { 410, "{}", false };
         std::map<uint64_t, json::object> found;
         for (const auto& [name, row] : this->rows) {
@@ -241,8 +280,8 @@
     }
     ++this->version;
     for (const json::value& each : change.at("puts").as_array())
-        this->rows[nameOf(each.as_object())]
-            = Row { decodeBase64(std::string(std::string_view(each.at("value").as_string()))), this->version, false };
+        this->write(nameOf(each.as_object()),
+            Row { decodeBase64(std::string(std::string_view(each.at("value").as_string()))), this->version, false });
     this->stateCondition.notify_all();
     return { 200, json::serialize(this->responseObject()), isReplyLost };
 }
--- a/standins/platform/RowStore.h
+++ b/standins/platform/RowStore.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -57,6 +58,11 @@
     void remove(const std::string& table, const std::string& key);
     // Drops the change history, so that readers of the feed must read whole tables again.
     void compact();
+    // Continues from a copy of the rows of some time ago, in the next era. Rows that were written since are gone, and versions are given
+    // out again; the tests write again what the operator and the backend servers wrote.
+    void restore(std::chrono::milliseconds ageOfCopy);
+    // Returns the value of a row, or an empty optional.
+    std::optional<std::string> value(const std::string& table, const std::string& key);
     // Returns all promotion orders in the order of arrival.
     std::vector<PromotionOrder> promotionOrders();
     uint64_t callCount();
@@ -73,6 +79,14 @@
         uint64_t version = 0;
         bool isDeleted = false;
     };
+    // A change of a row, from which older copies are made.
+    struct Change {
+        std::chrono::steady_clock::time_point changedAt;
+        std::pair<std::string, std::string> name;
+        Row row;
+    };
+    // Writes a row and records the change. Called with the mutex held.
+    void write(const std::pair<std::string, std::string>& name, Row);
     void serve(boost::asio::ip::tcp::socket&);
     Response handleRequest(const Request&);
     Response listRows(const std::map<std::string, std::string>& query);
@@ -89,7 +103,9 @@
     std::mt19937 random { 1 };
     // By table and key.
     std::map<std::pair<std::string, std::string>, Row> rows;
+    std::vector<Change> changes;
     uint64_t version = 1;
+    uint64_t era = 1;
     uint64_t historyStartVersion = 0;
     uint64_t connectionCount = 0;
     uint64_t calls = 0;
