Order versions of the store by its era, and read the tables again in a new one

What callers saw: a route that the operator had added was not served, for as long as the VMs' calls were held by the store (10 to 15 s), after the store had come back from an older copy.

Cause: a version was a bare number. The restored store gives numbers out again. Once it had counted past the version up to which a VM had followed a table, the VM's next call for changes got no 410 and none of the changes in between; a store reader told the VMs behind it "nothing new" for the same reason. A precondition could hold by chance. Class of fault: an order that is compared after it has started again.

Change: StoreVersion {era, number} in rows, lists, changes, preconditions, the log of changes, the exchange of changes and of the configuration between VMs. platform/TableStore reads the era of each response. Changes of another era count as lost history. A reader in a later era says so, and is not excluded for it. A precondition of an ended era is a conflict, a commit confirmed in a later era has an unknown outcome.

--- a/foxtailtrail/failover/PromotionLock.h
+++ b/foxtailtrail/failover/PromotionLock.h
@@ -2,6 +2,7 @@
 
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/store/StoreVersion.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,7 +36,7 @@
 struct HeldPromotionLock {
     PromotionLockRecord record;
     // The version of the stored record, which later updates of it expect.
-    uint64_t storedVersion = 0;
+    StoreVersion storedVersion;
     TimePoint usableUntil {};
 
     bool isUsableAt(TimePoint now) const { return now < this->usableUntil; }
--- a/foxtailtrail/proxy/ChangeExchange.h
+++ b/foxtailtrail/proxy/ChangeExchange.h
@@ -19,7 +19,7 @@
     // Records that this VM has read a whole table from the store.
     void recordList(StoreTable, const RowSet&);
     // Records the changes after a version that this VM has read from the store.
-    void recordChanges(StoreTable, uint64_t afterVersion, const RowSet&);
+    void recordChanges(StoreTable, const StoreVersion& after, const RowSet&);
     // Records that this VM cannot read the table from the store or receives it from another VM. It then passes no changes on, so that no
     // VMs follow each other in a circle.
     void stopServing(StoreTable);
@@ -27,8 +27,9 @@
     static bool isChangeRequest(const HttpRequest&);
     // Handles the request of another VM. Blocks the fiber until there are changes or the requested wait has ended.
     HttpResponse handleRequest(const HttpRequest&);
-    // Requests the changes after a version from another VM. Blocks the calling fiber.
-    Result<RowSet> fetch(const Endpoint&, StoreTable, uint64_t afterVersion, Duration wait);
+    // Requests the changes after a version from another VM. Blocks the calling fiber. Fails with VersionConflict when that VM reads the
+    // store in a later era.
+    Result<RowSet> fetch(const Endpoint&, StoreTable, const StoreVersion& after, Duration wait);
 
 private:
     struct ServedTable {
--- a/foxtailtrail/proxy/ConfigurationExchange.cpp
+++ b/foxtailtrail/proxy/ConfigurationExchange.cpp
@@ -15,7 +15,8 @@
     // Request headers: the configuration version of the requester, and the endpoint at which it serves the same request.
     constexpr const char* versionHeader = "Foxtail-Configuration";
     constexpr const char* contactHeader = "Foxtail-Contact";
-    // Response header: the store version up to which the responder has applied the declarations.
+    // Response headers: the era and number of the store version up to which the responder has applied the declarations.
+    constexpr const char* eraHeader = "Foxtail-Store-Era";
     constexpr const char* followedHeader = "Foxtail-Store-Version";
 
     std::optional<Endpoint> parseEndpoint(const std::string& text)
@@ -54,7 +55,10 @@
     const uint64_t requesterVersion = version ? std::strtoull(version->c_str(), nullptr, 10) : 0;
     if (this->documentVersion <= requesterVersion)
         return HttpResponse { 204, "text/plain", {}, {} };
-    return HttpResponse { 200, "application/json", { { followedHeader, std::to_string(this->followedStoreVersion) } }, this->document };
+    return HttpResponse { 200, "application/json",
+        { { eraHeader, std::to_string(this->followedStoreVersion.era) },
+            { followedHeader, std::to_string(this->followedStoreVersion.number) } },
+        this->document };
 }
 
 Result<std::optional<PeerConfiguration>> ConfigurationExchange::fetch(const Endpoint& peer, Duration timeout) const
@@ -68,10 +72,12 @@
     BOOST_OUTCOME_TRY(HttpResponse response, client.send(request, now() + timeout));
     if (response.status == 204)
         return std::optional<PeerConfiguration>();
+    const std::string* era = response.header(eraHeader);
     const std::string* followedVersion = response.header(followedHeader);
-    if (response.status != 200 || !followedVersion)
+    if (response.status != 200 || !era || !followedVersion)
         return fail(ErrorKind::PeerUnavailable, "the peer responded with status " + std::to_string(response.status));
-    return std::optional(PeerConfiguration { std::move(response.body), std::strtoull(followedVersion->c_str(), nullptr, 10) });
+    const StoreVersion followed { std::strtoull(era->c_str(), nullptr, 10), std::strtoull(followedVersion->c_str(), nullptr, 10) };
+    return std::optional(PeerConfiguration { std::move(response.body), followed });
 }
 
 }
--- a/foxtailtrail/proxy/ConfigurationExchange.h
+++ b/foxtailtrail/proxy/ConfigurationExchange.h
@@ -3,6 +3,7 @@
 #include "foxtailtrail/base/Result.h"
 #include "foxtailtrail/net/Http.h"
 #include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/store/StoreVersion.h"
 
 #include <cstdint>
 #include <optional>
@@ -15,7 +16,7 @@
 struct PeerConfiguration {
     std::string document;
     // The store version up to which that VM has applied the declarations.
-    uint64_t followedStoreVersion = 0;
+    StoreVersion followedStoreVersion;
 };
 
 // The HTTP request with which VMs fetch the operators' configuration from each other. The requester sends the version that it has and its
@@ -30,7 +31,7 @@
 
     // Sets the document that this VM serves to other VMs.
     void setDocument(std::string newDocument, uint64_t version);
-    void setFollowedStoreVersion(uint64_t storeVersion) { this->followedStoreVersion = storeVersion; }
+    void setFollowedStoreVersion(const StoreVersion& storeVersion) { this->followedStoreVersion = storeVersion; }
 
     // Handles the request of another VM and records its address. Responds with status 204 when this VM has no newer configuration.
     HttpResponse handleRequest(const HttpRequest&);
@@ -44,7 +45,7 @@
     Endpoint ownEndpoint;
     std::string document;
     uint64_t documentVersion = 0;
-    uint64_t followedStoreVersion = 0;
+    StoreVersion followedStoreVersion;
     std::vector<Endpoint> requesters;
 };
 
--- a/foxtailtrail/proxy/PromotionCoordinator.cpp
+++ b/foxtailtrail/proxy/PromotionCoordinator.cpp
@@ -17,11 +17,12 @@
     // Each VM waits this much longer per rank before it examines a group.
     constexpr Duration rankDelay = std::chrono::milliseconds(150);
     constexpr size_t maxRankDelays = 16;
-    // After an examination, the next one of the same group starts after this time at the earliest.
+    // After an examination, the next one of the same group starts after this time
+    // at the earliest.
     constexpr Duration minExaminationInterval = std::chrono::milliseconds(300);
     constexpr Duration storeTimeout = std::chrono::milliseconds(600);
 
-}
+} // namespace
 
 PromotionCoordinator::PromotionCoordinator(
     SessionProxy& proxy, SharedStore& store, PromotionOrders& orders, RendezvousRank rank, DirectoryRefresh refresh)
@@ -60,7 +61,7 @@
         return std::nullopt;
     }
     std::optional<PromotionLockRecord> currentRecord;
-    uint64_t version = 0;
+    StoreVersion version { rows.value().version.era, 0 };
     for (const TableRow& row : rows.value().rows) {
         if (row.key != promotionLockRowKey)
             continue;
@@ -77,7 +78,7 @@
     StoreTransaction transaction;
     transaction.preconditions.push_back({ StoreTable::PromotionLocks, promotionLockRowKey, version });
     transaction.puts.push_back({ StoreTable::PromotionLocks, promotionLockRowKey, encodePromotionLock(*acquired) });
-    Result<uint64_t> stored = this->store.commit(transaction, now() + storeTimeout);
+    Result<StoreVersion> stored = this->store.commit(transaction, now() + storeTimeout);
     if (!stored && stored.error().kind == ErrorKind::StoreOutcomeUnknown) {
         // The lock may have been acquired; the row shows whether it was.
         const Result<RowSet> rereadRows = this->store.list(StoreTable::PromotionLocks, now() + storeTimeout);
@@ -103,9 +104,9 @@
     StoreTransaction transaction;
     transaction.preconditions.push_back({ StoreTable::PromotionLocks, promotionLockRowKey, heldLock.storedVersion });
     transaction.puts.push_back({ StoreTable::PromotionLocks, promotionLockRowKey, encodePromotionLock(released) });
-    const Result<uint64_t> stored = this->store.commit(transaction, now() + storeTimeout);
+    const Result<StoreVersion> stored = this->store.commit(transaction, now() + storeTimeout);
     if (!stored)
         logEvent(LogLevel::Info, "releasing the promotion lock failed; it expires by itself", { { "detail", stored.error().detail } });
 }
 
-}
+} // namespace foxtail
--- a/foxtailtrail/proxy/SharedStore.h
+++ b/foxtailtrail/proxy/SharedStore.h
@@ -3,9 +3,9 @@
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Result.h"
 #include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/store/StoreVersion.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,7 +28,8 @@
 struct TableRow {
     std::string key;
     std::string value;
-    uint64_t version = 0;
+    // The number of the row's last change, with the era in which the row was read.
+    StoreVersion version;
     bool isDeleted = false;
 };
 
@@ -36,7 +37,7 @@
 struct RowSet {
     std::vector<TableRow> rows;
     // The newest version of the store; changes are followed from this version on.
-    uint64_t version = 0;
+    StoreVersion version;
     // The time of the store's own steady clock.
     int64_t storeTimeMs = 0;
 };
@@ -46,8 +47,8 @@
     struct Precondition {
         StoreTable table;
         std::string key;
-        // The version that the row must have; 0 means that it does not exist.
-        uint64_t version = 0;
+        // The version that the row must have, as read in the era of the version; number 0 means that it does not exist.
+        StoreVersion version;
     };
     struct Put {
         StoreTable table;
@@ -66,11 +67,14 @@
     // Returns all rows of a table.
     virtual Result<RowSet> list(StoreTable, TimePoint deadline) = 0;
     // Returns the changes after a version, as soon as there is one or the wait has ended. Fails with VersionConflict when the store has
-    // dropped that part of its history.
-    virtual Result<RowSet> follow(StoreTable, uint64_t afterVersion, Duration wait) = 0;
-    // Commits a transaction. Returns the new version. Fails with VersionConflict when a precondition does not hold, and with
-    // StoreOutcomeUnknown when the transaction may have been committed or may still be committed.
-    virtual Result<uint64_t> commit(const StoreTransaction&, TimePoint deadline) = 0;
+    // dropped that part of its history or is in another era.
+    virtual Result<RowSet> follow(StoreTable, const StoreVersion& after, Duration wait) = 0;
+    // Commits a transaction. Returns the new version. Fails with VersionConflict when a precondition does not hold or is of an ended era,
+    // and with StoreOutcomeUnknown when the transaction may have been committed or may still be committed, or was committed in another
+    // era than that of a precondition.
+    virtual Result<StoreVersion> commit(const StoreTransaction&, TimePoint deadline) = 0;
+    // Returns the newest era that a reply of the store has shown.
+    virtual const StoreEra& newestEra() const = 0;
 };
 
 // The outcome of a promotion order.
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -17,25 +17,33 @@
 
 namespace {
 
-    // How long the store may hold a call of a feed open. Each call has a cost. TCP keep-alive detects a silent connection within three
-    // seconds; this wait is the second bound on the detection. It is random so that the feeds of the VMs do not end at the same time.
+    // How long the store may hold a call of a feed open. Each call has a cost. TCP
+    // keep-alive detects a silent connection within three seconds; this wait is the
+    // second bound on the detection. It is random so that the feeds of the VMs do
+    // not end at the same time.
     constexpr int minFeedWaitMs = 10000;
     constexpr int maxFeedWaitMs = 15000;
-    // How long another VM may hold a request for changes open. It bounds the time until a VM notices that its reader does not respond.
+    // How long another VM may hold a request for changes open. It bounds the time
+    // until a VM notices that its reader does not respond.
     constexpr Duration readerFeedWait = std::chrono::milliseconds(2500);
-    // How long the store may hold a call of a reader open. The store may leave the calls of one VM without a reply while it serves others;
-    // the VMs that depend on this reader then read the store themselves within this time and the reply timeout.
+    // How long the store may hold a call of a reader open. The store may leave the
+    // calls of one VM without a reply while it serves others; the VMs that depend
+    // on this reader then read the store themselves within this time and the reply
+    // timeout.
     constexpr Duration maxStoreWaitOfReader = std::chrono::seconds(5);
-    // Changes often come in bursts, and each response of a feed has a cost for every VM, so further changes are collected for this
-    // time.
+    // Changes often come in bursts, and each response of a feed has a cost for
+    // every VM, so further changes are collected for this time.
     constexpr Duration changeBatchDelay = std::chrono::milliseconds(400);
     // Used while a fleet starts, when VMs and servers register one after the other.
     constexpr Duration startupBatchDelay = std::chrono::milliseconds(1500);
     constexpr Duration startupPeriod = std::chrono::seconds(4);
-    // The VMs that join the fleet together know each other within this time after they have registered.
+    // The VMs that join the fleet together know each other within this time after
+    // they have registered.
     constexpr Duration fleetDiscoveryPeriod = std::chrono::milliseconds(2000);
-    // All rows share one part of the store, which handles a few hundred transactions a second and rejects those that would wait for more
-    // than a second. The VMs of a starting fleet that are rejected retry spread over this time.
+    // All rows share one part of the store, which handles a few hundred
+    // transactions a second and rejects those that would wait for more than a
+    // second. The VMs of a starting fleet that are rejected retry spread over this
+    // time.
     constexpr Duration registrationTimeout = std::chrono::milliseconds(2500);
     constexpr int minRegistrationRetryMs = 300;
     constexpr int maxRegistrationRetryMs = 1500;
@@ -43,27 +51,33 @@
     // The delay after a failed call doubles up to the maximum.
     constexpr Duration initialRetryDelay = std::chrono::milliseconds(100);
     constexpr Duration maxRetryDelay = std::chrono::milliseconds(800);
-    // When all tables are unavailable, the tables other than the declarations are retried after this time at the latest.
+    // When all tables are unavailable, the tables other than the declarations are
+    // retried after this time at the latest.
     constexpr Duration tableRestoredTimeout = std::chrono::milliseconds(2500);
     constexpr Duration peerFetchTimeout = std::chrono::milliseconds(800);
-    // Unlisted seeds are first contacted after this delay, which then doubles up to the maximum.
+    // Unlisted seeds are first contacted after this delay, which then doubles up to
+    // the maximum.
     constexpr Duration initialSeedContactDelay = std::chrono::seconds(1);
     constexpr Duration maxSeedContactDelay = std::chrono::seconds(16);
-    // While the store does not serve a VM that has a configuration, the VM sends a request to one peer per interval. A new configuration
-    // must be in force within three seconds.
+    // While the store does not serve a VM that has a configuration, the VM sends a
+    // request to one peer per interval. A new configuration must be in force within
+    // three seconds.
     constexpr Duration peerFetchInterval = std::chrono::milliseconds(1500);
-    // The store's feed delivers a new configuration to every VM within this time, so it is not fetched from a peer earlier.
+    // The store's feed delivers a new configuration to every VM within this time,
+    // so it is not fetched from a peer earlier.
     constexpr Duration maxFeedDelay = std::chrono::milliseconds(800);
-    // A starting VM waits this long for the list of VMs, and then for the configuration of another VM.
+    // A starting VM waits this long for the list of VMs, and then for the
+    // configuration of another VM.
     constexpr Duration fleetListTimeout = std::chrono::milliseconds(700);
     constexpr Duration initialFetchTimeout = std::chrono::milliseconds(2000);
     // Interval between two requests to a VM that has no configuration yet.
     constexpr Duration startupPollInterval = std::chrono::milliseconds(80);
     constexpr Duration initialFetchRequestTimeout = std::chrono::milliseconds(600);
-    // Key of the rendezvous order in which the VMs of a data centre read the configuration from the store.
+    // Key of the rendezvous order in which the VMs of a data centre read the
+    // configuration from the store.
     constexpr const char* configurationSourceKey = "configuration";
 
-}
+} // namespace
 
 StoreFollower::StoreFollower(SessionProxy& proxy, SharedStore& store, const DeclarationDecoder& decoder, PeerExchange& peers)
     : proxy(proxy)
@@ -101,10 +115,10 @@
 {
     bool isListed = false;
     bool isUnavailable = false;
-    uint64_t version = 0;
+    StoreVersion version;
     Duration delay = initialRetryDelay;
     if (table == StoreTable::Declarations) {
-        if (const std::optional<uint64_t> followed = this->fetchInitialConfiguration()) {
+        if (const std::optional<StoreVersion> followed = this->fetchInitialConfiguration()) {
             version = *followed;
             this->configurationExchange.setFollowedStoreVersion(version);
             isListed = true;
@@ -115,8 +129,11 @@
     std::uniform_int_distribution<int> feedWaitMs(minFeedWaitMs, maxFeedWaitMs);
     // Runs until the process ends.
     while (true) {
-        const Result<RowSet> rows = isListed ? this->receiveChanges(table, version, std::chrono::milliseconds(feedWaitMs(random)))
-                                             : this->store.list(table, now() + listTimeout);
+        // The first call after a failure is not held, because only its reply shows
+        // whether the store is still in the same era.
+        const Duration storeWait = isUnavailable ? Duration(0) : std::chrono::milliseconds(feedWaitMs(random));
+        const Result<RowSet> rows
+            = isListed ? this->receiveChanges(table, version, storeWait) : this->store.list(table, now() + listTimeout);
         if (rows) {
             if (std::exchange(isUnavailable, false)) {
                 --this->unavailableTableCount;
@@ -128,12 +145,16 @@
             version = rows.value().version;
             if (table == StoreTable::Declarations)
                 this->configurationExchange.setFollowedStoreVersion(version);
-            if (!isListed)
+            if (!isListed) {
+                logEvent(LogLevel::Info, "store table read",
+                    { { "table", name }, { "era", version.era }, { "version", version.number }, { "rows", rows.value().rows.size() } });
                 this->changeExchange.recordList(table, rows.value());
+            }
             apply(rows.value(), !isListed);
             if (table == StoreTable::Fleet && !std::exchange(this->hasStartedRegistration, true))
                 startFiber([this] { this->registerSelf(); });
-            // The VMs and servers of a starting fleet register within a short time, so the first changes are collected too.
+            // The VMs and servers of a starting fleet register within a short time,
+            // so the first changes are collected too.
             const bool isFirstRead = !isListed && table != StoreTable::Declarations;
             isListed = true;
             if (isFirstRead || !rows.value().rows.empty())
@@ -142,6 +163,8 @@
         }
         this->changeExchange.stopServing(table);
         if (rows.error().kind == ErrorKind::VersionConflict) {
+            logEvent(LogLevel::Info, "store table is read again as a whole",
+                { { "table", name }, { "era", version.era }, { "version", version.number }, { "detail", rows.error().detail } });
             isListed = false;
             continue;
         }
@@ -157,14 +180,14 @@
     }
 }
 
-Result<RowSet> StoreFollower::receiveChanges(StoreTable table, uint64_t afterVersion, Duration storeWait)
+Result<RowSet> StoreFollower::receiveChanges(StoreTable table, const StoreVersion& after, Duration storeWait)
 {
     const std::optional<VmId> reader = this->storeReaders.readerAt(bootNow());
     const auto known = reader ? this->knownPeers.find(vmRowKey(*reader)) : this->knownPeers.end();
     if (known != this->knownPeers.end()) {
         this->changeExchange.stopServing(table);
-        Result<RowSet> changes = this->changeExchange.fetch(known->second.configurationEndpoint, table, afterVersion, readerFeedWait);
-        if (changes) {
+        Result<RowSet> changes = this->changeExchange.fetch(known->second.configurationEndpoint, table, after, readerFeedWait);
+        if (changes || changes.error().kind == ErrorKind::VersionConflict) {
             this->storeReaders.recordSuccess(*reader);
             return changes;
         }
@@ -172,16 +195,17 @@
         logEvent(LogLevel::Info, "store reader excluded", { { "reader", reader->value }, { "detail", changes.error().detail } });
     }
     const Duration wait = this->storeReaders.isReader() ? std::min(storeWait, maxStoreWaitOfReader) : storeWait;
-    Result<RowSet> changes = this->store.follow(table, afterVersion, wait);
+    Result<RowSet> changes = this->store.follow(table, after, wait);
     if (changes)
-        this->changeExchange.recordChanges(table, afterVersion, changes.value());
+        this->changeExchange.recordChanges(table, after, changes.value());
     return changes;
 }
 
 Duration StoreFollower::batchDelay(StoreTable table, const RowSet& rows) const
 {
     const bool isStartingUp = bootNow() < this->startedAt + startupPeriod;
-    // A promotion waits for its next step, so the feed continues without a delay after rows of primaries.
+    // A promotion waits for its next step, so the feed continues without a delay
+    // after rows of primaries.
     const bool isPromotion = table == StoreTable::Fleet && std::any_of(rows.rows.begin(), rows.rows.end(), [](const TableRow& row) {
         return !row.isDeleted && !decodePeer(row.key, row.value);
     });
@@ -289,7 +313,8 @@
     if (!rows)
         return fail(rows.error().kind, rows.error().detail);
     this->applyFleet(rows.value(), true);
-    // A server that has just rejoined may already receive commits, so the promoter must know it before it pauses the replicas.
+    // A server that has just rejoined may already receive commits, so the
+    // promoter must know it before it pauses the replicas.
     const Result<RowSet> servers = this->store.list(StoreTable::Servers, now() + listTimeout);
     if (!servers)
         return fail(servers.error().kind, servers.error().detail);
@@ -322,19 +347,20 @@
         return true;
     StoreTransaction transaction;
     transaction.puts.push_back({ StoreTable::Fleet, vmRowKey(self.id), encodePeer(self) });
-    const Result<uint64_t> stored = this->store.commit(transaction, now() + registrationTimeout);
+    const Result<StoreVersion> stored = this->store.commit(transaction, now() + registrationTimeout);
     if (!stored)
         logEvent(LogLevel::Warning, "registration in the store failed; it is retried", { { "detail", stored.error().detail } });
     return stored.has_value();
 }
 
-std::optional<uint64_t> StoreFollower::fetchInitialConfiguration()
+std::optional<StoreVersion> StoreFollower::fetchInitialConfiguration()
 {
     const TimePoint fleetListDeadline = bootNow() + fleetListTimeout;
     while (!this->hasReadFleet && bootNow() < fleetListDeadline)
         sleepFor(startupPollInterval);
-    // Collects the VMs of the data centre that precede this one, the largest first. The first VM in the order has no such sources and reads
-    // from the store.
+    // Collects the VMs of the data centre that precede this one, the largest
+    // first. The first VM in the order has no such sources and reads from the
+    // store.
     const ProxySettings& own = this->proxy.settings();
     using Rank = std::pair<double, uint64_t>;
     const auto rankOf = [](const VmId& vm, double share) { return Rank { share, rendezvousScore(configurationSourceKey, vm.value) }; };
@@ -345,7 +371,7 @@
         if (peer.dataCentre == own.dataCentre && rank > ownRank)
             sources.emplace(rank, peer.configurationEndpoint);
     }
-    std::optional<uint64_t> followedVersion;
+    std::optional<StoreVersion> followedVersion;
     const TimePoint giveUpAt = bootNow() + initialFetchTimeout;
     for (const auto& [rank, source] : sources) {
         while (bootNow() < giveUpAt && !followedVersion && this->fetchInitialConfigurationFrom(source, followedVersion))
@@ -356,7 +382,7 @@
     return std::nullopt;
 }
 
-bool StoreFollower::fetchInitialConfigurationFrom(const Endpoint& source, std::optional<uint64_t>& followedVersion)
+bool StoreFollower::fetchInitialConfigurationFrom(const Endpoint& source, std::optional<StoreVersion>& followedVersion)
 {
     const Result<std::optional<PeerConfiguration>> fetched = this->configurationExchange.fetch(source, initialFetchRequestTimeout);
     if (!fetched)
@@ -385,7 +411,8 @@
 
 void StoreFollower::contactUnlistedSeeds()
 {
-    // Runs until the process ends, because a seed may start or lose the store at any time.
+    // Runs until the process ends, because a seed may start or lose the store at
+    // any time.
     for (Duration delay = initialSeedContactDelay;; delay = std::min(delay * 2, maxSeedContactDelay)) {
         sleepFor(delay);
         for (const Endpoint& seed : this->proxy.settings().seeds) {
@@ -423,4 +450,4 @@
     });
 }
 
-}
+} // namespace foxtail
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -40,7 +40,7 @@
     static constexpr size_t followedTableCount = 3;
     void follow(StoreTable, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply);
     // Returns the changes of a table after a version, from another VM that reads the store for this data centre or from the store.
-    Result<RowSet> receiveChanges(StoreTable, uint64_t afterVersion, Duration storeWait);
+    Result<RowSet> receiveChanges(StoreTable, const StoreVersion& after, Duration storeWait);
     // Returns how long to collect further changes after some rows have changed.
     Duration batchDelay(StoreTable, const RowSet&) const;
     // Waits before the next attempt to read a table. When all tables are unavailable, and the VM is not starting up, only the
@@ -53,10 +53,10 @@
     // Fetches the configuration from a VM of the same data centre, so that the VMs of a starting fleet do not all read it from the store,
     // possibly over the link between regions. Returns the store version up to which that VM had applied the declarations, or an empty
     // optional when no VM provided a configuration.
-    std::optional<uint64_t> fetchInitialConfiguration();
+    std::optional<StoreVersion> fetchInitialConfiguration();
     // Fetches the configuration of a peer and installs it. Returns false when the request fails; the next
     // peer is tried then.
-    bool fetchInitialConfigurationFrom(const Endpoint&, std::optional<uint64_t>& followedVersion);
+    bool fetchInitialConfigurationFrom(const Endpoint&, std::optional<StoreVersion>& followedVersion);
     // Fetches a peer's configuration in a separate fiber if it is newer than this VM's. The call is ignored while another fetch runs or
     // this VM still waits for its initial configuration.
     void fetchFromPeer(const Endpoint&);
--- a/foxtailtrail/proxy/TableChangeLog.cpp
+++ b/foxtailtrail/proxy/TableChangeLog.cpp
@@ -11,7 +11,7 @@
 
 }
 
-void TableChangeLog::restart(uint64_t version)
+void TableChangeLog::restart(const StoreVersion& version)
 {
     this->hasStarted = true;
     this->oldestVersion = version;
@@ -20,10 +20,10 @@
     this->rowCount = 0;
 }
 
-void TableChangeLog::append(uint64_t afterVersion, const RowSet& changes)
+void TableChangeLog::append(const StoreVersion& after, const RowSet& changes)
 {
-    if (!this->hasStarted || afterVersion != this->newestVersion)
-        this->restart(afterVersion);
+    if (!this->hasStarted || after != this->newestVersion)
+        this->restart(after);
     this->newestVersion = std::max(this->newestVersion, changes.version);
     if (changes.rows.empty())
         return;
@@ -36,9 +36,9 @@
     }
 }
 
-std::optional<RowSet> TableChangeLog::changesAfter(uint64_t version) const
+std::optional<RowSet> TableChangeLog::changesAfter(const StoreVersion& version) const
 {
-    if (!this->hasStarted || version < this->oldestVersion)
+    if (!this->hasStarted || version.era != this->newestVersion.era || version < this->oldestVersion)
         return std::nullopt;
     RowSet changes;
     changes.version = std::max(version, this->newestVersion);
--- a/foxtailtrail/proxy/TableChangeLog.h
+++ b/foxtailtrail/proxy/TableChangeLog.h
@@ -2,7 +2,6 @@
 
 #include "foxtailtrail/proxy/SharedStore.h"
 
-#include <cstdint>
 #include <deque>
 #include <optional>
 
@@ -12,24 +11,26 @@
 class TableChangeLog {
 public:
     // Starts the log at a version, after the whole table was read.
-    void restart(uint64_t version);
+    void restart(const StoreVersion&);
     // Appends the changes from a version to that of the row set. When the log ends at another version, it starts again, because it lacks
     // the changes between them.
-    void append(uint64_t afterVersion, const RowSet& changes);
+    void append(const StoreVersion& after, const RowSet& changes);
     // Returns the changes after a version, possibly with some that are not after it, or std::nullopt when the log does not go back that
-    // far. The result is empty for the newest version, and for a version that is newer than the log.
-    std::optional<RowSet> changesAfter(uint64_t version) const;
+    // far or is of another era. The result is empty for the newest version, and for a version of the same era that is newer than the log.
+    std::optional<RowSet> changesAfter(const StoreVersion&) const;
+    // Returns true when the log is of a later era than the version, so that the whole table has to be read from the store.
+    bool isOfLaterEra(const StoreVersion& version) const { return this->hasStarted && version.era < this->newestVersion.era; }
 
 private:
     // The changes after the version of the batch before it.
     struct Batch {
-        uint64_t version = 0;
+        StoreVersion version;
         std::vector<TableRow> rows;
     };
     bool hasStarted = false;
     // The version before the first batch.
-    uint64_t oldestVersion = 0;
-    uint64_t newestVersion = 0;
+    StoreVersion oldestVersion;
+    StoreVersion newestVersion;
     std::deque<Batch> batches;
     size_t rowCount = 0;
 };
--- a/tests/failover/FailoverPlanTest.cpp
+++ b/tests/failover/FailoverPlanTest.cpp
@@ -277,7 +277,7 @@
                 this->delayedUpdates.push_back({ now + static_cast<int64_t>(this->random() % 6000), this->version, *acquired });
             } else if (this->apply(this->version, *acquired) && outcomeRoll > 1) {
                 // The usable lifetime counts from the request, so a reply that takes up to a second does not extend it.
-                vm.lock = HeldPromotionLock { *acquired, this->version, time + promotionLockUsableLifetime };
+                vm.lock = HeldPromotionLock { *acquired, { 0, this->version }, time + promotionLockUsableLifetime };
             }
         }
 
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -415,6 +415,74 @@
         EXPECT_EQ(this->fleet.readinessStatus(0), 200U);
     }
 
+    // A change is in force within three seconds on a VM that is in touch; the rest covers the return of the store.
+    constexpr std::chrono::milliseconds configurationTimeout { 5000 };
+
+    // The tests of a store that comes back from an older copy.
+    class RestoredStoreTest : public FleetTest {
+    protected:
+        void SetUp() override
+        {
+            FleetTest::SetUp();
+            // The store is copied after all VMs have registered.
+            ASSERT_TRUE(eventually([&] { return this->areVmsListed(); })) << this->fleet.logs();
+            this->copiedAt = std::chrono::steady_clock::now();
+        }
+
+        // Takes the store away and restores the copy. It stays unavailable until bringBack() is called.
+        void restore()
+        {
+            standins::RowStoreFaults faults;
+            faults.isUnavailable = true;
+            this->fleet.store().setFaults(faults);
+            std::this_thread::sleep_for(std::chrono::milliseconds(300));
+            this->fleet.store().restore(
+                std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - this->copiedAt));
+        }
+        void bringBack() { this->fleet.store().setFaults({}); }
+        bool areVmsListed()
+        {
+            for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+                if (!this->fleet.store().value("foxtail-fleet", "vm/vm" + std::to_string(vm)))
+                    return false;
+            }
+            return true;
+        }
+
+        std::chrono::steady_clock::time_point copiedAt;
+    };
+
+    INSTANTIATE_TEST_SUITE_P(ConnectionModes, RestoredStoreTest,
+        testing::Values(Fleet::ConnectionMode::Direct, Fleet::ConnectionMode::Relayed),
+        [](const auto& info) { return info.param == Fleet::ConnectionMode::Direct ? "Direct" : "Relayed"; });
+
+    // Guards against a change that is missed because the restored store gave it a version that the VMs had already followed.
+    TEST_P(RestoredStoreTest, ServesRouteThatWasAddedUnderAVersionGivenOutAgain)
+    {
+        for (int round = 0; round < 10; ++round)
+            this->fleet.registerServers();
+        this->fleet.publishConfiguration();
+        const uint64_t followed = this->fleet.version();
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        this->restore();
+        this->fleet.extraDatabases.emplace_back("fresh");
+        this->fleet.publishConfiguration();
+        EXPECT_GT(this->fleet.version(), followed);
+        for (int round = 0; round < 15; ++round)
+            this->fleet.registerServers();
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+        this->bringBack();
+        for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+            EXPECT_TRUE(eventually(
+                [&] {
+                    Caller caller(this->fleet.callerPort(vm));
+                    return caller.start("fresh", "key-of-orga").succeeded();
+                },
+                configurationTimeout))
+                << "vm" << vm << this->fleet.logs();
+        }
+    }
+
 }
 
 }
--- /dev/null
+++ b/tests/platform/TableStoreTest.cpp
@@ -0,0 +1,105 @@
+#include "platform/TableStore.h"
+#include "foxtailtrail/net/Clock.h"
+#include "foxtailtrail/net/FiberThread.h"
+#include "standins/platform/RowStore.h"
+
+#include <gtest/gtest.h>
+
+namespace foxtail::platform {
+
+namespace {
+
+    constexpr Duration callTimeout = std::chrono::seconds(5);
+
+    class TableStoreTest : public testing::Test {
+    protected:
+        TableStoreTest()
+        {
+            this->thread->call([&] {
+                this->store = std::make_unique<TableStore>(Endpoint { "127.0.0.1", this->rowStore.port() });
+                this->otherStore = std::make_unique<TableStore>(Endpoint { "127.0.0.1", this->rowStore.port() });
+            });
+        }
+        ~TableStoreTest() override
+        {
+            this->thread->call([&] {
+                this->store.reset();
+                this->otherStore.reset();
+            });
+        }
+
+        RowSet list(TableStore& client)
+        {
+            return this->thread->call([&] { return client.list(StoreTable::Fleet, now() + callTimeout); }).value();
+        }
+        Result<RowSet> follow(const StoreVersion& after)
+        {
+            return this->thread->call([&] { return this->store->follow(StoreTable::Fleet, after, std::chrono::milliseconds(20)); });
+        }
+        Result<StoreVersion> replaceRow(TableStore& client, const StoreVersion& expected)
+        {
+            StoreTransaction transaction;
+            transaction.preconditions.push_back({ StoreTable::Fleet, "a", expected });
+            transaction.puts.push_back({ StoreTable::Fleet, "a", "replaced" });
+            return this->thread->call([&] { return client.commit(transaction, now() + callTimeout); });
+        }
+        // Restores the store from an empty copy and writes the row until the store has counted to the same version again.
+        void restoreAndCountTo(uint64_t version)
+        {
+            this->rowStore.restore(std::chrono::hours(1));
+            do
+                this->rowStore.put("foxtail-fleet", "a", "new");
+            while (this->list(*this->otherStore).version.number < version);
+        }
+
+        standins::RowStore rowStore { [](const standins::PromotionOrder&) { return 200U; } };
+        std::unique_ptr<FiberThread> thread = FiberThread::start("test");
+        std::unique_ptr<TableStore> store;
+        // Belongs to another VM, which knows of a new era earlier or later.
+        std::unique_ptr<TableStore> otherStore;
+    };
+
+    // Guards against changes that are missed because the restored store has counted up to the version of the ended era.
+    TEST_F(TableStoreTest, TreatsVersionOfEndedEraAsLostHistory)
+    {
+        this->rowStore.put("foxtail-fleet", "a", "old");
+        const RowSet before = this->list(*this->store);
+        EXPECT_TRUE(this->follow(before.version));
+        this->restoreAndCountTo(before.version.number);
+        const Result<RowSet> changes = this->follow(before.version);
+        ASSERT_FALSE(changes);
+        EXPECT_EQ(changes.error().kind, ErrorKind::VersionConflict);
+        const RowSet after = this->list(*this->store);
+        EXPECT_EQ(after.version.era, before.version.era + 1);
+        EXPECT_LT(before.version, after.version);
+        EXPECT_EQ(this->store->newestEra().number, after.version.era);
+        EXPECT_TRUE(this->follow(after.version));
+    }
+
+    // Guards against a write whose precondition holds only because the store has given the version out again.
+    TEST_F(TableStoreTest, RejectsPreconditionOfEndedEra)
+    {
+        this->rowStore.put("foxtail-fleet", "a", "old");
+        const StoreVersion expected = this->list(*this->store).rows.front().version;
+        this->restoreAndCountTo(expected.number);
+        this->list(*this->store);
+        const Result<StoreVersion> stored = this->replaceRow(*this->store, expected);
+        ASSERT_FALSE(stored);
+        EXPECT_EQ(stored.error().kind, ErrorKind::VersionConflict);
+        EXPECT_EQ(this->rowStore.value("foxtail-fleet", "a"), "new");
+    }
+
+    // Guards against a lock that counts as held although its record was written in an era that its holder did not know.
+    TEST_F(TableStoreTest, ReportsUnknownOutcomeOfCommitInLaterEra)
+    {
+        this->rowStore.put("foxtail-fleet", "a", "old");
+        const StoreVersion expected = this->list(*this->store).rows.front().version;
+        this->restoreAndCountTo(expected.number);
+        const Result<StoreVersion> stored = this->replaceRow(*this->store, expected);
+        ASSERT_FALSE(stored);
+        EXPECT_EQ(stored.error().kind, ErrorKind::StoreOutcomeUnknown);
+    }
+
+}
+
+}
--- a/tests/proxy/ChangeExchangeTest.cpp
+++ b/tests/proxy/ChangeExchangeTest.cpp
@@ -10,10 +10,12 @@
 
     using std::chrono::milliseconds;
 
-    RowSet rowSet(uint64_t version, std::vector<TableRow> rows = {})
+    constexpr uint64_t era = 1;
+
+    RowSet rowSet(uint64_t version, std::vector<TableRow> rows = {}, uint64_t inEra = era)
     {
         RowSet set;
-        set.version = version;
+        set.version = { inEra, version };
         set.rows = std::move(rows);
         return set;
     }
@@ -22,22 +24,22 @@
     TEST(TableChangeLogTest, ReturnsAllChangesAfterAVersion)
     {
         TableChangeLog log;
-        EXPECT_FALSE(log.changesAfter(0));
-        log.restart(10);
-        log.append(10, rowSet(12, { { "a", "1", 12, false } }));
-        log.append(12, rowSet(15));
-        log.append(15, rowSet(17, { { "a", "", 17, true } }));
-        EXPECT_FALSE(log.changesAfter(9));
-        ASSERT_TRUE(log.changesAfter(10));
-        EXPECT_EQ(log.changesAfter(10)->rows.size(), 2U);
-        EXPECT_EQ(log.changesAfter(10)->version, 17U);
-        EXPECT_EQ(log.changesAfter(12)->rows.size(), 1U);
-        EXPECT_TRUE(log.changesAfter(12)->rows.front().isDeleted);
-        EXPECT_TRUE(log.changesAfter(17)->rows.empty());
+        EXPECT_FALSE(log.changesAfter({ era, 0 }));
+        log.restart({ era, 10 });
+        log.append({ era, 10 }, rowSet(12, { { "a", "1", { era, 12 }, false } }));
+        log.append({ era, 12 }, rowSet(15));
+        log.append({ era, 15 }, rowSet(17, { { "a", "", { era, 17 }, true } }));
+        EXPECT_FALSE(log.changesAfter({ era, 9 }));
+        ASSERT_TRUE(log.changesAfter({ era, 10 }));
+        EXPECT_EQ(log.changesAfter({ era, 10 })->rows.size(), 2U);
+        EXPECT_EQ(log.changesAfter({ era, 10 })->version.number, 17U);
+        EXPECT_EQ(log.changesAfter({ era, 12 })->rows.size(), 1U);
+        EXPECT_TRUE(log.changesAfter({ era, 12 })->rows.front().isDeleted);
+        EXPECT_TRUE(log.changesAfter({ era, 17 })->rows.empty());
         // A VM that is ahead of the reader does not go back.
-        EXPECT_EQ(log.changesAfter(20)->version, 20U);
-        log.restart(30);
-        EXPECT_FALSE(log.changesAfter(17));
+        EXPECT_EQ(log.changesAfter({ era, 20 })->version.number, 20U);
+        log.restart({ era, 30 });
+        EXPECT_FALSE(log.changesAfter({ era, 17 }));
     }
 
     // Guards against changes that are skipped by a VM that received the table from another VM for a time and then reads the store again:
@@ -45,31 +47,47 @@
     TEST(TableChangeLogTest, DoesNotServeChangesAcrossAGap)
     {
         TableChangeLog log;
-        log.restart(10);
-        log.append(10, rowSet(12, { { "a", "1", 12, false } }));
+        log.restart({ era, 10 });
+        log.append({ era, 10 }, rowSet(12, { { "a", "1", { era, 12 }, false } }));
         // The changes from 12 to 20 came from another VM and are not in the log.
-        log.append(20, rowSet(22, { { "b", "1", 22, false } }));
-        EXPECT_FALSE(log.changesAfter(12));
-        EXPECT_FALSE(log.changesAfter(15));
-        ASSERT_TRUE(log.changesAfter(20));
-        EXPECT_EQ(log.changesAfter(20)->rows.size(), 1U);
+        log.append({ era, 20 }, rowSet(22, { { "b", "1", { era, 22 }, false } }));
+        EXPECT_FALSE(log.changesAfter({ era, 12 }));
+        EXPECT_FALSE(log.changesAfter({ era, 15 }));
+        ASSERT_TRUE(log.changesAfter({ era, 20 }));
+        EXPECT_EQ(log.changesAfter({ era, 20 })->rows.size(), 1U);
         // A log that starts with changes, as after the configuration came from another VM.
         TableChangeLog other;
-        other.append(7, rowSet(9, { { "c", "1", 8, false } }));
-        EXPECT_FALSE(other.changesAfter(6));
-        EXPECT_EQ(other.changesAfter(7)->rows.size(), 1U);
+        other.append({ era, 7 }, rowSet(9, { { "c", "1", { era, 8 }, false } }));
+        EXPECT_FALSE(other.changesAfter({ era, 6 }));
+        EXPECT_EQ(other.changesAfter({ era, 7 })->rows.size(), 1U);
+    }
+
+    // Guards against changes that are missed by a VM whose version is of an ended era: it was above the numbers of the new era, so the log
+    // had nothing after it.
+    TEST(TableChangeLogTest, ServesNoChangesToAVersionOfAnotherEra)
+    {
+        TableChangeLog log;
+        log.restart({ era + 1, 10 });
+        log.append({ era + 1, 10 }, rowSet(12, { { "a", "1", { era + 1, 12 }, false } }, era + 1));
+        EXPECT_FALSE(log.changesAfter({ era, 20 }));
+        EXPECT_FALSE(log.changesAfter({ era, 11 }));
+        EXPECT_TRUE(log.isOfLaterEra({ era, 20 }));
+        EXPECT_FALSE(log.changesAfter({ era + 2, 11 }));
+        EXPECT_FALSE(log.isOfLaterEra({ era + 2, 11 }));
+        ASSERT_TRUE(log.changesAfter({ era + 1, 10 }));
+        EXPECT_EQ(log.changesAfter({ era + 1, 10 })->rows.size(), 1U);
     }
 
     // Guards against a log that grows without bound.
     TEST(TableChangeLogTest, DropsOldestChanges)
     {
         TableChangeLog log;
-        log.restart(0);
+        log.restart({ era, 0 });
         for (uint64_t version = 1; version <= 5000; ++version)
-            log.append(version - 1, rowSet(version, { { "a", "1", version, false } }));
-        EXPECT_FALSE(log.changesAfter(0));
-        ASSERT_TRUE(log.changesAfter(4000));
-        EXPECT_EQ(log.changesAfter(4000)->rows.size(), 1000U);
+            log.append({ era, version - 1 }, rowSet(version, { { "a", "1", { era, version }, false } }));
+        EXPECT_FALSE(log.changesAfter({ era, 0 }));
+        ASSERT_TRUE(log.changesAfter({ era, 4000 }));
+        EXPECT_EQ(log.changesAfter({ era, 4000 })->rows.size(), 1000U);
     }
 
     // A VM that serves changes to others over HTTP.
@@ -89,10 +107,11 @@
         {
             this->thread->call([&] { this->server.reset(); });
         }
-        Result<RowSet> fetch(uint64_t afterVersion, Duration wait)
+        Result<RowSet> fetch(uint64_t afterNumber, Duration wait, uint64_t inEra = era)
         {
             return this->thread->call([&] {
-                return this->follower.fetch(Endpoint { "127.0.0.1", this->server->port() }, StoreTable::Servers, afterVersion, wait);
+                return this->follower.fetch(
+                    Endpoint { "127.0.0.1", this->server->port() }, StoreTable::Servers, { inEra, afterNumber }, wait);
             });
         }
 
@@ -108,14 +127,15 @@
         this->thread->call([&] { this->reader.recordList(StoreTable::Servers, rowSet(5)); });
         this->thread->post([&] {
             sleepFor(milliseconds(50));
-            this->reader.recordChanges(StoreTable::Servers, 5, rowSet(7, { { "s1", bytes, 6, false }, { "s2", "", 7, true } }));
+            this->reader.recordChanges(
+                StoreTable::Servers, { era, 5 }, rowSet(7, { { "s1", bytes, { era, 6 }, false }, { "s2", "", { era, 7 }, true } }));
         });
         const Result<RowSet> changes = this->fetch(5, std::chrono::seconds(5));
         ASSERT_TRUE(changes);
-        EXPECT_EQ(changes.value().version, 7U);
+        EXPECT_EQ(changes.value().version, (StoreVersion { era, 7 }));
         ASSERT_EQ(changes.value().rows.size(), 2U);
         EXPECT_EQ(changes.value().rows[0].value, bytes);
-        EXPECT_EQ(changes.value().rows[0].version, 6U);
+        EXPECT_EQ(changes.value().rows[0].version, (StoreVersion { era, 6 }));
         EXPECT_TRUE(changes.value().rows[1].isDeleted);
         const Result<RowSet> none = this->fetch(7, milliseconds(20));
         ASSERT_TRUE(none);
@@ -133,18 +153,34 @@
             this->reader.stopServing(StoreTable::Servers);
         });
         EXPECT_FALSE(this->fetch(5, std::chrono::seconds(5)));
-        this->thread->call([&] { this->reader.recordChanges(StoreTable::Servers, 5, rowSet(8)); });
+        this->thread->call([&] { this->reader.recordChanges(StoreTable::Servers, { era, 5 }, rowSet(8)); });
         EXPECT_TRUE(this->fetch(5, milliseconds(20)));
         EXPECT_FALSE(this->fetch(4, milliseconds(20)));
     }
 
+    // Guards against a VM that is told of no changes by a reader in a later era, and against a reader that is excluded although it works.
+    TEST_F(ChangeExchangeTest, ReportsLaterEraInsteadOfChanges)
+    {
+        this->thread->call([&] { this->reader.recordList(StoreTable::Servers, rowSet(5, {}, era + 1)); });
+        const Result<RowSet> ofEndedEra = this->fetch(9, std::chrono::seconds(5));
+        ASSERT_FALSE(ofEndedEra);
+        EXPECT_EQ(ofEndedEra.error().kind, ErrorKind::VersionConflict);
+        const Result<RowSet> current = this->fetch(5, milliseconds(20), era + 1);
+        ASSERT_TRUE(current);
+        EXPECT_EQ(current.value().version, (StoreVersion { era + 1, 5 }));
+        const Result<RowSet> ofLaterEra = this->fetch(5, milliseconds(20), era + 2);
+        ASSERT_FALSE(ofLaterEra);
+        EXPECT_EQ(ofLaterEra.error().kind, ErrorKind::PeerUnavailable);
+    }
+
     // Guards against a malformed request that ends the process.
     TEST_F(ChangeExchangeTest, RefusesMalformedRequests)
     {
         for (const std::string& table : { std::string(), std::string("servers"), std::string("locks") }) {
             HttpRequest request;
             request.target = "/changes";
-            request.headers = { { "Foxtail-Table", table }, { "Foxtail-After", "x" }, { "Foxtail-Wait-Ms", "99999999999999999999" } };
+            request.headers = { { "Foxtail-Table", table }, { "Foxtail-Store-Era", "1" }, { "Foxtail-After", "x" },
+                { "Foxtail-Wait-Ms", "99999999999999999999" } };
             EXPECT_EQ(this->reader.handleRequest(request).status, 400U);
         }
     }
