Keep the promotion lock and its fencing tokens valid across eras of the store

Cause: the next token was one above the stored one, and a missing record meant a free lock.

Change: the lock has a row for each era, so no precondition of an ended era can hold by chance. Tokens carry the era in the upper 32 bits. Without a row of the era, nobody acquires the lock for a lifetime of it after the era was first seen; the first VMs in the rendezvous order then create the row, so that a VM that starts later need not wait. A holder stops using its lock with its era.

PromotionLockTest: the random simulation restores the store twice in 2,000 further seeds. The earlier 10,000 seeds make the same draws as before; their calls only got the new arguments.

--- a/foxtailtrail/failover/PromotionLock.h
+++ b/foxtailtrail/failover/PromotionLock.h
@@ -9,8 +9,8 @@
 
 namespace foxtail {
 
-// The promotion lock as the store keeps it. At most one VM holds it; its fencing token lets servers reject commands of
-// former holders.
+// The promotion lock as the store keeps it, in a record for each era of the store. At most one VM holds it; its fencing token, which rises
+// across eras too, lets servers reject commands of former holders.
 struct PromotionLockRecord {
     VmId holder;
     uint64_t fencingToken = 0;
@@ -25,9 +25,17 @@
 // acquire it, so that a delayed command still arrives before those of the next holder.
 constexpr Duration promotionLockUsableLifetime = std::chrono::milliseconds(2500);
 
-// Returns the record that acquires the lock, or std::nullopt until the lifetime of the current record has ended.
+// Returns true when a lock of an earlier era, whose record the store may have lost, can no longer be used.
+bool haveEarlierLocksEnded(const StoreEra&, TimePoint now);
+
+// Returns the record that acquires the lock, or std::nullopt until the lifetime of the current record of the era has ended. Without a
+// record of the era, the locks of earlier eras have to end first.
 std::optional<PromotionLockRecord> acquirePromotionLock(
-    const std::optional<PromotionLockRecord>& current, const VmId& self, int64_t storeNowMs);
+    const std::optional<PromotionLockRecord>& current, const VmId& self, int64_t storeNowMs, const StoreEra&, TimePoint now);
+
+// Returns the first record of an era, of a lock that is free. Written once the locks of earlier eras have ended, it tells VMs that start
+// later that they need not wait for those.
+PromotionLockRecord firstPromotionLockRecord(const VmId& self, const StoreEra&);
 
 // Returns the record that releases the lock early. It keeps the fencing token, so that the next holder gets a higher one.
 PromotionLockRecord releasePromotionLock(const PromotionLockRecord&, int64_t storeNowMs);
@@ -39,7 +47,11 @@
     StoreVersion storedVersion;
     TimePoint usableUntil {};
 
-    bool isUsableAt(TimePoint now) const { return now < this->usableUntil; }
+    // A lock ends with the era of its record, because another VM may acquire the lock of the new era.
+    bool isUsableAt(TimePoint now, const StoreEra& newestEra) const
+    {
+        return now < this->usableUntil && newestEra.number == this->storedVersion.era;
+    }
 };
 
 }
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -9,6 +9,7 @@
 
     constexpr std::string_view vmPrefix = "vm/";
     constexpr std::string_view primaryPrefix = "leader/";
+    constexpr std::string_view promotionLockPrefix = "promotion/";
 
     // Returns the decoded row, or logs why it could not be decoded.
     template <typename T> std::optional<T> valueOrLog(std::string_view key, const Result<T>& decoded)
@@ -64,6 +65,8 @@
 
 std::string primaryRowKey(const ServiceName& service) { return std::string(primaryPrefix) + service.value; }
 
+std::string promotionLockRowKey(uint64_t era) { return std::string(promotionLockPrefix) + std::to_string(era); }
+
 std::string encodePeer(const PeerEntry& entry)
 {
     return json::serialize(json::object { { "address", entry.configurationEndpoint.address },
@@ -97,9 +100,9 @@
     return valueOrLog(key, parsePrimary(key.substr(primaryPrefix.size()), value));
 }
 
-std::optional<PromotionLockRecord> decodePromotionLock(std::string_view value)
+std::optional<PromotionLockRecord> decodePromotionLock(std::string_view key, std::string_view value)
 {
-    return valueOrLog(promotionLockRowKey, parsePromotionLock(value));
+    return valueOrLog(key, parsePromotionLock(value));
 }
 
 }
--- a/foxtailtrail/proxy/FleetRows.h
+++ b/foxtailtrail/proxy/FleetRows.h
@@ -15,8 +15,9 @@
 // Keys of rows in the fleet table.
 std::string vmRowKey(const VmId&);
 std::string primaryRowKey(const ServiceName&);
-// Key of the only row in the promotion lock table.
-constexpr const char* promotionLockRowKey = "promotion";
+// Key of the promotion lock's row of an era. A row of its own for each era keeps the preconditions of a holder of an ended era from holding
+// by chance for versions that the store gives out again.
+std::string promotionLockRowKey(uint64_t era);
 
 std::string encodePeer(const PeerEntry&);
 std::string encodePrimary(const PrimaryRecord&);
@@ -25,6 +26,6 @@
 // The decoders return an empty optional when the row is of another kind, and also, with a log line, when it cannot be decoded.
 std::optional<PeerEntry> decodePeer(std::string_view key, std::string_view value);
 std::optional<PrimaryRecord> decodePrimary(std::string_view key, std::string_view value);
-std::optional<PromotionLockRecord> decodePromotionLock(std::string_view value);
+std::optional<PromotionLockRecord> decodePromotionLock(std::string_view key, std::string_view value);
 
 }
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -14,16 +14,14 @@
 
 namespace {
 
-    // A reply across regions takes about 30 ms with a new connection, and longer
-    // while the slots of the server are taken.
+    // A reply across regions takes about 30 ms with a new connection, and longer while the slots of the server are taken.
     constexpr Duration probeTimeout = std::chrono::milliseconds(300);
-    // Time between the two probes that show whether the logs of the replicas still
-    // grow, that is, whether the primary still replicates.
+    // Time between the two probes that show whether the logs of the replicas still grow, that is, whether the primary still replicates.
     constexpr Duration confirmationDelay = std::chrono::milliseconds(200);
     constexpr Duration storeTimeout = std::chrono::milliseconds(600);
     constexpr Duration promotionOrderTimeout = std::chrono::milliseconds(600);
-    // A promotion takes about 300 ms from the order until the server is primary.
-    // The order may be sent this much before the lease of the old primary expires.
+    // A promotion takes about 300 ms from the order until the server is primary. The order may be sent this much before the lease of the
+    // old primary expires.
     constexpr Duration minPromotionDuration = std::chrono::milliseconds(200);
     constexpr Duration statusPollInterval = std::chrono::milliseconds(40);
     constexpr Duration newPrimaryTimeout = std::chrono::milliseconds(1500);
@@ -85,8 +83,7 @@
 
         std::vector<ProbedStatus> probe() { return this->sendCommand(this->members(), BackendCommand::Status, Term {}); }
 
-        // Adopts a primary that this VM did not know. Returns true when the directory
-        // changed.
+        // Adopts a primary that this VM did not know. Returns true when the directory changed.
         bool adoptDiscoveredPrimary(const std::vector<ProbedStatus>& statuses)
         {
             std::optional<KnownPrimary> previousPrimary;
@@ -126,8 +123,7 @@
             return primaryLog && replicaLog && *replicaLog < *primaryLog;
         }
 
-        // Probes the servers again. A primary whose replicas still receive is
-        // running, and only the connection of this VM to it is broken.
+        // Probes the servers again. A primary whose replicas still receive is running, and only the connection of this VM to it is broken.
         FailoverCause confirmCause(const std::vector<ProbedStatus>& firstStatuses, FailoverCause cause)
         {
             sleepFor(confirmationDelay);
@@ -151,8 +147,7 @@
             return cause;
         }
 
-        // Confirms the primary of the directory when it reports that it is the
-        // primary and no server knows a newer term.
+        // Confirms the primary of the directory when it reports that it is the primary and no server knows a newer term.
         void confirmPrimary(const std::optional<BackendServerId>& primary, const std::vector<ProbedStatus>& statuses)
         {
             const ProbedStatus* newest = newestPrimary(statuses);
@@ -164,11 +159,9 @@
                 this->proxy.group(this->service)->confirmPrimary(*newest);
         }
 
-        // Completes the commands of an ended promotion that did not reach their
-        // servers: resumes replicas that are still paused and demotes former
-        // primaries that still lead. Only the holder of the promotion lock can be
-        // sure that no running promotion relies on the pause, or counts the former
-        // primary as lost.
+        // Completes the commands of an ended promotion that did not reach their servers: resumes replicas that are still paused and
+        // demotes former primaries that still lead. Only the holder of the promotion lock can be sure that no running promotion relies
+        // on the pause, or counts the former primary as lost.
         void completeEndedPromotion(const std::vector<ProbedStatus>& statuses)
         {
             const bool hasPausedReplicas = std::any_of(statuses.begin(), statuses.end(), [](const ProbedStatus& status) {
@@ -212,11 +205,9 @@
             }
         }
 
-        // Returns true when a server certainly serves neither VMs nor replicas: it is
-        // not among the probed servers, its machine refuses connections, or it does
-        // not respond to this VM and is removed from the shared list. A server that
-        // does not respond to this VM but is still listed may serve VMs and replicas
-        // on its side of a partition.
+        // Returns true when a server certainly serves neither VMs nor replicas: it is not among the probed servers, its machine refuses
+        // connections, or it does not respond to this VM and is removed from the shared list. A server that does not respond to this VM but
+        // is still listed may serve VMs and replicas on its side of a partition.
         bool isConfirmedDown(const std::optional<BackendServerId>& server, const std::vector<ProbedStatus>& statuses) const
         {
             if (!server)
@@ -234,15 +225,12 @@
             const std::optional<HeldPromotionLock> lock = this->coordinator.acquireLock();
             if (!lock)
                 return;
-            // The directory of a VM that was cut off may be older than the last
-            // promotion.
+            // The directory of a VM that was cut off may be older than the last promotion.
             const std::optional<PrimaryView> before = this->proxy.directory().findPrimary(this->service);
             const Result<void> refreshed = this->coordinator.refreshDirectory();
             const std::optional<PrimaryView> after = this->proxy.directory().findPrimary(this->service);
             if (!refreshed || (after != before && after && after->isSettled)) {
-                logEvent(LogLevel::Info,
-                    "promotion cancelled: the primary has changed or the directory "
-                    "could not be read",
+                logEvent(LogLevel::Info, "promotion cancelled: the primary has changed or the directory could not be read",
                     { { "service", this->service.value }, { "primary", after ? after->server.value : "" } });
                 this->coordinator.releaseLock(*lock);
                 return;
@@ -257,12 +245,11 @@
             if (cause == FailoverCause::Unfinished && this->abandonPromotion(term, *lock))
                 return;
 
-            // Fences the old primary: it acknowledges no commit while its replicas do
-            // not receive.
+            // Fences the old primary: it acknowledges no commit while its replicas do not receive.
             std::vector<ServerEntry> replicas = this->members();
             std::erase_if(replicas, [&](const ServerEntry& entry) { return oldPrimary && entry.id == *oldPrimary; });
             std::vector<BackendServerId> failed;
-            while (lock->isUsableAt(bootNow())) {
+            while (this->coordinator.isUsable(*lock)) {
                 const std::optional<ProbedStatus> successor
                     = this->fenceAndChooseSuccessor(replicas, oldPrimary, statuses, term, failed, *lock);
                 if (!successor)
@@ -280,9 +267,8 @@
                 { { "service", this->service.value }, { "fence", lock->record.fencingToken } });
         }
 
-        // Abandons a promotion that was recorded but never took effect, so that the
-        // previous primary still leads. Returns false when no primary leads, or when
-        // the one that leads is draining or removed.
+        // Abandons a promotion that was recorded but never took effect, so that the previous primary still leads. Returns false when no
+        // primary leads, or when the one that leads is draining or removed.
         bool abandonPromotion(Term term, const HeldPromotionLock& lock)
         {
             const std::vector<ProbedStatus> statuses = this->probe();
@@ -294,14 +280,13 @@
             return this->completePromotion(PrimaryRecord { this->service, term, currentPrimary->server, false }, false, std::nullopt, lock);
         }
 
-        // Pauses the replicas and chooses the successor. Blocks until there is a
-        // successor or the promotion lock expires.
+        // Pauses the replicas and chooses the successor. Blocks until there is a successor or the promotion lock expires.
         std::optional<ProbedStatus> fenceAndChooseSuccessor(const std::vector<ServerEntry>& replicas,
             const std::optional<BackendServerId>& oldPrimary, const std::vector<ProbedStatus>& statuses, Term& term,
             const std::vector<BackendServerId>& failed, const HeldPromotionLock& lock)
         {
             const TimePoint startedAt = bootNow();
-            while (lock.isUsableAt(bootNow())) {
+            while (this->coordinator.isUsable(lock)) {
                 std::vector<ProbedStatus> pausedStatuses = this->sendCommand(replicas, BackendCommand::Pause, term);
                 this->pausedAt = bootNow();
                 this->logStatuses("pause", pausedStatuses);
@@ -332,10 +317,9 @@
             return std::nullopt;
         }
 
-        // Demotes the old primary so that it acknowledges no more commits, and pauses
-        // servers that have joined since the other replicas were paused: until then
-        // the old primary may have acknowledged commits that only those servers
-        // received. Returns the server to promote.
+        // Demotes the old primary so that it acknowledges no more commits, and pauses servers that have joined since the other replicas
+        // were paused: until then the old primary may have acknowledged commits that only those servers received. Returns the server to
+        // promote.
         std::optional<ProbedStatus> demoteOldPrimaryAndConfirm(
             const ProbedStatus& chosen, std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldPrimary, Term term)
         {
@@ -362,8 +346,7 @@
             return confirmSuccessor(chosen, pausedStatuses, demotedStatus);
         }
 
-        // Demotes servers that are still primary in an older term, so that they can
-        // be paused.
+        // Demotes servers that are still primary in an older term, so that they can be paused.
         void demoteOtherPrimaries(const std::vector<ServerEntry>& replicas, const std::vector<ProbedStatus>& statuses, Term term)
         {
             for (const ProbedStatus& status : statuses) {
@@ -377,11 +360,11 @@
         bool promote(const ProbedStatus& successor, const std::optional<BackendServerId>& oldPrimary,
             const std::vector<ProbedStatus>& statuses, Term term, const HeldPromotionLock& lock)
         {
-            // The decision is published before it takes effect, so that statements wait
-            // on every VM instead of failing.
+            // The decision is published before it takes effect, so that statements wait on every VM instead of failing.
             PrimaryRecord record { this->service, term, successor.server, false };
             StoreTransaction decisionTransaction;
-            decisionTransaction.preconditions.push_back({ StoreTable::PromotionLocks, promotionLockRowKey, lock.storedVersion });
+            const std::string lockRowKey = promotionLockRowKey(lock.storedVersion.era);
+            decisionTransaction.preconditions.push_back({ StoreTable::PromotionLocks, lockRowKey, lock.storedVersion });
             decisionTransaction.puts.push_back({ StoreTable::Fleet, primaryRowKey(this->service), encodePrimary(record) });
             const Result<StoreVersion> decisionResult = this->coordinator.sharedStore().commit(decisionTransaction, now() + storeTimeout);
             if (!decisionResult) {
@@ -391,8 +374,7 @@
             }
             this->proxy.updateServerDirectory([&](ServerDirectory& directory) { directory.recordPrimary(record); });
 
-            // A process that is not running serves no reads; any other process may
-            // serve them until the leases on it have expired.
+            // A process that is not running serves no reads; any other process may serve them until the leases on it have expired.
             const bool hasOldProcessExited = std::any_of(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) {
                 return oldPrimary && status.server == *oldPrimary && status.outcome == ProbeOutcome::Refused;
             });
@@ -400,7 +382,7 @@
                 sleepUntilBootTime(this->pausedAt + primaryLeaseLifetime - minPromotionDuration);
 
             PromotionOrderOutcome orderOutcome = PromotionOrderOutcome::Unknown;
-            while (orderOutcome == PromotionOrderOutcome::Unknown && lock.isUsableAt(bootNow())) {
+            while (orderOutcome == PromotionOrderOutcome::Unknown && this->coordinator.isUsable(lock)) {
                 orderOutcome = this->coordinator.promotionOrders().promote(
                     this->service, successor.server, this->proxy.settings().vmId, lock.record.fencingToken, now() + promotionOrderTimeout);
                 if (orderOutcome == PromotionOrderOutcome::Unknown)
@@ -411,9 +393,8 @@
             return this->completePromotion(record, true, oldPrimary, lock);
         }
 
-        // Waits until the successor is primary, resumes the replicas, releases the
-        // promotion lock and demotes the old primary. Returns false when the
-        // successor does not become primary in time.
+        // Waits until the successor is primary, resumes the replicas, releases the promotion lock and demotes the old primary. Returns
+        // false when the successor does not become primary in time.
         bool completePromotion(
             PrimaryRecord record, bool wasPromoted, const std::optional<BackendServerId>& oldPrimary, const HeldPromotionLock& lock)
         {
@@ -441,16 +422,15 @@
             // The promotion has ended the pause of the promoted server only.
             this->resumeReplicas();
             StoreTransaction completionTransaction;
-            completionTransaction.preconditions.push_back({ StoreTable::PromotionLocks, promotionLockRowKey, lock.storedVersion });
-            // The successor's own entry settles the record for the other VMs, unless
-            // the promotion was abandoned and changed no server.
+            const std::string lockRowKey = promotionLockRowKey(lock.storedVersion.era);
+            completionTransaction.preconditions.push_back({ StoreTable::PromotionLocks, lockRowKey, lock.storedVersion });
+            // The successor's own entry settles the record for the other VMs, unless the promotion was abandoned and changed no server.
             if (!wasPromoted)
                 completionTransaction.puts.push_back({ StoreTable::Fleet, primaryRowKey(this->service), encodePrimary(record) });
-            // The fencing token stays; the lock is released by an end time in the past
-            // of the store clock.
+            // The fencing token stays; the lock is released by an end time in the past of the store clock.
             const PromotionLockRecord releasedLock
                 = releasePromotionLock(lock.record, lock.record.endsAtMs - toMilliseconds(promotionLockLifetime));
-            completionTransaction.puts.push_back({ StoreTable::PromotionLocks, promotionLockRowKey, encodePromotionLock(releasedLock) });
+            completionTransaction.puts.push_back({ StoreTable::PromotionLocks, lockRowKey, encodePromotionLock(releasedLock) });
             const Result<StoreVersion> stored = this->coordinator.sharedStore().commit(completionTransaction, now() + storeTimeout);
             if (!stored)
                 logEvent(LogLevel::Warning, "new primary leads, but recording the end of the promotion failed",
@@ -477,11 +457,11 @@
         TimePoint pausedAt {};
     };
 
-} // namespace
+}
 
 void runGroupExamination(PromotionCoordinator& promotionCoordinator, const ServiceName& service, std::string_view reason)
 {
     GroupExamination(promotionCoordinator, service).run(reason);
 }
 
-} // namespace foxtail
+}
--- a/foxtailtrail/proxy/PromotionCoordinator.h
+++ b/foxtailtrail/proxy/PromotionCoordinator.h
@@ -28,11 +28,17 @@
     // Starts an examination unless one is running or has just ended.
     void examine(const ServiceName&, std::string_view reason);
 
+    // Creates the lock's record of a new era in the background, as one of the first VMs in the rendezvous order, once the locks of earlier
+    // eras have ended.
+    void createLockOfEra(uint64_t era);
+
     // Acquires the promotion lock. Returns an empty optional when it is held by another VM, or, with a log line, when its row cannot be
     // read, decoded or written. Blocks the calling fiber.
     std::optional<HeldPromotionLock> acquireLock();
     // Releases the lock before it expires, so that the next holder need not wait.
     void releaseLock(const HeldPromotionLock&);
+    // Returns true while this VM may use the lock.
+    bool isUsable(const HeldPromotionLock&) const;
     // Reads the servers and the records of primaries from the store.
     Result<void> refreshDirectory() { return this->refresh(); }
     SessionProxy& sessionProxy() { return this->proxy; }
--- a/tests/failover/FailoverPlanTest.cpp
+++ b/tests/failover/FailoverPlanTest.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/failover/FailoverPlan.h"
 #include "foxtailtrail/failover/PromotionLock.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <map>
 #include <random>
@@ -200,48 +201,92 @@
     // Guards against two holders of one fencing token.
     TEST(PromotionLockTest, IsAcquiredOnlyAfterPreviousLockEnded)
     {
-        const std::optional<PromotionLockRecord> first = acquirePromotionLock(std::nullopt, VmId("a"), 1000);
+        const std::optional<PromotionLockRecord> first = acquirePromotionLock(std::nullopt, VmId("a"), 1000, StoreEra {}, TimePoint {});
         ASSERT_TRUE(first);
         EXPECT_EQ(first->fencingToken, 1U);
-        EXPECT_FALSE(acquirePromotionLock(first, VmId("b"), 1000 + 3999));
+        EXPECT_FALSE(acquirePromotionLock(first, VmId("b"), 1000 + 3999, StoreEra {}, TimePoint {}));
         // An earlier process of the same VM may have a command in flight.
-        EXPECT_FALSE(acquirePromotionLock(first, VmId("a"), 1000 + 3999));
-        const std::optional<PromotionLockRecord> second = acquirePromotionLock(first, VmId("b"), 1000 + 4000);
+        EXPECT_FALSE(acquirePromotionLock(first, VmId("a"), 1000 + 3999, StoreEra {}, TimePoint {}));
+        const std::optional<PromotionLockRecord> second = acquirePromotionLock(first, VmId("b"), 1000 + 4000, StoreEra {}, TimePoint {});
         ASSERT_TRUE(second);
         EXPECT_EQ(second->fencingToken, 2U);
-        EXPECT_EQ(acquirePromotionLock(releasePromotionLock(*second, 6000), VmId("a"), 6000)->fencingToken, 3U);
+        EXPECT_EQ(acquirePromotionLock(releasePromotionLock(*second, 6000), VmId("a"), 6000, StoreEra {}, TimePoint {})->fencingToken, 3U);
     }
 
-    // Simulates VMs that acquire the promotion lock in a store. The store may lose replies and apply updates late, and a VM
-    // may freeze at any time. A VM sends commands only while its lock is usable. Commands arrive up to 1.2 s late.
+    // Guards against two holders after the store was restored from a copy that lacks the lock, and against a token that is used again.
+    TEST(PromotionLockTest, IsAcquiredInNewEraOnlyAfterLocksOfEarlierErasEnded)
+    {
+        const StoreEra era { 2, TimePoint(milliseconds(10'000)) };
+        EXPECT_FALSE(acquirePromotionLock(std::nullopt, VmId("b"), 500, era, TimePoint(milliseconds(13'999))));
+        const std::optional<PromotionLockRecord> first
+            = acquirePromotionLock(std::nullopt, VmId("b"), 500, era, TimePoint(milliseconds(14'000)));
+        ASSERT_TRUE(first);
+        const std::optional<PromotionLockRecord> lost
+            = acquirePromotionLock(std::nullopt, VmId("a"), 500, StoreEra { 1 }, TimePoint(milliseconds(9'000)));
+        ASSERT_TRUE(lost);
+        EXPECT_GT(first->fencingToken, lost->fencingToken + 1'000'000);
+        // A record of this era shows when the lock ends, also to a VM that has just started.
+        const StoreEra justSeen { 2, TimePoint(milliseconds(20'000)) };
+        EXPECT_TRUE(acquirePromotionLock(first, VmId("c"), 500 + 4000, justSeen, TimePoint(milliseconds(20'000))));
+        const HeldPromotionLock held { *lost, { 1, 7 }, TimePoint(milliseconds(11'500)) };
+        EXPECT_TRUE(held.isUsableAt(TimePoint(milliseconds(11'000)), StoreEra { 1 }));
+        EXPECT_FALSE(held.isUsableAt(TimePoint(milliseconds(11'000)), era));
+    }
+
+    // Simulates VMs that acquire the promotion lock in a store. The store may lose replies, apply updates late and be restored from an
+    // older copy, and a VM may freeze at any time. A VM sends commands only while its lock is usable. Commands arrive up to 1.2 s late.
     struct PromotionLockSimulation {
-        explicit PromotionLockSimulation(uint32_t seed)
+        explicit PromotionLockSimulation(uint32_t seed, std::vector<int64_t> restoredAt = {})
             : random(seed)
+            , restoredAt(std::move(restoredAt))
         {
         }
 
         struct DelayedUpdate {
             int64_t applyAt = 0;
-            uint64_t expectedVersion = 0;
+            StoreVersion expectedVersion;
             PromotionLockRecord record;
         };
         struct Vm {
             std::optional<HeldPromotionLock> lock;
             int64_t frozenUntil = 0;
+            StoreEra era;
+        };
+        struct StoredLock {
+            std::optional<PromotionLockRecord> record;
+            uint64_t version = 0;
+        };
+        struct Store {
+            // The rows of the lock by era.
+            std::map<uint64_t, StoredLock> locks;
+            uint64_t version = 0;
         };
 
         // Applies an update if its condition still holds.
-        bool apply(uint64_t expectedVersion, const PromotionLockRecord& record)
+        bool apply(const StoreVersion& expectedVersion, const PromotionLockRecord& record)
         {
-            if (this->version != expectedVersion)
+            StoredLock& lock = this->store.locks[expectedVersion.era];
+            if (lock.version != expectedVersion.number)
                 return false;
-            ++this->version;
-            this->storedRecord = record;
+            lock = { record, ++this->store.version };
             return true;
         }
 
+        // Continues from a copy that is up to nine seconds old.
+        void restoreIfDue(int64_t now)
+        {
+            this->copies.push_back(this->store);
+            if (std::find(this->restoredAt.begin(), this->restoredAt.end(), now) == this->restoredAt.end())
+                return;
+            this->copies.resize(this->copies.size() - std::min<size_t>(this->copies.size() - 1, this->random() % 180));
+            this->store = this->copies.back();
+            ++this->era;
+        }
+
         void step(int64_t now)
         {
+            if (!this->restoredAt.empty())
+                this->restoreIfDue(now);
             for (auto update = this->delayedUpdates.begin(); update != this->delayedUpdates.end();) {
                 if (update->applyAt > now) {
                     ++update;
@@ -262,50 +307,67 @@
             if (this->random() % 200 == 0)
                 vm.frozenUntil = now + static_cast<int64_t>(this->random() % 6000);
             const TimePoint time { milliseconds(now) };
-            if (vm.lock && vm.lock->isUsableAt(time) && this->random() % 4 == 0) {
+            if (vm.lock && vm.lock->isUsableAt(time, vm.era) && this->random() % 4 == 0) {
                 // A command takes up to 1.2 s to arrive.
                 this->commands.emplace(now + static_cast<int64_t>(this->random() % 1200), std::pair(vm.lock->record.fencingToken, index));
                 return;
             }
             if (this->random() % 20 != 0)
                 return;
-            const std::optional<PromotionLockRecord> acquired = acquirePromotionLock(this->storedRecord, VmId(std::to_string(index)), now);
+            if (vm.era.number != this->era)
+                vm.era = { this->era, time };
+            const StoredLock& stored = this->store.locks[this->era];
+            const std::optional<PromotionLockRecord> acquired
+                = acquirePromotionLock(stored.record, VmId(std::to_string(index)), now, vm.era, time);
             if (!acquired)
                 return;
+            const StoreVersion expected { this->era, stored.version };
             const uint32_t outcomeRoll = this->random() % 10;
             if (outcomeRoll == 0) {
-                this->delayedUpdates.push_back({ now + static_cast<int64_t>(this->random() % 6000), this->version, *acquired });
-            } else if (this->apply(this->version, *acquired) && outcomeRoll > 1) {
+                this->delayedUpdates.push_back({ now + static_cast<int64_t>(this->random() % 6000), expected, *acquired });
+            } else if (this->apply(expected, *acquired) && outcomeRoll > 1) {
                 // The usable lifetime counts from the request, so a reply that takes up to a second does not extend it.
-                vm.lock = HeldPromotionLock { *acquired, { 0, this->version }, time + promotionLockUsableLifetime };
+                vm.lock = HeldPromotionLock { *acquired, { this->era, this->store.version }, time + promotionLockUsableLifetime };
             }
         }
 
         std::mt19937 random;
-        std::optional<PromotionLockRecord> storedRecord;
-        uint64_t version = 0;
+        std::vector<int64_t> restoredAt;
+        std::vector<Store> copies;
+        Store store;
+        uint64_t era = 0;
         std::vector<DelayedUpdate> delayedUpdates;
         std::vector<Vm> vms { 3 };
         std::multimap<int64_t, std::pair<uint64_t, size_t>> commands;
     };
 
     // Guards against commands with a lower fencing token than an earlier one, and against two holders of one fencing token.
-    TEST(PromotionLockTest, ArrivingFencingTokensNeverDecreaseAndHaveOneHolder)
+    void expectRisingTokensWithOneHolder(PromotionLockSimulation simulation, uint32_t seed)
     {
-        for (uint32_t seed = 0; seed < 10'000; ++seed) {
-            PromotionLockSimulation simulation(seed);
-            for (int64_t now = 0; now < 20'000; now += 50)
-                simulation.step(now);
-            uint64_t highestToken = 0;
-            std::map<uint64_t, size_t> holders;
-            for (const auto& [arrival, command] : simulation.commands) {
-                ASSERT_GE(command.first, highestToken) << "seed " << seed;
-                highestToken = command.first;
-                ASSERT_EQ(holders.emplace(command.first, command.second).first->second, command.second) << "seed " << seed;
-            }
+        for (int64_t now = 0; now < 20'000; now += 50)
+            simulation.step(now);
+        uint64_t highestToken = 0;
+        std::map<uint64_t, size_t> holders;
+        for (const auto& [arrival, command] : simulation.commands) {
+            ASSERT_GE(command.first, highestToken) << "seed " << seed;
+            highestToken = command.first;
+            ASSERT_EQ(holders.emplace(command.first, command.second).first->second, command.second) << "seed " << seed;
         }
     }
 
+    TEST(PromotionLockTest, ArrivingFencingTokensNeverDecreaseAndHaveOneHolder)
+    {
+        for (uint32_t seed = 0; seed < 10'000; ++seed)
+            expectRisingTokensWithOneHolder(PromotionLockSimulation(seed), seed);
+    }
+
+    // Guards against the same when the store is restored from an older copy, also twice within a few seconds.
+    TEST(PromotionLockTest, ArrivingFencingTokensNeverDecreaseAcrossRestoredStores)
+    {
+        for (uint32_t seed = 0; seed < 2'000; ++seed)
+            expectRisingTokensWithOneHolder(PromotionLockSimulation(seed, { 5000 + 50 * (seed % 40), 9000 + 50 * (seed % 60) }), seed);
+    }
+
 }
 
 }
