Tell a server's reports of an older copy of the store from newer ones

Cause: every list replaced what a VM knew; the sequence of a server's reports was read and dropped.

Change: ServerEntry carries the sequence. ServerDirectory applies a restored list with its own function: an entry that is older than the known one changes nothing, a removed server stays removed until it reports again or its entry outlives the removal by the store (5 s), and a server that the list lacks gets 2.5 s to report. A process that drains stays draining.

--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -443,10 +443,12 @@
         expiredWaiters.splice(expiredWaiters.end(), this->configurationWaiters, this->configurationWaiters.begin());
     for (ConfigurationWaiter& waiter : expiredWaiters)
         waiter.callback(false);
-    if (!this->servers.expire(now).empty()) {
+    const bool hasResolvedServers = this->servers.resolveOlderCopy(now);
+    const bool hasExpiredServers = !this->servers.expire(now).empty();
+    if (hasExpiredServers)
         this->retireRemovedServerPools();
+    if (hasResolvedServers || hasExpiredServers)
         this->updateServerDirectory([](ServerDirectory&) {});
-    }
     this->applyStop();
 }
 
--- a/foxtailtrail/replication/ServerDirectory.cpp
+++ b/foxtailtrail/replication/ServerDirectory.cpp
@@ -9,6 +9,17 @@
     // Entries that expired while the store was unavailable are back within two seconds of its return. The remaining time
     // covers the propagation of the update.
     constexpr Duration removalDelay = std::chrono::milliseconds(2500);
+    // The store drops the entry of a server that has been silent for three reports; the rest covers the propagation of the update.
+    constexpr Duration oldEntryDelay = std::chrono::milliseconds(5000);
+    // A copy from which the store is restored is younger than this.
+    constexpr Duration departedServerLifetime = std::chrono::seconds(60);
+
+    // Returns true when an entry tells less than a known one. Reports of a process are ordered by their sequence; of two processes, the one
+    // that started later is the newer one.
+    bool isOlder(const ServerEntry& entry, const ServerEntry& known)
+    {
+        return entry.startedAtMs == known.startedAtMs ? entry.sequence < known.sequence : entry.startedAtMs < known.startedAtMs;
+    }
 
 }
 
@@ -16,12 +27,15 @@
 {
     ListedServer& known = this->servers[entry.id];
     const bool changed = known.removedAt.has_value() || known.entry != entry;
-    known = ListedServer { entry, std::nullopt };
+    known = ListedServer { entry, std::nullopt, std::nullopt };
+    this->oldEntries.erase(entry.id);
+    this->departedServers.erase(entry.id);
     return changed;
 }
 
 void ServerDirectory::remove(const BackendServerId& id, TimePoint now)
 {
+    this->oldEntries.erase(id);
     const auto found = this->servers.find(id);
     if (found != this->servers.end() && !found->second.removedAt)
         found->second.removedAt = now;
@@ -40,12 +54,70 @@
     }
 }
 
+void ServerDirectory::replaceAllFromOlderCopy(const std::vector<ServerEntry>& entries, TimePoint now)
+{
+    std::set<BackendServerId> listed;
+    for (const ServerEntry& entry : entries) {
+        listed.insert(entry.id);
+        const auto known = this->servers.find(entry.id);
+        const bool isKnown = known != this->servers.end();
+        const bool wasRemoved = isKnown && known->second.removedAt;
+        const bool isOld = isKnown ? isOlder(entry, known->second.entry) || (wasRemoved && !isOlder(known->second.entry, entry))
+                                   : this->isReportOfDeparted(entry);
+        if (!isOld) {
+            this->put(entry);
+            continue;
+        }
+        // A process that reported that it is draining stops in any case.
+        const bool isSameProcess = isKnown && known->second.entry.startedAtMs == entry.startedAtMs;
+        if (wasRemoved || !isSameProcess)
+            this->oldEntries.try_emplace(entry.id, OldEntry { entry, now + oldEntryDelay });
+    }
+    for (auto& [id, known] : this->servers) {
+        if (listed.count(id) == 0 && !known.removedAt && !known.missingUntil)
+            known.missingUntil = now + removalDelay;
+    }
+    std::erase_if(this->oldEntries, [&](const auto& old) { return listed.count(old.first) == 0; });
+}
+
+bool ServerDirectory::isReportOfDeparted(const ServerEntry& entry) const
+{
+    const auto departed = this->departedServers.find(entry.id);
+    if (departed == this->departedServers.end())
+        return false;
+    const DepartedServer& last = departed->second;
+    return entry.startedAtMs == last.startedAtMs ? entry.sequence <= last.sequence : entry.startedAtMs < last.startedAtMs;
+}
+
+bool ServerDirectory::resolveOlderCopy(TimePoint now)
+{
+    bool hasChanged = false;
+    for (auto& [id, known] : this->servers) {
+        if (!known.missingUntil || now < *known.missingUntil)
+            continue;
+        known.missingUntil.reset();
+        known.removedAt = known.removedAt.value_or(now);
+        hasChanged = true;
+    }
+    std::vector<ServerEntry> accepted;
+    for (const auto& [id, old] : this->oldEntries) {
+        if (old.acceptedAt <= now)
+            accepted.push_back(old.entry);
+    }
+    for (const ServerEntry& entry : accepted)
+        hasChanged = this->put(entry) || hasChanged;
+    return hasChanged;
+}
+
 std::vector<BackendServerId> ServerDirectory::expire(TimePoint now)
 {
     std::vector<BackendServerId> expired;
+    std::erase_if(this->departedServers, [&](const auto& departed) { return departed.second.forgottenAt <= now; });
     for (auto entry = this->servers.begin(); entry != this->servers.end();) {
         if (entry->second.removedAt && *entry->second.removedAt + removalDelay <= now) {
             expired.push_back(entry->first);
+            const ServerEntry& last = entry->second.entry;
+            this->departedServers[last.id] = { last.startedAtMs, last.sequence, now + departedServerLifetime };
             entry = this->servers.erase(entry);
         } else {
             ++entry;
@@ -118,4 +190,13 @@
     return found == this->primaryRecords.end() ? nullptr : &found->second;
 }
 
+std::vector<PrimaryRecord> ServerDirectory::knownPrimaryRecords() const
+{
+    std::vector<PrimaryRecord> records;
+    records.reserve(this->primaryRecords.size());
+    for (const auto& [service, record] : this->primaryRecords)
+        records.push_back(record);
+    return records;
+}
+
 }
--- a/foxtailtrail/replication/ServerDirectory.h
+++ b/foxtailtrail/replication/ServerDirectory.h
@@ -26,6 +26,8 @@
     // When the server's process started, in milliseconds of Unix time. A process that was restarted under the same id has
     // none of the earlier state.
     int64_t startedAtMs = 0;
+    // Counts the reports of this process.
+    uint64_t sequence = 0;
     bool operator==(const ServerEntry&) const = default;
 };
 
@@ -50,7 +52,8 @@
 };
 
 // The backend servers of all groups and their primaries. A removed entry stays usable for a short time, because entries
-// also expire while the store is unavailable and come back soon after.
+// also expire while the store is unavailable and come back soon after. In a list that the store has restored from an older copy, an entry
+// that is older than what this VM knows changes nothing, and servers that are missing get time to report again.
 class ServerDirectory {
 public:
     // Adds or replaces an entry. Returns true when the entry is new, has changed or had been removed.
@@ -59,6 +62,11 @@
     void remove(const BackendServerId&, TimePoint now);
     // Applies a full list. Entries that are missing from it are marked as removed.
     void replaceAll(const std::vector<ServerEntry>&, TimePoint now);
+    // Applies a full list that may hold entries of an older copy. A server that was removed before stays removed until it reports again;
+    // one whose old entry is still listed after the store would have dropped it is running.
+    void replaceAllFromOlderCopy(const std::vector<ServerEntry>&, TimePoint now);
+    // Accepts the old entries and removes the missing servers whose delay has passed. Returns true when there were any.
+    bool resolveOlderCopy(TimePoint now);
     // Deletes the entries whose removal delay has passed. Returns their ids.
     std::vector<BackendServerId> expire(TimePoint now);
 
@@ -75,13 +83,32 @@
     std::optional<PrimaryView> findPrimary(const ServiceName&) const;
     // Returns the record of the last promotion, or null.
     const PrimaryRecord* findPrimaryRecord(const ServiceName&) const;
+    // Returns the records of the last promotions of all groups.
+    std::vector<PrimaryRecord> knownPrimaryRecords() const;
 
 private:
     struct ListedServer {
         ServerEntry entry;
         std::optional<TimePoint> removedAt;
+        // Set for a server that a restored list lacks.
+        std::optional<TimePoint> missingUntil;
     };
+    // An entry of a restored list that differs from what this VM knows, and when it is accepted if it is still listed.
+    struct OldEntry {
+        ServerEntry entry;
+        TimePoint acceptedAt {};
+    };
+    // The last report of a server that was removed.
+    struct DepartedServer {
+        int64_t startedAtMs = 0;
+        uint64_t sequence = 0;
+        TimePoint forgottenAt {};
+    };
+    // Returns whether a server that was removed before the store was restored sent this report, or a later one, before it left.
+    bool isReportOfDeparted(const ServerEntry&) const;
     std::map<BackendServerId, ListedServer> servers;
+    std::map<BackendServerId, OldEntry> oldEntries;
+    std::map<BackendServerId, DepartedServer> departedServers;
     std::map<ServiceName, PrimaryRecord> primaryRecords;
 };
 
--- a/tests/replication/ReplicationTest.cpp
+++ b/tests/replication/ReplicationTest.cpp
@@ -129,6 +129,95 @@
         EXPECT_EQ(directory.find(BackendServerId("b2")), nullptr);
     }
 
+    ServerEntry reported(const std::string& id, int64_t startedAtMs, uint64_t sequence, bool isDraining = false)
+    {
+        ServerEntry server = entry(id, false);
+        server.startedAtMs = startedAtMs;
+        server.sequence = sequence;
+        server.isDraining = isDraining;
+        return server;
+    }
+
+    // Guards against a server that left and is used again because the store was restored from an older copy.
+    TEST(ServerDirectoryTest, KeepsServerRemovedThatARestoredListHoldsAgain)
+    {
+        const BackendServerId id("b1");
+        for (const bool hasExpired : { false, true }) {
+            ServerDirectory directory;
+            directory.put(reported("b1", 100, 7));
+            directory.remove(id, at(1000));
+            if (hasExpired)
+                EXPECT_EQ(directory.expire(at(3500)).size(), 1U);
+            directory.replaceAllFromOlderCopy({ reported("b1", 100, 5) }, at(3000));
+            EXPECT_TRUE(directory.isRemoved(id));
+            directory.replaceAllFromOlderCopy({ reported("b1", 100, 7) }, at(3100));
+            EXPECT_TRUE(directory.isRemoved(id));
+            EXPECT_FALSE(directory.resolveOlderCopy(at(4000)));
+            // The store has dropped the entry.
+            directory.remove(id, at(5000));
+            EXPECT_FALSE(directory.resolveOlderCopy(at(60'000)));
+            EXPECT_TRUE(directory.isRemoved(id));
+        }
+    }
+
+    // Guards against a running server that stays removed for good after the store was restored.
+    TEST(ServerDirectoryTest, UsesServerOfRestoredListOnceItReports)
+    {
+        const BackendServerId id("b1");
+        ServerDirectory directory;
+        directory.put(reported("b1", 100, 7));
+        directory.remove(id, at(1000));
+        directory.replaceAllFromOlderCopy({ reported("b1", 100, 8) }, at(1500));
+        EXPECT_FALSE(directory.isRemoved(id));
+        directory.remove(id, at(2000));
+        directory.replaceAllFromOlderCopy({ reported("b1", 200, 1) }, at(2500));
+        EXPECT_FALSE(directory.isRemoved(id));
+        directory.remove(id, at(3000));
+        directory.replaceAllFromOlderCopy({ reported("b1", 200, 1) }, at(3500));
+        EXPECT_TRUE(directory.isRemoved(id));
+        // An entry that the store keeps although it drops those of silent servers belongs to a running one.
+        EXPECT_TRUE(directory.resolveOlderCopy(at(8500)));
+        EXPECT_FALSE(directory.isRemoved(id));
+        directory.remove(id, at(9000));
+        directory.replaceAllFromOlderCopy({ reported("b1", 200, 1) }, at(9500));
+        directory.put(reported("b1", 200, 1));
+        EXPECT_FALSE(directory.isRemoved(id));
+    }
+
+    // Guards against new work for a draining server, and against an old role, that an older copy shows.
+    TEST(ServerDirectoryTest, KeepsNewerReportThanThatOfARestoredList)
+    {
+        const BackendServerId id("b1");
+        ServerDirectory directory;
+        directory.put(reported("b1", 100, 7, true));
+        directory.replaceAllFromOlderCopy({ reported("b1", 100, 5) }, at(1000));
+        EXPECT_TRUE(directory.find(id)->isDraining);
+        directory.resolveOlderCopy(at(20'000));
+        EXPECT_TRUE(directory.find(id)->isDraining);
+        directory.put(reported("b1", 300, 1));
+        directory.replaceAllFromOlderCopy({ reported("b1", 100, 9, true) }, at(21'000));
+        EXPECT_FALSE(directory.find(id)->isDraining);
+        EXPECT_EQ(directory.find(id)->startedAtMs, 300);
+        EXPECT_FALSE(directory.isRemoved(id));
+    }
+
+    // Guards against a server that is treated as gone because an older copy lacks it, and against one that stays for good.
+    TEST(ServerDirectoryTest, KeepsServerThatARestoredListLacksUntilItCanReport)
+    {
+        const BackendServerId id("b1");
+        ServerDirectory directory;
+        directory.put(reported("b1", 100, 1));
+        directory.replaceAllFromOlderCopy({}, at(1000));
+        EXPECT_FALSE(directory.isRemoved(id));
+        EXPECT_FALSE(directory.resolveOlderCopy(at(3000)));
+        directory.put(reported("b1", 100, 2));
+        EXPECT_FALSE(directory.resolveOlderCopy(at(9000)));
+        directory.replaceAllFromOlderCopy({}, at(9000));
+        EXPECT_TRUE(directory.resolveOlderCopy(at(11'500)));
+        EXPECT_TRUE(directory.isRemoved(id));
+        EXPECT_EQ(directory.expire(at(14'000)), std::vector<BackendServerId> { id });
+    }
+
     // Guards against an old primary that becomes current again through the servers' own reports or an older record.
     TEST(ServerDirectoryTest, FindsPrimaryOfNewestRecord)
     {
