Write again what the restored store lacks: registrations and records of primaries

What would be seen: VMs that the fleet table no longer lists, so quotas, relays and connection shares change, and a VM that starts later takes the old primary for the current one.

Cause: a VM wrote its row once, at its start; a promoter wrote the record of a primary once.

Evidence: with the program before this change, *RestoredStoreTest.RegistersVmsAgain.../Direct failed (not listed after 15 s), and .PromotesWithHigherFencingToken.../Direct found no record of the primary after 15 s.

Change: FleetTable, a VM's copy of the table without a network. After a new era was read, each VM writes its row within 1.5 s, keeps its readiness and its allocation of quota, and keeps members that the copy lacks for 8 s. The first VM in the rendezvous order of a group writes the record of its primary under a precondition, again 8 s later for a promotion that ended meanwhile. Lists of servers are applied as older copies for 5 s, and leases are proven as if servers might be missing. A VM that starts without a source of the configuration in its data centre compares the store's with three other VMs; .RefusesKeyWhoseWithdrawalTheCopyLacks guards it but passed before as well.

--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -40,7 +40,8 @@
 {
     this->proxy.setExaminer(
         [this](const ServiceName& service, std::string_view reason) { this->promotionCoordinator.examine(service, reason); });
-    this->proxy.setStoreUnavailableCheck([this] { return this->storeFollower.isAnyTableUnavailable(); });
+    this->storeFollower.setEraCallback([this](uint64_t era) { this->promotionCoordinator.createLockOfEra(era); });
+    this->proxy.setStoreUnavailableCheck([this] { return this->storeFollower.mayMissServers(); });
     this->proxy.setIsolationCheck([this] { return this->isIsolated(); });
     this->proxy.setGrantRequester([this] { this->peers.requestQuotaIfDue(); });
     BOOST_OUTCOME_TRY(this->peers.start());
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -17,33 +17,25 @@
 
 namespace {
 
-    // How long the store may hold a call of a feed open. Each call has a cost. TCP
-    // keep-alive detects a silent connection within three seconds; this wait is the
-    // second bound on the detection. It is random so that the feeds of the VMs do
-    // not end at the same time.
+    // How long the store may hold a call of a feed open. Each call has a cost. TCP keep-alive detects a silent connection within three
+    // seconds; this wait is the second bound on the detection. It is random so that the feeds of the VMs do not end at the same time.
     constexpr int minFeedWaitMs = 10000;
     constexpr int maxFeedWaitMs = 15000;
-    // How long another VM may hold a request for changes open. It bounds the time
-    // until a VM notices that its reader does not respond.
+    // How long another VM may hold a request for changes open. It bounds the time until a VM notices that its reader does not respond.
     constexpr Duration readerFeedWait = std::chrono::milliseconds(2500);
-    // How long the store may hold a call of a reader open. The store may leave the
-    // calls of one VM without a reply while it serves others; the VMs that depend
-    // on this reader then read the store themselves within this time and the reply
-    // timeout.
+    // How long the store may hold a call of a reader open. The store may leave the calls of one VM without a reply while it serves others;
+    // the VMs that depend on this reader then read the store themselves within this time and the reply timeout.
     constexpr Duration maxStoreWaitOfReader = std::chrono::seconds(5);
-    // Changes often come in bursts, and each response of a feed has a cost for
-    // every VM, so further changes are collected for this time.
+    // Changes often come in bursts, and each response of a feed has a cost for every VM, so further changes are collected for this
+    // time.
     constexpr Duration changeBatchDelay = std::chrono::milliseconds(400);
     // Used while a fleet starts, when VMs and servers register one after the other.
     constexpr Duration startupBatchDelay = std::chrono::milliseconds(1500);
     constexpr Duration startupPeriod = std::chrono::seconds(4);
-    // The VMs that join the fleet together know each other within this time after
-    // they have registered.
+    // The VMs that join the fleet together know each other within this time after they have registered.
     constexpr Duration fleetDiscoveryPeriod = std::chrono::milliseconds(2000);
-    // All rows share one part of the store, which handles a few hundred
-    // transactions a second and rejects those that would wait for more than a
-    // second. The VMs of a starting fleet that are rejected retry spread over this
-    // time.
+    // All rows share one part of the store, which handles a few hundred transactions a second and rejects those that would wait for more
+    // than a second. The VMs of a starting fleet that are rejected retry spread over this time.
     constexpr Duration registrationTimeout = std::chrono::milliseconds(2500);
     constexpr int minRegistrationRetryMs = 300;
     constexpr int maxRegistrationRetryMs = 1500;
@@ -51,33 +43,41 @@
     // The delay after a failed call doubles up to the maximum.
     constexpr Duration initialRetryDelay = std::chrono::milliseconds(100);
     constexpr Duration maxRetryDelay = std::chrono::milliseconds(800);
-    // When all tables are unavailable, the tables other than the declarations are
-    // retried after this time at the latest.
+    // When all tables are unavailable, the tables other than the declarations are retried after this time at the latest.
     constexpr Duration tableRestoredTimeout = std::chrono::milliseconds(2500);
     constexpr Duration peerFetchTimeout = std::chrono::milliseconds(800);
-    // Unlisted seeds are first contacted after this delay, which then doubles up to
-    // the maximum.
+    // Unlisted seeds are first contacted after this delay, which then doubles up to the maximum.
     constexpr Duration initialSeedContactDelay = std::chrono::seconds(1);
     constexpr Duration maxSeedContactDelay = std::chrono::seconds(16);
-    // While the store does not serve a VM that has a configuration, the VM sends a
-    // request to one peer per interval. A new configuration must be in force within
-    // three seconds.
+    // While the store does not serve a VM that has a configuration, the VM sends a request to one peer per interval. A new configuration
+    // must be in force within three seconds.
     constexpr Duration peerFetchInterval = std::chrono::milliseconds(1500);
-    // The store's feed delivers a new configuration to every VM within this time,
-    // so it is not fetched from a peer earlier.
+    // The store's feed delivers a new configuration to every VM within this time, so it is not fetched from a peer earlier.
     constexpr Duration maxFeedDelay = std::chrono::milliseconds(800);
-    // A starting VM waits this long for the list of VMs, and then for the
-    // configuration of another VM.
+    // A starting VM waits this long for the list of VMs, and then for the configuration of another VM.
     constexpr Duration fleetListTimeout = std::chrono::milliseconds(700);
     constexpr Duration initialFetchTimeout = std::chrono::milliseconds(2000);
     // Interval between two requests to a VM that has no configuration yet.
     constexpr Duration startupPollInterval = std::chrono::milliseconds(80);
     constexpr Duration initialFetchRequestTimeout = std::chrono::milliseconds(600);
-    // Key of the rendezvous order in which the VMs of a data centre read the
-    // configuration from the store.
+    // A VM that starts without a source of the configuration compares that of the store with those of this many other VMs, for this long.
+    constexpr size_t comparedPeerCount = 3;
+    constexpr Duration comparisonTimeout = std::chrono::milliseconds(300);
+    constexpr Duration comparisonPollInterval = std::chrono::milliseconds(10);
+    // Servers that run report to a restored store, and the store drops the entries of others, within this time.
+    constexpr Duration serverReportPeriod = std::chrono::seconds(5);
+    // Every VM writes its row to a restored store within this time of reading it.
+    constexpr int maxRegistrationDelayMs = 1500;
+    // Each VM waits this much longer per rank before it writes the record of a primary again, so that usually one VM does.
+    constexpr Duration recordRankDelay = std::chrono::milliseconds(150);
+    constexpr size_t maxRecordRankDelays = 16;
+    // A transaction may hold 100 entries; each record takes a precondition and a write.
+    constexpr size_t maxRecordsPerTransaction = 40;
+    constexpr Duration recordWriteTimeout = std::chrono::milliseconds(1000);
+    // Key of the rendezvous order in which the VMs of a data centre read the configuration from the store.
     constexpr const char* configurationSourceKey = "configuration";
 
-} // namespace
+}
 
 StoreFollower::StoreFollower(SessionProxy& proxy, SharedStore& store, const DeclarationDecoder& decoder, PeerExchange& peers)
     : proxy(proxy)
@@ -129,8 +129,7 @@
     std::uniform_int_distribution<int> feedWaitMs(minFeedWaitMs, maxFeedWaitMs);
     // Runs until the process ends.
     while (true) {
-        // The first call after a failure is not held, because only its reply shows
-        // whether the store is still in the same era.
+        // The first call after a failure is not held, because only its reply shows whether the store is still in the same era.
         const Duration storeWait = isUnavailable ? Duration(0) : std::chrono::milliseconds(feedWaitMs(random));
         const Result<RowSet> rows
             = isListed ? this->receiveChanges(table, version, storeWait) : this->store.list(table, now() + listTimeout);
@@ -153,8 +152,7 @@
             apply(rows.value(), !isListed);
             if (table == StoreTable::Fleet && !std::exchange(this->hasStartedRegistration, true))
                 startFiber([this] { this->registerSelf(); });
-            // The VMs and servers of a starting fleet register within a short time,
-            // so the first changes are collected too.
+            // The VMs and servers of a starting fleet register within a short time, so the first changes are collected too.
             const bool isFirstRead = !isListed && table != StoreTable::Declarations;
             isListed = true;
             if (isFirstRead || !rows.value().rows.empty())
@@ -183,8 +181,8 @@
 Result<RowSet> StoreFollower::receiveChanges(StoreTable table, const StoreVersion& after, Duration storeWait)
 {
     const std::optional<VmId> reader = this->storeReaders.readerAt(bootNow());
-    const auto known = reader ? this->knownPeers.find(vmRowKey(*reader)) : this->knownPeers.end();
-    if (known != this->knownPeers.end()) {
+    const auto known = reader ? this->fleetTable.members().find(vmRowKey(*reader)) : this->fleetTable.members().end();
+    if (known != this->fleetTable.members().end()) {
         this->changeExchange.stopServing(table);
         Result<RowSet> changes = this->changeExchange.fetch(known->second.configurationEndpoint, table, after, readerFeedWait);
         if (changes || changes.error().kind == ErrorKind::VersionConflict) {
@@ -204,8 +202,7 @@
 Duration StoreFollower::batchDelay(StoreTable table, const RowSet& rows) const
 {
     const bool isStartingUp = bootNow() < this->startedAt + startupPeriod;
-    // A promotion waits for its next step, so the feed continues without a delay
-    // after rows of primaries.
+    // A promotion waits for its next step, so the feed continues without a delay after rows of primaries.
     const bool isPromotion = table == StoreTable::Fleet && std::any_of(rows.rows.begin(), rows.rows.end(), [](const TableRow& row) {
         return !row.isDeleted && !decodePeer(row.key, row.value);
     });
@@ -241,13 +238,23 @@
             LogLevel::Error, "configuration ignored: it cannot be decoded", { { "source", source }, { "detail", table.error().detail } });
         return;
     }
+    const uint64_t offeredVersion = table.value().version;
     if (this->proxy.installConfiguration(std::make_shared<const RouteTable>(std::move(table.value())), source))
         this->configurationExchange.setDocument(newDocument, this->proxy.routeTable().version);
+    else if (offeredVersion < this->proxy.routeTable().version)
+        logEvent(LogLevel::Info, "configuration ignored: it is older than the installed one",
+            { { "version", offeredVersion }, { "installed", this->proxy.routeTable().version }, { "source", source } });
 }
 
 void StoreFollower::applyServers(const RowSet& rows, bool isWhole)
 {
     const TimePoint seenAt = bootNow();
+    if (isWhole) {
+        if (this->serversEra && *this->serversEra < rows.version.era)
+            this->serversRestoredUntil = seenAt + serverReportPeriod;
+        this->serversEra = rows.version.era;
+    }
+    const bool mayBeOlderCopy = isWhole && seenAt < this->serversRestoredUntil;
     std::vector<ServerEntry> entries;
     std::vector<BackendServerId> removedServers;
     for (const TableRow& row : rows.rows) {
@@ -263,10 +270,13 @@
                 { { "server", row.key }, { "detail", entry.error().detail } });
     }
     this->proxy.updateServerDirectory([&](ServerDirectory& directory) {
-        if (isWhole)
+        if (mayBeOlderCopy)
+            directory.replaceAllFromOlderCopy(entries, seenAt);
+        else if (isWhole)
             directory.replaceAll(entries, seenAt);
-        for (const ServerEntry& entry : entries)
-            directory.put(entry);
+        else
+            for (const ServerEntry& entry : entries)
+                directory.put(entry);
         for (const BackendServerId& id : removedServers)
             directory.remove(id, seenAt);
     });
@@ -274,22 +284,32 @@
 
 void StoreFollower::applyFleet(const RowSet& rows, bool isWhole)
 {
-    if (isWhole)
-        this->knownPeers.clear();
-    this->hasReadFleet = true;
+    const bool isRestored = this->fleetTable.apply(rows, isWhole, bootNow());
+    const bool isNewEra = !std::exchange(this->hasReadFleet, true) || isRestored;
     std::vector<PrimaryRecord> primaries;
     for (const TableRow& row : rows.rows) {
-        if (row.isDeleted) {
-            this->knownPeers.erase(row.key);
+        if (row.isDeleted)
             continue;
-        }
-        if (const auto peer = decodePeer(row.key, row.value))
-            this->knownPeers[row.key] = *peer;
         if (const auto primary = decodePrimary(row.key, row.value))
             primaries.push_back(*primary);
     }
+    this->publishMembers();
+    if (!primaries.empty()) {
+        this->proxy.updateServerDirectory([&](ServerDirectory& directory) {
+            for (const PrimaryRecord& primary : primaries)
+                directory.recordPrimary(primary);
+        });
+    }
+    if (isRestored)
+        this->completeRestoredTables(rows.version.era);
+    if (isNewEra && this->eraCallback)
+        this->eraCallback(rows.version.era);
+}
+
+void StoreFollower::publishMembers()
+{
     std::vector<PeerEntry> entries;
-    for (const auto& [key, entry] : this->knownPeers)
+    for (const auto& [key, entry] : this->fleetTable.members())
         entries.push_back(entry);
     this->peers.setPeers(entries);
     const ProxySettings& own = this->proxy.settings();
@@ -299,22 +319,68 @@
             readers.push_back({ entry.id, entry.processorShare });
     }
     this->storeReaders.setCandidates(std::move(readers));
-    if (primaries.empty())
-        return;
-    this->proxy.updateServerDirectory([&](ServerDirectory& directory) {
-        for (const PrimaryRecord& primary : primaries)
-            directory.recordPrimary(primary);
+}
+
+void StoreFollower::completeRestoredTables(uint64_t era)
+{
+    startFiber([this, era] {
+        std::minstd_rand random(static_cast<std::minstd_rand::result_type>(stableHash(this->proxy.settings().vmId.value)));
+        std::uniform_int_distribution<int> delayMs(0, maxRegistrationDelayMs);
+        sleepFor(std::chrono::milliseconds(delayMs(random)));
+        while (this->fleetTable.version().era == era && !this->tryToRegister())
+            sleepFor(std::chrono::milliseconds(minRegistrationRetryMs + delayMs(random)));
     });
+    startFiber([this, era] { this->writePrimaryRecordsAgain(era); });
+    startFiber([this, era] {
+        sleepFor(FleetTable::registrationPeriod);
+        if (this->fleetTable.expire(bootNow()))
+            this->publishMembers();
+        // A promotion that was running when the store was restored has ended.
+        this->writePrimaryRecordsAgain(era);
+    });
+}
+
+void StoreFollower::writePrimaryRecordsAgain(uint64_t era)
+{
+    std::map<size_t, std::vector<ServiceName>> servicesByRank;
+    for (const auto& [record, version] : this->fleetTable.missingRecords(this->proxy.directory().knownPrimaryRecords()))
+        servicesByRank[std::min(this->peers.rendezvousRank(record.service.value), maxRecordRankDelays)].push_back(record.service);
+    const TimePoint startedWritingAt = bootNow();
+    for (const auto& [rank, services] : servicesByRank) {
+        const TimePoint writeAt = startedWritingAt + recordRankDelay * static_cast<Duration::rep>(rank);
+        sleepFor(std::max(Duration(0), Duration(writeAt - bootNow())));
+        if (this->fleetTable.version().era != era)
+            return;
+        auto missing = this->fleetTable.missingRecords(this->proxy.directory().knownPrimaryRecords());
+        std::erase_if(
+            missing, [&](const auto& each) { return std::find(services.begin(), services.end(), each.first.service) == services.end(); });
+        for (size_t first = 0; first < missing.size(); first += maxRecordsPerTransaction)
+            this->writePrimaryRecords({ missing.begin() + static_cast<std::ptrdiff_t>(first),
+                missing.begin() + static_cast<std::ptrdiff_t>(std::min(missing.size(), first + maxRecordsPerTransaction)) });
+    }
+}
+
+void StoreFollower::writePrimaryRecords(const std::vector<std::pair<PrimaryRecord, StoreVersion>>& records)
+{
+    StoreTransaction transaction;
+    for (const auto& [record, version] : records) {
+        transaction.preconditions.push_back({ StoreTable::Fleet, primaryRowKey(record.service), version });
+        transaction.puts.push_back({ StoreTable::Fleet, primaryRowKey(record.service), encodePrimary(record) });
+    }
+    const Result<StoreVersion> stored = this->store.commit(transaction, now() + recordWriteTimeout);
+    logEvent(LogLevel::Info, "records of primaries written again",
+        { { "era", this->fleetTable.version().era }, { "records", records.size() }, { "detail", stored ? "" : stored.error().detail } });
 }
 
+bool StoreFollower::mayMissServers() const { return this->isAnyTableUnavailable() || bootNow() < this->serversRestoredUntil; }
+
 Result<void> StoreFollower::refreshDirectory()
 {
     const Result<RowSet> rows = this->store.list(StoreTable::Fleet, now() + listTimeout);
     if (!rows)
         return fail(rows.error().kind, rows.error().detail);
     this->applyFleet(rows.value(), true);
-    // A server that has just rejoined may already receive commits, so the
-    // promoter must know it before it pauses the replicas.
+    // A server that has just rejoined may already receive commits, so the promoter must know it before it pauses the replicas.
     const Result<RowSet> servers = this->store.list(StoreTable::Servers, now() + listTimeout);
     if (!servers)
         return fail(servers.error().kind, servers.error().detail);
@@ -327,7 +393,7 @@
     std::minstd_rand random(static_cast<std::minstd_rand::result_type>(stableHash(this->proxy.settings().vmId.value)));
     std::uniform_int_distribution<int> retryMs(minRegistrationRetryMs, maxRegistrationRetryMs);
     const VmId& self = this->proxy.settings().vmId;
-    const Duration discovery = this->knownPeers.count(vmRowKey(self)) > 0 ? Duration(0) : fleetDiscoveryPeriod;
+    const Duration discovery = this->fleetTable.members().count(vmRowKey(self)) > 0 ? Duration(0) : fleetDiscoveryPeriod;
     this->peers.allowAllocationFrom(bootNow() + discovery);
     while (!this->tryToRegister()) {
         const Duration delay = std::chrono::milliseconds(retryMs(random));
@@ -342,8 +408,7 @@
     const ProxySettings& settings = this->proxy.settings();
     const PeerEntry self { settings.vmId, settings.peerEndpoint, settings.datagramPort, settings.relayPort, settings.dataCentre,
         settings.processorShare };
-    const auto known = this->knownPeers.find(vmRowKey(self.id));
-    if (known != this->knownPeers.end() && known->second == self)
+    if (this->fleetTable.isListed(self))
         return true;
     StoreTransaction transaction;
     transaction.puts.push_back({ StoreTable::Fleet, vmRowKey(self.id), encodePeer(self) });
@@ -358,15 +423,14 @@
     const TimePoint fleetListDeadline = bootNow() + fleetListTimeout;
     while (!this->hasReadFleet && bootNow() < fleetListDeadline)
         sleepFor(startupPollInterval);
-    // Collects the VMs of the data centre that precede this one, the largest
-    // first. The first VM in the order has no such sources and reads from the
-    // store.
+    // Collects the VMs of the data centre that precede this one, the largest first. The first VM in the order has no such sources and reads
+    // from the store.
     const ProxySettings& own = this->proxy.settings();
     using Rank = std::pair<double, uint64_t>;
     const auto rankOf = [](const VmId& vm, double share) { return Rank { share, rendezvousScore(configurationSourceKey, vm.value) }; };
     const Rank ownRank = rankOf(own.vmId, own.processorShare);
     std::map<Rank, Endpoint, std::greater<>> sources;
-    for (const auto& [key, peer] : this->knownPeers) {
+    for (const auto& [key, peer] : this->fleetTable.members()) {
         const Rank rank = rankOf(peer.id, peer.processorShare);
         if (peer.dataCentre == own.dataCentre && rank > ownRank)
             sources.emplace(rank, peer.configurationEndpoint);
@@ -379,9 +443,32 @@
         if (followedVersion)
             return followedVersion;
     }
+    this->compareConfigurationWithPeers();
     return std::nullopt;
 }
 
+void StoreFollower::compareConfigurationWithPeers()
+{
+    std::map<uint64_t, Endpoint, std::greater<>> peersByScore;
+    const VmId& self = this->proxy.settings().vmId;
+    for (const auto& [key, peer] : this->fleetTable.members()) {
+        if (peer.id != self)
+            peersByScore.emplace(rendezvousScore(self.value, peer.id.value), peer.configurationEndpoint);
+    }
+    const auto outstandingCount = std::make_shared<size_t>(std::min(comparedPeerCount, peersByScore.size()));
+    auto peer = peersByScore.begin();
+    for (size_t index = *outstandingCount; index > 0; --index, ++peer) {
+        startFiber([this, outstandingCount, endpoint = peer->second] {
+            std::optional<StoreVersion> followedVersion;
+            this->fetchInitialConfigurationFrom(endpoint, followedVersion);
+            --*outstandingCount;
+        });
+    }
+    const TimePoint giveUpAt = bootNow() + comparisonTimeout;
+    while (*outstandingCount > 0 && bootNow() < giveUpAt)
+        sleepFor(comparisonPollInterval);
+}
+
 bool StoreFollower::fetchInitialConfigurationFrom(const Endpoint& source, std::optional<StoreVersion>& followedVersion)
 {
     const Result<std::optional<PeerConfiguration>> fetched = this->configurationExchange.fetch(source, initialFetchRequestTimeout);
@@ -401,7 +488,7 @@
         return;
     this->nextPeerFetchAt = bootNow() + peerFetchInterval;
     std::vector<Endpoint> known = this->proxy.settings().seeds;
-    for (const auto& [key, entry] : this->knownPeers)
+    for (const auto& [key, entry] : this->fleetTable.members())
         known.push_back(entry.configurationEndpoint);
     known.insert(known.end(), this->configurationExchange.recentRequesters().begin(), this->configurationExchange.recentRequesters().end());
     std::erase(known, this->proxy.settings().peerEndpoint);
@@ -411,12 +498,11 @@
 
 void StoreFollower::contactUnlistedSeeds()
 {
-    // Runs until the process ends, because a seed may start or lose the store at
-    // any time.
+    // Runs until the process ends, because a seed may start or lose the store at any time.
     for (Duration delay = initialSeedContactDelay;; delay = std::min(delay * 2, maxSeedContactDelay)) {
         sleepFor(delay);
         for (const Endpoint& seed : this->proxy.settings().seeds) {
-            const bool isListed = std::any_of(this->knownPeers.begin(), this->knownPeers.end(),
+            const bool isListed = std::any_of(this->fleetTable.members().begin(), this->fleetTable.members().end(),
                 [&](const auto& peer) { return peer.second.configurationEndpoint == seed; });
             if (!isListed && seed != this->proxy.settings().peerEndpoint)
                 this->fetchFromPeer(seed);
@@ -450,4 +536,4 @@
     });
 }
 
-} // namespace foxtail
+}
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/proxy/ChangeExchange.h"
 #include "foxtailtrail/proxy/ConfigurationExchange.h"
 #include "foxtailtrail/proxy/DeclarationDecoder.h"
+#include "foxtailtrail/proxy/FleetTable.h"
 #include "foxtailtrail/proxy/PeerExchange.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
 #include "foxtailtrail/proxy/SharedStore.h"
@@ -22,10 +23,15 @@
 public:
     StoreFollower(SessionProxy&, SharedStore&, const DeclarationDecoder&, PeerExchange&);
 
+    // Sets the function that is called when the fleet table was first read in an era of the store.
+    void setEraCallback(std::function<void(uint64_t era)> callback) { this->eraCallback = std::move(callback); }
     // Starts the fibers that follow the tables.
     void start();
     // Returns true when at least one table cannot be read at the moment.
     bool isAnyTableUnavailable() const { return this->unavailableTableCount > 0; }
+    // Returns true when this VM may not know all servers: a table cannot be read, or the store was restored from an older copy and the
+    // servers have not had time to report again.
+    bool mayMissServers() const;
     // Returns true when none of the tables can be read.
     bool isStoreUnavailable() const { return this->unavailableTableCount == followedTableCount; }
     // Reads the fleet table and the server table now. Fails when the store does not respond.
@@ -49,6 +55,14 @@
     void applyDeclarations(const RowSet&);
     void applyServers(const RowSet&, bool isWhole);
     void applyFleet(const RowSet&, bool isWhole);
+    // Passes the members of the fleet table on to those who use them.
+    void publishMembers();
+    // Writes what this VM knows to a store that was restored from an older copy, in the background: its own row and the records of
+    // primaries. Members that do not register again are dropped later.
+    void completeRestoredTables(uint64_t era);
+    // Writes the records of primaries that the restored table lacks, those first for which this VM comes first in the rendezvous order.
+    void writePrimaryRecordsAgain(uint64_t era);
+    void writePrimaryRecords(const std::vector<std::pair<PrimaryRecord, StoreVersion>>&);
     void installDocument(const std::string&, std::string_view source);
     // Fetches the configuration from a VM of the same data centre, so that the VMs of a starting fleet do not all read it from the store,
     // possibly over the link between regions. Returns the store version up to which that VM had applied the declarations, or an empty
@@ -57,6 +71,9 @@
     // Fetches the configuration of a peer and installs it. Returns false when the request fails; the next
     // peer is tried then.
     bool fetchInitialConfigurationFrom(const Endpoint&, std::optional<StoreVersion>& followedVersion);
+    // Fetches the configuration from a few other VMs at the same time and installs the newest. The store may hold an older one than they
+    // do.
+    void compareConfigurationWithPeers();
     // Fetches a peer's configuration in a separate fiber if it is newer than this VM's. The call is ignored while another fetch runs or
     // this VM still waits for its initial configuration.
     void fetchFromPeer(const Endpoint&);
@@ -82,7 +99,11 @@
     // The newest configuration version that a peer has reported, and when it was first reported.
     uint64_t newestReportedVersion = 0;
     TimePoint newestReportedAt {};
-    std::map<std::string, PeerEntry> knownPeers;
+    FleetTable fleetTable;
+    std::function<void(uint64_t era)> eraCallback;
+    // The era of the server list, and the time until which it may hold entries of an older copy.
+    std::optional<uint64_t> serversEra;
+    TimePoint serversRestoredUntil {};
     size_t nextPeerIndex = 0;
     // A VM that has a configuration sends its next request to a peer after this time.
     TimePoint nextPeerFetchAt {};
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -483,6 +483,78 @@
         }
     }
 
+    // Guards against VMs that the restored store no longer lists, and against readiness that is lost meanwhile.
+    TEST_P(RestoredStoreTest, RegistersVmsAgainThatTheCopyLacks)
+    {
+        this->copiedAt = std::chrono::steady_clock::now() - std::chrono::hours(1);
+        this->restore();
+        this->fleet.publishConfiguration();
+        this->fleet.registerServers();
+        EXPECT_FALSE(this->areVmsListed());
+        this->bringBack();
+        EXPECT_TRUE(eventually([&] {
+            for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm)
+                EXPECT_EQ(this->fleet.readinessStatus(vm), 200U);
+            return this->areVmsListed();
+        })) << this->fleet.logs();
+    }
+
+    // Guards against a fencing token that is used twice, and against a record of a promotion that is lost, because the copy is older than
+    // the promotion.
+    TEST_P(RestoredStoreTest, PromotesWithHigherFencingTokenAndKeepsRecordOfPrimary)
+    {
+        Caller caller(this->fleet.callerPort(0));
+        startSession(caller, "strict");
+        ASSERT_TRUE(queryUntilRun(caller, "before", "WRITE p 1").succeeded());
+        this->fleet.group().crash(0);
+        ASSERT_TRUE(queryUntilRun(caller, "between", "WRITE p 2").succeeded()) << this->fleet.logs();
+        const std::optional<size_t> successor = this->fleet.group().primary();
+        ASSERT_TRUE(successor);
+        this->fleet.group().restart(0);
+        this->fleet.registerServers();
+        ASSERT_TRUE(eventually([&] { return this->fleet.store().value("foxtail-fleet", "leader/groupa").has_value(); }));
+        this->restore();
+        this->fleet.registerServers();
+        EXPECT_FALSE(this->fleet.store().value("foxtail-fleet", "leader/groupa"));
+        this->bringBack();
+        EXPECT_TRUE(eventually([&] { return this->fleet.store().value("foxtail-fleet", "leader/groupa").has_value(); }))
+            << this->fleet.logs();
+        ASSERT_TRUE(queryUntilRun(caller, "restored", "WRITE p 3").succeeded()) << this->fleet.logs();
+        const size_t ordersBefore = this->fleet.store().promotionOrders().size();
+        this->fleet.group().crash(*successor);
+        ASSERT_TRUE(eventually([&] { return queryUntilRun(caller, "after", "WRITE p 4").succeeded(); })) << this->fleet.logs();
+        const std::vector<standins::PromotionOrder> orders = this->fleet.store().promotionOrders();
+        ASSERT_GT(orders.size(), ordersBefore);
+        EXPECT_GT(orders.back().fencingToken, orders[ordersBefore - 1].fencingToken);
+    }
+
+    // Guards against a withdrawn key that is valid again on a running VM, or on one that starts while the store has the older
+    // configuration.
+    TEST_P(RestoredStoreTest, RefusesKeyWhoseWithdrawalTheCopyLacks)
+    {
+        this->fleet.organisations[1].keys = { "another-key-of-orgb" };
+        this->fleet.publishConfiguration();
+        for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+            ASSERT_TRUE(eventually([&] {
+                Caller caller(this->fleet.callerPort(vm));
+                return caller.start("strict", "key-of-orgb").error == "NOAUTH";
+            }));
+        }
+        this->restore();
+        this->bringBack();
+        this->fleet.registerServers();
+        // Each of them starts while the others run, so one of them has no source of the configuration but the store.
+        for (size_t started = 0; started < this->fleet.vmCount(); ++started) {
+            this->fleet.killVm(started);
+            this->fleet.startVm(started);
+            ASSERT_TRUE(this->fleet.waitUntilReady()) << this->fleet.logs();
+            for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+                Caller caller(this->fleet.callerPort(vm));
+                EXPECT_EQ(caller.start("strict", "key-of-orgb").error, "NOAUTH") << "vm" << vm << " vm" << started << " has started";
+            }
+        }
+    }
+
 }
 
 }
