--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -22,6 +22,7 @@
 constexpr size_t vmCount = 4;
 constexpr size_t callerCount = 8;
 constexpr std::chrono::seconds recoveryTimeout { 20 };
+constexpr std::chrono::seconds ageOfCopy { 5 };
 
 // A fleet of real VM processes with a fault proxy between each VM and the store, and one in front of each backend server.
 class SoakEnvironment {
@@ -104,7 +105,7 @@
             { "stop a VM", &SoakEnvironment::stopVm },
             { "signal a VM to reload", &SoakEnvironment::reloadVm },
             { "inject a store fault", &SoakEnvironment::injectStoreFault },
-            { "compact the history of the store", &SoakEnvironment::compactStore },
+            { "compact the store or restore an older copy", &SoakEnvironment::replaceStoreHistory },
             { "inject a fault on a store connection", &SoakEnvironment::injectStoreLinkFault },
             { "inject a fault on a server connection", &SoakEnvironment::injectServerLinkFault },
             { "crash a server", &SoakEnvironment::crashServer },
@@ -183,7 +184,17 @@
         this->scheduleRepair([this] { this->fleet.store().setFaults({}); });
     }
 
-    void compactStore() { this->fleet.store().compact(); }
+    void replaceStoreHistory()
+    {
+        if (this->historyReplacementCount++ % 2 == 0) {
+            this->fleet.store().compact();
+            return;
+        }
+        this->fleet.store().restore(ageOfCopy);
+        // The operator and the servers write again what the copy lacks.
+        this->fleet.publishConfiguration();
+        this->fleet.registerServers();
+    }
 
     void injectLinkFault(FaultProxy& proxy)
     {
@@ -269,6 +280,7 @@
     }
 
     std::mt19937 random;
+    size_t historyReplacementCount = 0;
     std::map<size_t, std::unique_ptr<FaultProxy>> storeProxies;
     std::map<size_t, std::unique_ptr<FaultProxy>> serverProxies;
     std::priority_queue<ScheduledRepair, std::vector<ScheduledRepair>, std::greater<>> scheduledRepairs;
