--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -346,14 +346,15 @@
     for (const auto& [record, version] : this->fleetTable.missingRecords(this->proxy.directory().knownPrimaryRecords()))
         servicesByRank[std::min(this->peers.rendezvousRank(record.service.value), maxRecordRankDelays)].push_back(record.service);
     const TimePoint startedWritingAt = bootNow();
-    for (const auto& [rank, services] : servicesByRank) {
-        const TimePoint writeAt = startedWritingAt + recordRankDelay * static_cast<Duration::rep>(rank);
+    for (const auto& each : servicesByRank) {
+        const std::vector<ServiceName>& services = each.second;
+        const TimePoint writeAt = startedWritingAt + recordRankDelay * static_cast<Duration::rep>(each.first);
         sleepFor(std::max(Duration(0), Duration(writeAt - bootNow())));
         if (this->fleetTable.version().era != era)
             return;
         auto missing = this->fleetTable.missingRecords(this->proxy.directory().knownPrimaryRecords());
-        std::erase_if(
-            missing, [&](const auto& each) { return std::find(services.begin(), services.end(), each.first.service) == services.end(); });
+        std::erase_if(missing,
+            [&](const auto& record) { return std::find(services.begin(), services.end(), record.first.service) == services.end(); });
         for (size_t first = 0; first < missing.size(); first += maxRecordsPerTransaction)
             this->writePrimaryRecords({ missing.begin() + static_cast<std::ptrdiff_t>(first),
                 missing.begin() + static_cast<std::ptrdiff_t>(std::min(missing.size(), first + maxRecordsPerTransaction)) });
