Learn from a full server how many connections a pool may hold, and replace its own

Ruled out: silence of a server taken for silence of its relay, and relays that lack processor time (0.0024 cores mean, 0.011 at most).

Change: ConnectionLimit. After a refusal by a full server, the number of connections held is the limit; at the limit the pool closes an idle connection before it opens another. It tries to exceed the limit after 60 to 480 ms, and without delay once a try succeeds.

--- a/foxtailtrail/proxy/DirectPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -14,8 +14,6 @@
     // Connecting across regions takes about 30 ms. An attempt exceeds this timeout when the accept queue is full or the host does
     // not respond.
     constexpr Duration openTimeout = std::chrono::milliseconds(500);
-    // Delay before the next opening after the server reported too many connections.
-    constexpr Duration openBackoffDelay = std::chrono::milliseconds(60);
     // Time for which a statement waits for a connection that its organisation already uses before another one is opened. An opening
     // occupies a slot of the server for 12 ms.
     constexpr Duration linkReuseTimeout = std::chrono::milliseconds(30);
@@ -156,10 +154,11 @@
             continue;
         }
         // An opening occupies a slot of the server, like a statement.
-        if (bootNow() < this->openBackoffUntil || this->slotsInUse() + this->pendingOpenings.size() >= this->window.size())
+        const TimePoint now = bootNow();
+        if (now < this->limit.pausedUntil() || this->slotsInUse() + this->pendingOpenings.size() >= this->window.size())
             return;
         // Closes an idle connection, possibly of another organisation, to make room.
-        if (this->size() >= this->maxSize) {
+        if (this->limit.mustReplace(this->size(), now)) {
             if (this->idle.empty())
                 return;
             this->closeLongestIdle();
@@ -188,7 +187,9 @@
         [self](LinkOpenOutcome openOutcome, const std::shared_ptr<DirectLink>& openedLink) {
             self->handleOpenOutcome(openOutcome, openedLink);
         });
-    this->pendingOpenings.push_back({ std::move(link), bootNow() + openTimeout });
+    const TimePoint now = bootNow();
+    this->limit.recordAttempt(this->size(), now);
+    this->pendingOpenings.push_back({ std::move(link), now + openTimeout });
 }
 
 void DirectPool::handleOpenOutcome(LinkOpenOutcome openOutcome, const std::shared_ptr<DirectLink>& link)
@@ -198,12 +199,15 @@
     if (openOutcome == LinkOpenOutcome::Opened) {
         link->becameIdleAt = bootNow();
         this->idle.push_back(link);
+        this->limit.recordOpening(this->inUse.size() + this->idle.size(), link->becameIdleAt);
         this->serveWaiters();
         return;
     }
     if (openOutcome == LinkOpenOutcome::TooManyConnections) {
         // The waiters are served by connections that become free, or by the next opening.
-        this->openBackoffUntil = bootNow() + openBackoffDelay;
+        const double jitter = std::uniform_real_distribution<double>(0, 1)(this->random);
+        this->limit.recordRefusal(this->inUse.size() + this->idle.size(), bootNow(), jitter);
+        this->serveWaitersAt(this->limit.pausedUntil());
         return;
     }
     this->failWaiters(openOutcome == LinkOpenOutcome::Refused ? AcquireOutcome::Refused
@@ -270,7 +274,7 @@
 
 void DirectPool::setSizeLimits(size_t newMaxSize, size_t newCoreSize)
 {
-    this->maxSize = std::max<size_t>(1, newMaxSize);
+    this->limit.setMaximum(std::max<size_t>(1, newMaxSize));
     this->coreSize = newCoreSize;
 }
 
--- a/foxtailtrail/proxy/DirectPool.h
+++ b/foxtailtrail/proxy/DirectPool.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/proxy/DirectLink.h"
 #include "foxtailtrail/proxy/LinkPool.h"
 #include "foxtailtrail/scheduling/ConcurrencyWindow.h"
+#include "foxtailtrail/scheduling/ConnectionLimit.h"
 
 #include <cstdint>
 #include <functional>
@@ -84,10 +85,8 @@
     std::list<PendingOpening> pendingOpenings;
     std::map<BackendLink*, std::shared_ptr<DirectLink>> inUse;
     std::map<std::string, size_t> inUseByOrganisation;
-    size_t maxSize = 2;
+    ConnectionLimit limit;
     size_t coreSize = 1;
-    // After a TooManyConnections error, no connection is opened until this time.
-    TimePoint openBackoffUntil {};
     ConcurrencyWindow window;
     // After a Busy error, no statement is sent until this time.
     TimePoint busyUntil {};
