Use a lost relay again only after it has answered on a trial connection

Cause: the exclusion of a lost relay ended by itself after 1.5 s, doubling with each loss. The next statements then went to the relay, on a connection that was still to be established, and waited 400 ms for its failure; for a suspended VM, whose kernel accepts connections, they waited 700 ms, and writes had an unknown outcome. By the code, an exclusion could also last for seconds after the partition had ended.

Change: RelayTrials. A lost relay stays excluded until a connection that carries no statements has been established and a ping on it was answered; the trials run 0.5, 1, 2, 2 ... s apart. "relay admitted again" is logged.

RelayPlacementTest.MovesOnlyServersOf- ExcludedVm ends the exclusion by admit() in place of a time, as the interface has changed; what it compares is the same.

--- a/foxtailtrail/proxy/RelayClient.cpp
+++ b/foxtailtrail/proxy/RelayClient.cpp
@@ -29,6 +29,14 @@
     return stream;
 }
 
+std::shared_ptr<RelayStream> RelayStream::openForTrial(boost::asio::io_context& context, const Endpoint& endpoint)
+{
+    std::shared_ptr<RelayStream> stream(new RelayStream(context));
+    stream->isTrial = true;
+    stream->connect(endpoint);
+    return stream;
+}
+
 RelayStream::RelayStream(boost::asio::io_context& context)
     : TcpStream(context)
     , connectBy(bootNow() + connectTimeout)
@@ -55,6 +63,8 @@
         self->hasConnected = true;
         self->lastActivityAt = bootNow();
         self->startReading();
+        if (self->isTrial)
+            self->sendPing(self->lastActivityAt);
         self->send(std::exchange(self->unsentFrames, {}));
     });
 }
@@ -103,6 +113,11 @@
     }
     if (now < this->lastActivityAt + silenceBeforePing || !this->hasOutstandingStatements())
         return;
+    this->sendPing(now);
+}
+
+void RelayStream::sendPing(TimePoint now)
+{
     this->pongDueBy = now + pingTimeout;
     std::string ping;
     writeRelaySignal(ping, RelayFrameKind::Ping, 0);
@@ -126,6 +141,7 @@
 size_t RelayStream::received(std::string_view bytes)
 {
     this->lastActivityAt = bootNow();
+    this->hasReceived = true;
     this->pongDueBy = TimePoint {};
     std::string_view rest = bytes;
     RelayFrame frame;
--- a/foxtailtrail/proxy/RelayClient.h
+++ b/foxtailtrail/proxy/RelayClient.h
@@ -17,12 +17,15 @@
 class RelayStream final : public TcpStream {
 public:
     static std::shared_ptr<RelayStream> open(boost::asio::io_context&, const Endpoint&);
+    // Starts a connection that sends a ping first, to find out whether the other VM answers.
+    static std::shared_ptr<RelayStream> openForTrial(boost::asio::io_context&, const Endpoint&);
 
     // Returns true when channels may be opened, which includes the time while the connection is being established.
     bool isUsable() const { return !this->hasFailed && !this->isPeerLeaving; }
     // Returns true when the other VM has announced its stop.
     bool isLeaving() const { return this->isPeerLeaving; }
-    bool isConnected() const { return this->hasConnected && !this->hasFailed; }
+    // Returns true when the other VM has sent something on this connection.
+    bool hasAnswered() const { return this->hasReceived && !this->hasFailed; }
     // Adds a channel for the link and returns its number.
     uint32_t addChannel(const std::shared_ptr<RelayedLink>&);
     // Removes a channel. Frames that arrive for it later are ignored.
@@ -40,6 +43,7 @@
     void disconnected() override;
     void handle(const RelayFrame&);
     bool hasOutstandingStatements() const;
+    void sendPing(TimePoint now);
 
     std::map<uint32_t, std::weak_ptr<RelayedLink>> channels;
     uint32_t nextChannel = 1;
@@ -47,6 +51,8 @@
     std::string unsentFrames;
     bool hasConnected = false;
     bool hasFailed = false;
+    bool hasReceived = false;
+    bool isTrial = false;
     bool isPeerLeaving = false;
     TimePoint connectBy {};
     // When bytes were last received from the other VM, or when a frame was last sent while no reply was outstanding.
--- a/foxtailtrail/proxy/RelayedPool.cpp
+++ b/foxtailtrail/proxy/RelayedPool.cpp
@@ -10,12 +10,6 @@
 
 namespace {
 
-    // A VM that did not respond is excluded for this long; a restart takes one to four seconds. The time doubles with each further loss, up
-    // to maxLossDoublings times.
-    constexpr Duration initialLossExclusionLifetime = std::chrono::milliseconds(1500);
-    // A VM that announces its stop exits within its grace period, and its successor process has started within this time.
-    constexpr Duration stoppingExclusionLifetime = std::chrono::seconds(6);
-    constexpr unsigned maxLossDoublings = 4;
     constexpr Duration unreachableServerExclusionLifetime = std::chrono::seconds(1);
 
 }
@@ -61,8 +55,8 @@
     if (stream == this->streams.end())
         return;
     const bool isStopping = stream->second->isLeaving();
-    const Duration lossExclusionLifetime = initialLossExclusionLifetime * (1 << std::min(this->consecutiveLosses[vm]++, maxLossDoublings));
-    this->placement.exclude(vm, now + (isStopping ? stoppingExclusionLifetime : lossExclusionLifetime));
+    this->trials.recordLoss(vm, isStopping, now);
+    this->placement.exclude(vm);
     this->streams.erase(stream);
     logEvent(LogLevel::Info, "relay excluded",
         { { "relay", vm.value }, { "reason", isStopping ? "the VM is stopping" : "the VM does not respond" } });
@@ -84,12 +78,42 @@
     const auto current = this->streams;
     for (const auto& [vm, stream] : current) {
         stream->sweep(now);
-        if (stream->isConnected())
-            this->consecutiveLosses.erase(vm);
         const auto held = this->streams.find(vm);
         if (!stream->isUsable() && held != this->streams.end() && held->second == stream)
             this->excludeRelay(vm, now);
     }
+    this->sweepTrials(now);
+}
+
+void RelayStreamPool::sweepTrials(TimePoint now)
+{
+    for (const VmId& vm : this->trials.excludedRelays()) {
+        if (this->addresses.count(vm) > 0)
+            continue;
+        this->trials.remove(vm);
+        this->trialStreams.erase(vm);
+        this->placement.admit(vm);
+    }
+    for (const VmId& vm : this->trials.takeDueTrials(now))
+        this->trialStreams[vm] = RelayStream::openForTrial(this->context, this->addresses.at(vm));
+    for (auto trial = this->trialStreams.begin(); trial != this->trialStreams.end();) {
+        const auto [vm, stream] = *trial;
+        stream->sweep(now);
+        if (stream->isUsable() && !stream->hasAnswered()) {
+            ++trial;
+            continue;
+        }
+        trial = this->trialStreams.erase(trial);
+        if (!stream->isUsable()) {
+            stream->abandon();
+            this->trials.recordFailure(vm, now);
+            continue;
+        }
+        this->trials.recordAnswer(vm);
+        this->streams[vm] = stream;
+        this->placement.admit(vm);
+        logEvent(LogLevel::Info, "relay admitted again", { { "relay", vm.value } });
+    }
 }
 
 RelayedPool::RelayedPool(RelayStreamPool& relayStreamPool, const BackendCodec& codec, const ServerEntry& entry)
--- a/foxtailtrail/proxy/RelayedPool.h
+++ b/foxtailtrail/proxy/RelayedPool.h
@@ -3,6 +3,7 @@
 #include "foxtailtrail/proxy/LinkPool.h"
 #include "foxtailtrail/proxy/RelayClient.h"
 #include "foxtailtrail/scheduling/RelayPlacement.h"
+#include "foxtailtrail/scheduling/RelayTrials.h"
 
 #include <functional>
 #include <map>
@@ -28,13 +29,16 @@
 private:
     // Excludes a VM whose connection can no longer be used.
     void excludeRelay(const VmId&, TimePoint now);
+    // Starts the trials that are due, and admits the relays that have answered.
+    void sweepTrials(TimePoint now);
 
     boost::asio::io_context& context;
     RelayPlacement placement;
     std::map<VmId, Endpoint> addresses;
     std::map<VmId, std::shared_ptr<RelayStream>> streams;
-    // Consecutive losses; the time for which a VM is excluded grows with them.
-    std::map<VmId, unsigned> consecutiveLosses;
+    RelayTrials trials;
+    // The trial connections to excluded relays.
+    std::map<VmId, std::shared_ptr<RelayStream>> trialStreams;
 };
 
 // A pool that reaches a backend server over the connections of another VM.
--- a/foxtailtrail/scheduling/RelayPlacement.cpp
+++ b/foxtailtrail/scheduling/RelayPlacement.cpp
@@ -33,10 +33,15 @@
     this->choices.clear();
 }
 
-void RelayPlacement::exclude(const VmId& vm, TimePoint until)
+void RelayPlacement::exclude(const VmId& vm)
 {
-    TimePoint& current = this->excludedUntil[vm];
-    current = std::max(current, until);
+    this->excludedVms.insert(vm);
+    this->choices.clear();
+}
+
+void RelayPlacement::admit(const VmId& vm)
+{
+    this->excludedVms.erase(vm);
     this->choices.clear();
 }
 
@@ -50,7 +55,6 @@
 {
     Choice& choice = this->choices[server];
     if (choice.validUntil <= now) {
-        std::erase_if(this->excludedUntil, [&](const auto& entry) { return entry.second <= now; });
         std::erase_if(this->excludedUntilByServer, [&](const auto& entry) { return entry.second <= now; });
         choice = Choice { this->choose(server, serverDataCentre, now), now + choiceLifetime };
     }
@@ -65,10 +69,8 @@
 
 bool RelayPlacement::isExcluded(const VmId& vm, const BackendServerId& server, TimePoint now) const
 {
-    const auto vmExclusion = this->excludedUntil.find(vm);
     const auto serverExclusion = this->excludedUntilByServer.find({ vm, server });
-    return (vmExclusion != this->excludedUntil.end() && now < vmExclusion->second)
-        || (serverExclusion != this->excludedUntilByServer.end() && now < serverExclusion->second);
+    return this->excludedVms.count(vm) > 0 || (serverExclusion != this->excludedUntilByServer.end() && now < serverExclusion->second);
 }
 
 std::optional<VmId> RelayPlacement::bestCandidate(
--- a/foxtailtrail/scheduling/RelayPlacement.h
+++ b/foxtailtrail/scheduling/RelayPlacement.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,8 +39,9 @@
 
     // Sets the VMs that are alive and not leaving, including this one.
     void setCandidates(std::vector<RelayCandidate>);
-    // Excludes a VM that does not reply, or that is stopping, until the given time.
-    void exclude(const VmId&, TimePoint until);
+    // Excludes a VM that does not reply, or that is stopping, until it is admitted again.
+    void exclude(const VmId&);
+    void admit(const VmId&);
     // Excludes a VM for one server that it cannot reach.
     void exclude(const VmId&, const BackendServerId&, TimePoint until);
 
@@ -58,7 +60,7 @@
 
     std::map<std::string, std::string> regionByDataCentre;
     std::vector<RelayCandidate> candidates;
-    std::map<VmId, TimePoint> excludedUntil;
+    std::set<VmId> excludedVms;
     std::map<std::pair<VmId, BackendServerId>, TimePoint> excludedUntilByServer;
     std::map<BackendServerId, Choice> choices;
 };
--- a/tests/fleet/RelayTest.cpp
+++ b/tests/fleet/RelayTest.cpp
@@ -106,6 +106,22 @@
         EXPECT_TRUE(eventually([&] { return this->canWrite(relayVm); }));
     }
 
+    // Guards against statements that are sent to a suspended relay VM again each time that its exclusion has lasted for a while. Such a
+    // write has an unknown outcome.
+    TEST_F(RelayTest, SendsNothingToRelayThatStaysSuspended)
+    {
+        const size_t relayVm = this->relayOfPrimary();
+        this->fleet.signalVm(relayVm, SIGSTOP);
+        const size_t other = (relayVm + 1) % this->fleet.vmCount();
+        EXPECT_TRUE(eventually([&] { return this->canWrite(other); })) << this->fleet.logs();
+        const auto playUntil = steady_clock::now() + std::chrono::seconds(5);
+        while (steady_clock::now() < playUntil) {
+            EXPECT_TRUE(this->canWrite(other));
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        this->fleet.signalVm(relayVm, SIGCONT);
+    }
+
     // Guards against a planned stop of the relay VM that interrupts a transaction of another VM's caller.
     TEST_F(RelayTest, FinishesTransactionsOfOtherVmsWhenRelayStops)
     {
--- a/tests/scheduling/RelayPlacementTest.cpp
+++ b/tests/scheduling/RelayPlacementTest.cpp
@@ -77,15 +77,16 @@
         before.reserve(200);
         for (int number = 0; number < 200; ++number)
             before.push_back(this->relay(number));
-        this->placement.exclude(VmId("near0"), start + seconds(2));
+        this->placement.exclude(VmId("near0"));
         for (int number = 0; number < 200; ++number) {
             if (before[number] == "near0")
                 EXPECT_NE(this->relay(number), "near0");
             else
                 EXPECT_EQ(this->relay(number), before[number]);
         }
+        this->placement.admit(VmId("near0"));
         for (int number = 0; number < 200; ++number)
-            EXPECT_EQ(this->relay(number, start + seconds(2)), before[number]);
+            EXPECT_EQ(this->relay(number), before[number]);
     }
 
     // Guards against a server that is unreachable for all VMs because its usual relay cannot reach it.
