Count operations that the quotas refuse by cause, and log changes of the allocator

Each refused operation now has a cause: the last grant was much smaller than wanted (OrganisationExhausted), a wait ended with a grant without a token for it (GrantTooSmall), without a reply (NoReply) or without a request (NotRequested), or the static share was used up. The causes are logged every 500 ms and counted in foxtail_quota_refusals_total. A change of the quota allocator is logged.

--- a/foxtailtrail/limits/LocalQuota.cpp
+++ b/foxtailtrail/limits/LocalQuota.cpp
@@ -79,7 +79,21 @@
     return QuotaDecision::Wait;
 }
 
-void LocalQuota::stopWaiting(const OrganisationId& organisation) { this->quotas[organisation].waitingCount -= 1; }
+QuotaRefusalCause LocalQuota::stopWaiting(const OrganisationId& organisation, TimePoint waitingSince)
+{
+    OrganisationQuota& quota = this->quotas[organisation];
+    quota.waitingCount -= 1;
+    if (quota.grantedAt >= waitingSince)
+        return QuotaRefusalCause::GrantTooSmall;
+    return quota.requestedAt >= waitingSince ? QuotaRefusalCause::NoReply : QuotaRefusalCause::NotRequested;
+}
+
+QuotaRefusalCause LocalQuota::refusalCause(const OrganisationId& organisation, TimePoint now) const
+{
+    const auto found = this->quotas.find(organisation);
+    return found != this->quotas.end() && now < found->second.refuseUntil ? QuotaRefusalCause::OrganisationExhausted
+                                                                          : QuotaRefusalCause::StaticShareUsed;
+}
 
 std::vector<QuotaRequest> LocalQuota::collectRequests(TimePoint now)
 {
@@ -104,6 +118,7 @@
         // The request returns these tokens, so they must not be used while it is in flight.
         quota.grantedTokens = 0;
         quota.needsMore = false;
+        quota.requestedAt = now;
     }
     return requests;
 }
@@ -114,6 +129,7 @@
     for (const QuotaGrant& grant : grants) {
         OrganisationQuota& quota = this->quotas[grant.organisation];
         quota.grantedTokens = grant.tokens;
+        quota.grantedAt = now;
         quota.usableUntil = requestSentAt + grantLifetime;
         quota.refuseUntil = grant.tokens < quota.lastWanted * exhaustedGrantShare ? now + exhaustedLifetime : TimePoint {};
     }
--- a/foxtailtrail/limits/LocalQuota.h
+++ b/foxtailtrail/limits/LocalQuota.h
@@ -2,7 +2,9 @@
 
 #include "foxtailtrail/limits/QuotaAllocator.h"
 
+#include <array>
 #include <map>
+#include <string_view>
 #include <vector>
 
 namespace foxtail {
@@ -16,6 +18,23 @@
     Refused,
 };
 
+// Why an operation was refused, for the log and the metrics.
+enum class QuotaRefusalCause : uint8_t {
+    // The last grant was much smaller than wanted, so operations are refused without a wait.
+    OrganisationExhausted,
+    // The operation waited, and the grants that arrived meanwhile had no token for it.
+    GrantTooSmall,
+    // The operation waited, and its request had no reply.
+    NoReply,
+    // The operation waited, and no request was sent: this VM had no allocator, or still awaited the reply to an earlier request.
+    NotRequested,
+    // There was no allocator, and the static share was used up.
+    StaticShareUsed,
+};
+
+constexpr std::array<std::string_view, 5> quotaRefusalCauseNames { "OrganisationExhausted", "GrantTooSmall", "NoReply", "NotRequested",
+    "StaticShareUsed" };
+
 // The operations that this VM may admit. While a quota allocator replies, it uses grants; otherwise it uses its static share of
 // each rate.
 class LocalQuota {
@@ -28,8 +47,10 @@
     // Admits one operation of the organisation if the quota allows it. An operation that has waited before is not counted as new
     // demand. One that waits is requested again until it is evaluated again or stops waiting, as a message may be lost.
     QuotaDecision admit(const OrganisationLimit&, size_t fleetSize, TimePoint now, bool hasWaited = false);
-    // Records that a waiting operation is not evaluated again.
-    void stopWaiting(const OrganisationId&);
+    // Records that an operation that has waited since the given time is not evaluated again, and returns why it got no token.
+    QuotaRefusalCause stopWaiting(const OrganisationId&, TimePoint waitingSince);
+    // Returns why the operation that admit() has just refused was refused.
+    QuotaRefusalCause refusalCause(const OrganisationId&, TimePoint now) const;
 
     // Returns the requests to send now, for every organisation that needs more tokens.
     std::vector<QuotaRequest> collectRequests(TimePoint now);
@@ -54,6 +75,9 @@
         TimePoint refuseUntil {};
         double lastWanted = 0;
         bool needsMore = false;
+        // The time of the last request, and of the last grant, for this organisation.
+        TimePoint requestedAt {};
+        TimePoint grantedAt {};
         // Operations that wait for the next grant.
         double waitingCount = 0;
         // The tokens of the static share, used without an allocator.
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -230,6 +230,11 @@
     Peer* peer = this->quotaAllocatorPeer(now);
     if (!peer && !this->mayAllocate(now))
         return;
+    const VmId& allocator = peer ? peer->entry.id : this->proxy.settings().vmId;
+    if (allocator != this->lastAllocator) {
+        logEvent(LogLevel::Info, "quota allocator changed", { { "allocator", allocator.value }, { "earlier", this->lastAllocator.value } });
+        this->lastAllocator = allocator;
+    }
     const std::vector<QuotaRequest> quotaRequests = share.collectRequests(now);
     share.recordRequestSent(now);
     if (!peer) {
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -117,6 +117,8 @@
     VmId lastGrantPeer;
     TimePoint lastGrantReceivedAt {};
     std::map<VmId, Requester> requesters;
+    // The VM that allocated quota for the last request, which may be this one.
+    VmId lastAllocator;
 };
 
 }
--- a/foxtailtrail/proxy/ProxyMetrics.cpp
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -26,6 +26,10 @@
                                                             .Name("foxtail_backend_openings_total")
                                                             .Help("Openings of backend connections by end")
                                                             .Register(registry);
+    prometheus::Family<prometheus::Counter>& quotaRefusals = prometheus::BuildCounter()
+                                                                 .Name("foxtail_quota_refusals_total")
+                                                                 .Help("Operations that the quotas have refused, by cause")
+                                                                 .Register(registry);
     prometheus::Family<prometheus::Counter>& promotions
         = prometheus::BuildCounter().Name("foxtail_session_promotions_total").Help("Promotions carried out by this VM").Register(registry);
     prometheus::Family<prometheus::Gauge>& state
@@ -52,6 +56,11 @@
     this->implementation->openings.Add({ { "end", std::string(outcome) } }).Increment();
 }
 
+void ProxyMetrics::countQuotaRefusal(std::string_view cause)
+{
+    this->implementation->quotaRefusals.Add({ { "cause", std::string(cause) } }).Increment();
+}
+
 void ProxyMetrics::countPromotion() { this->implementation->promotions.Add({}).Increment(); }
 
 std::string ProxyMetrics::exposition(const ProxyGauges& gauges)
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -35,6 +35,8 @@
     void countRequest(const std::optional<ErrorKind>&, Duration);
     // Counts an opening of a connection to a backend server by its outcome: opened, refused, unreachable, full or misrouted.
     void countOpening(std::string_view outcome);
+    // Counts an operation that the quotas have refused, by its cause.
+    void countQuotaRefusal(std::string_view cause);
     // Counts a promotion that this VM has performed.
     void countPromotion();
 
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -22,6 +22,7 @@
     // The maximum wait for a grant. A grant takes one round trip to the quota allocator, about 20 ms across regions, and requests
     // for grants are up to 120 ms apart.
     constexpr Duration grantTimeout = std::chrono::milliseconds(200);
+    constexpr Duration quotaRefusalLogInterval = std::chrono::milliseconds(500);
     // The fraction of a server's maximum number of connections that traffic may use; the rest is reserved for promotions and VMs
     // that start.
     constexpr double trafficConnectionFraction = 0.9;
@@ -331,9 +332,12 @@
     const TimePoint now = bootNow();
     const QuotaDecision decision = this->localQuota.admit(limit, this->vmCount, now);
     if (decision == QuotaDecision::Wait)
-        this->quotaWaiters.push_back({ limit, now + grantTimeout, std::move(callback) });
-    else
+        this->quotaWaiters.push_back({ limit, now, now + grantTimeout, std::move(callback) });
+    else {
+        if (decision == QuotaDecision::Refused)
+            this->countQuotaRefusal(this->localQuota.refusalCause(limit.organisation, now));
         callback(decision == QuotaDecision::Admitted);
+    }
     if (this->grantRequester)
         this->grantRequester();
 }
@@ -350,11 +354,33 @@
             continue;
         }
         if (decision == QuotaDecision::Wait)
-            this->localQuota.stopWaiting(waiter.limit.organisation);
+            this->countQuotaRefusal(this->localQuota.stopWaiting(waiter.limit.organisation, waiter.waitingSince));
+        else if (decision == QuotaDecision::Refused)
+            this->countQuotaRefusal(this->localQuota.refusalCause(waiter.limit.organisation, now));
         waiter.callback(decision == QuotaDecision::Admitted);
     }
 }
 
+void SessionProxy::countQuotaRefusal(QuotaRefusalCause cause)
+{
+    ++this->quotaRefusals[static_cast<size_t>(cause)];
+    this->proxyMetrics.countQuotaRefusal(quotaRefusalCauseNames[static_cast<size_t>(cause)]);
+}
+
+void SessionProxy::logQuotaRefusals(TimePoint now)
+{
+    if (now < this->nextQuotaRefusalLogAt)
+        return;
+    this->nextQuotaRefusalLogAt = now + quotaRefusalLogInterval;
+    json::object fields;
+    for (size_t index = 0; index < this->quotaRefusals.size(); ++index) {
+        if (const size_t count = std::exchange(this->quotaRefusals[index], 0))
+            fields[quotaRefusalCauseNames[index]] = count;
+    }
+    if (!fields.empty())
+        logEvent(LogLevel::Info, "operations refused by quota", std::move(fields));
+}
+
 void SessionProxy::removeConnection(CallerConnection& connection)
 {
     this->connectionsToSweep.erase(&connection);
@@ -437,6 +463,7 @@
         this->grantRequester();
     if (!this->quotaWaiters.empty())
         this->serveQuotaWaiters();
+    this->logQuotaRefusals(now);
     this->examineLeavingPrimaries();
     std::list<ConfigurationWaiter> expiredWaiters;
     while (!this->configurationWaiters.empty() && this->configurationWaiters.front().giveUpAt <= now)
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -12,6 +12,7 @@
 #include "foxtailtrail/proxy/RelayedPool.h"
 #include "foxtailtrail/session/StopSchedule.h"
 
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -132,9 +133,13 @@
     };
     struct QuotaWaiter {
         OrganisationLimit limit;
+        TimePoint waitingSince {};
         TimePoint giveUpAt {};
         std::function<void(bool)> callback;
     };
+    void countQuotaRefusal(QuotaRefusalCause);
+    // Logs the operations that the quotas have refused since the last call.
+    void logQuotaRefusals(TimePoint now);
     void acceptNext();
     void addConnection(boost::asio::ip::tcp::socket);
     void scheduleSweep();
@@ -171,6 +176,9 @@
     std::map<BackendServerId, std::shared_ptr<RelayedPool>> relayedPools;
     LocalQuota localQuota;
     std::list<QuotaWaiter> quotaWaiters;
+    // The refused operations by cause since the last log line, and when the next line is due.
+    std::array<size_t, quotaRefusalCauseNames.size()> quotaRefusals {};
+    TimePoint nextQuotaRefusalLogAt {};
     std::map<DataCentre, size_t> vmCountByDataCentre;
     size_t vmCount = 1;
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections;
