Choose the quota allocator from the list of VMs, the largest VMs first

Cause: a VM considered only allocators that it had heard from. After a restart of all VMs of the large site, 141 allocators were in use in one second, each with a small part of every rate, and operations of 182 to 190 organisations were refused.

QuotaAllocatorChoice computes the same order on all VMs from the fleet's list, by processor share and then by rendezvous, and returns the first VM that is not known to be unavailable. An allocator that left three requests unanswered is used again only once it has been heard from; the VM that allocates meanwhile asks those before it for heartbeats, and its grants say when they answer, so that all VMs return together. A VM that cannot allocate answers a request with a heartbeat that states this. The start times of processes no longer matter and are not sent.

--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -31,9 +31,6 @@
     constexpr Duration unansweredExclusionLifetime = std::chrono::seconds(2);
     // A peer that announces its stop has exited within this time.
     constexpr Duration stoppingExclusionLifetime = std::chrono::seconds(6);
-    // Processes that started within this time of each other count as equally old.
-    constexpr Duration startTimeTolerance = std::chrono::seconds(2);
-    constexpr const char* quotaAllocatorKey = "quota";
 
     // Kinds of datagrams.
     constexpr std::string_view heartbeatKind = "hello";
@@ -53,7 +50,7 @@
     // The VMs' rounds start at different peers, so that a peer gets the heartbeats of different VMs one after the other and not all at
     // once.
     , nextPeerIndex(stableHash(proxy.settings().vmId.value) % startIndexRange)
-    , startedAt(bootNow())
+    , allocatorChoice(proxy.settings().vmId)
     , quotaAllocator(proxy.settings().quota)
 {
 }
@@ -80,9 +77,12 @@
 {
     const TimePoint now = bootNow();
     std::map<VmId, Peer> updated;
+    const ProxySettings& own = this->proxy.settings();
+    std::vector<AllocatorCandidate> candidates { { own.vmId, own.processorShare } };
     for (const PeerEntry& entry : entries) {
-        if (entry.id == this->proxy.settings().vmId)
+        if (entry.id == own.vmId)
             continue;
+        candidates.push_back({ entry.id, entry.processorShare });
         const auto known = this->peers.find(entry.id);
         if (known != this->peers.end() && known->second.entry == entry)
             updated.emplace(entry.id, known->second);
@@ -90,6 +90,7 @@
             updated.emplace(entry.id, Peer { entry, now, TimePoint {}, TimePoint {}, TimePoint {} });
     }
     this->peers = std::move(updated);
+    this->allocatorChoice.setCandidates(candidates, now);
     this->updateFleet(now);
     // New peers get a heartbeat immediately. In a large fleet, the heartbeat rounds reach the remaining ones.
     const std::string text = this->heartbeatMessage();
@@ -148,41 +149,16 @@
     return rank;
 }
 
-PeerExchange::Peer* PeerExchange::quotaAllocatorPeer(TimePoint now)
-{
-    const auto canAllocate
-        = [&](const Peer& peer) { return peer.startedAt != TimePoint {} && this->isLive(peer, now) && now >= peer.excludedUntil; };
-    const bool isCandidate = !this->isStopping && this->mayAllocate(now);
-    TimePoint oldestStartAt = isCandidate ? this->startedAt : now;
-    for (const auto& [id, peer] : this->peers) {
-        if (canAllocate(peer))
-            oldestStartAt = std::min(oldestStartAt, peer.startedAt);
-    }
-    Peer* best = nullptr;
-    uint64_t bestScore = !isCandidate || oldestStartAt + startTimeTolerance < this->startedAt
-        ? 0
-        : rendezvousScore(quotaAllocatorKey, this->proxy.settings().vmId.value);
-    for (auto& [id, peer] : this->peers) {
-        if (!canAllocate(peer) || oldestStartAt + startTimeTolerance < peer.startedAt)
-            continue;
-        const uint64_t score = rendezvousScore(quotaAllocatorKey, id.value);
-        if (score > bestScore) {
-            best = &peer;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 json::object PeerExchange::quotaAllocatorHint(TimePoint now)
 {
-    const Peer* peer = this->quotaAllocatorPeer(now);
-    if (!peer && (!this->proxy.isConfigured() || !this->mayAllocate(now)))
+    const VmId& self = this->proxy.settings().vmId;
+    const std::optional<VmId> allocator = this->allocatorChoice.allocatorAt(now, this->canAllocate(now));
+    if (allocator == self)
+        return { { "vm", self.value }, { "silentMs", 0 } };
+    const auto peer = allocator ? this->peers.find(*allocator) : this->peers.end();
+    if (peer == this->peers.end() || peer->second.allocatorHeardAt == TimePoint {})
         return {};
-    if (!peer)
-        return { { "vm", this->proxy.settings().vmId.value }, { "upMs", toMilliseconds(now - this->startedAt) }, { "silentMs", 0 } };
-    return { { "vm", peer->entry.id.value }, { "upMs", toMilliseconds(now - peer->startedAt) },
-        { "silentMs", toMilliseconds(now - peer->lastSeenAt) } };
+    return { { "vm", allocator->value }, { "silentMs", toMilliseconds(now - peer->second.allocatorHeardAt) } };
 }
 
 void PeerExchange::applyQuotaAllocatorHint(const json::object& message, TimePoint now)
@@ -191,16 +167,17 @@
     if (!hint)
         return;
     const Result<std::string> vm = stringMember(hint.value(), "vm");
-    const Result<uint64_t> up = unsignedMember(hint.value(), "upMs");
     const Result<uint64_t> silent = unsignedMember(hint.value(), "silentMs");
     const auto peer = vm ? this->peers.find(VmId(vm.value())) : this->peers.end();
-    if (peer == this->peers.end() || !up || !silent)
-        return;
-    const TimePoint seenAt = now - std::chrono::milliseconds(silent.value());
-    if (seenAt <= peer->second.lastSeenAt)
-        return;
-    peer->second.lastSeenAt = seenAt;
-    peer->second.startedAt = now - std::chrono::milliseconds(up.value());
+    if (peer != this->peers.end() && silent)
+        this->recordAllocatorHeard(peer->second, now - std::chrono::milliseconds(silent.value()));
+}
+
+void PeerExchange::recordAllocatorHeard(Peer& peer, TimePoint heardAt)
+{
+    peer.allocatorHeardAt = std::max(peer.allocatorHeardAt, heardAt);
+    peer.lastSeenAt = std::max(peer.lastSeenAt, heardAt);
+    this->allocatorChoice.recordHeard(peer.entry.id, heardAt);
 }
 
 void PeerExchange::announceStop()
@@ -220,6 +197,7 @@
         return;
     const bool isRepetition = this->quotaRequestLog.isRepetitionDue(now);
     if (const std::optional<VmId> unresponsive = this->quotaRequestLog.takeUnresponsiveAllocator(now)) {
+        this->allocatorChoice.recordUnresponsive(*unresponsive, now);
         const auto silent = this->peers.find(*unresponsive);
         if (silent != this->peers.end())
             silent->second.excludedUntil = now + unansweredExclusionLifetime;
@@ -227,17 +205,19 @@
     LocalQuota& share = this->proxy.quota();
     if (!isRepetition && !share.isRequestDue(this->proxy.fleetSize(), now))
         return;
-    Peer* peer = this->quotaAllocatorPeer(now);
-    if (!peer && !this->mayAllocate(now))
+    const std::optional<VmId> allocator = this->allocatorChoice.allocatorAt(now, this->canAllocate(now));
+    if (!allocator)
         return;
-    const VmId& allocator = peer ? peer->entry.id : this->proxy.settings().vmId;
-    if (allocator != this->lastAllocator) {
-        logEvent(LogLevel::Info, "quota allocator changed", { { "allocator", allocator.value }, { "earlier", this->lastAllocator.value } });
-        this->lastAllocator = allocator;
+    if (*allocator != this->lastAllocator) {
+        logEvent(
+            LogLevel::Info, "quota allocator changed", { { "allocator", allocator->value }, { "earlier", this->lastAllocator.value } });
+        this->lastAllocator = *allocator;
     }
+    const auto peer = this->peers.find(*allocator);
     const std::vector<QuotaRequest> quotaRequests = share.collectRequests(now);
     share.recordRequestSent(now);
-    if (!peer) {
+    if (peer == this->peers.end()) {
+        this->allocatedAt = now;
         const RouteTable& table = this->proxy.routeTable();
         share.applyGrants(
             this->quotaAllocator.grant(this->proxy.settings().vmId, quotaRequests, table.organisations, this->proxy.fleetSize(), now), now,
@@ -249,22 +229,22 @@
     for (const QuotaRequest& quotaRequest : quotaRequests)
         list.push_back(json::array { quotaRequest.organisation.value, quotaRequest.wanted, quotaRequest.unused });
     json::object message { { "kind", quotaRequestKind }, { "vm", this->proxy.settings().vmId.value },
-        { "number", this->quotaRequestLog.recordSent(peer->entry.id, now) }, { "list", list } };
+        { "number", this->quotaRequestLog.recordSent(*allocator, now) }, { "list", list } };
     // The quota allocator reads the times of the updates relative to the moment at which it sent its last answer, which is earlier than the
     // moment at which this VM received it.
-    if (this->lastGrantPeer == peer->entry.id) {
+    if (this->lastGrantPeer == *allocator) {
         message["after"] = this->lastGrantNumber;
         message["news"] = encodeGroupUpdates(this->proxy.groupUpdates(this->lastGrantReceivedAt), this->lastGrantReceivedAt);
     }
-    this->sendTo(*peer, json::serialize(message));
+    this->sendTo(peer->second, json::serialize(message));
 }
 
-std::string PeerExchange::heartbeatMessage()
+std::string PeerExchange::heartbeatMessage(bool requestsAnswer)
 {
     return json::serialize(json::object { { "kind", heartbeatKind }, { "vm", this->proxy.settings().vmId.value },
         { "configuration", this->proxy.configurationVersion() }, { "control", this->proxy.settings().peerEndpoint.port },
-        { "upMs", toMilliseconds(bootNow() - this->startedAt) }, { "stops", this->isStopping },
-        { "allocates", this->mayAllocate(bootNow()) }, { "ledger", this->quotaAllocatorHint(bootNow()) } });
+        { "stops", this->isStopping }, { "allocates", this->canAllocate(bootNow()) }, { "answer", requestsAnswer },
+        { "ledger", this->quotaAllocatorHint(bootNow()) } });
 }
 
 void PeerExchange::scheduleHeartbeats()
@@ -288,6 +268,13 @@
     for (const Peer* peer : this->nextPeers(count))
         this->sendTo(*peer, text);
     this->nextPeerIndex += count;
+    if (bootNow() >= this->allocatedAt + heartbeatInterval)
+        return;
+    const std::string request = this->heartbeatMessage(true);
+    for (const VmId& preceding : this->allocatorChoice.precedingCandidates()) {
+        if (const auto peer = this->peers.find(preceding); peer != this->peers.end())
+            this->sendTo(peer->second, request);
+    }
 }
 
 std::vector<const PeerExchange::Peer*> PeerExchange::nextPeers(size_t count)
@@ -349,17 +336,21 @@
         peer->second.lastSeenAt = now;
     const json::object& message = parsed.value();
     if (kind.value() == heartbeatKind) {
-        const Result<uint64_t> up = unsignedMember(message, "upMs");
         const Result<bool> stops = booleanMember(message, "stops");
+        const Result<bool> allocates = booleanMember(message, "allocates");
         const Result<uint64_t> version = unsignedMember(message, "configuration");
-        if (peer != this->peers.end() && up && stops) {
-            // A VM without a configuration knows no limits and cannot allocate quota.
-            const Result<bool> allocates = booleanMember(message, "allocates");
-            const bool canAllocate = version && version.value() > 0 && (!allocates || allocates.value());
-            peer->second.startedAt = canAllocate ? now - std::chrono::milliseconds(up.value()) : TimePoint {};
-            if (stops.value())
+        if (peer != this->peers.end() && stops && allocates) {
+            if (allocates.value())
+                this->recordAllocatorHeard(peer->second, now);
+            else
+                this->allocatorChoice.recordNotReady(peer->first, now);
+            if (stops.value()) {
                 peer->second.excludedUntil = now + stoppingExclusionLifetime;
+                this->allocatorChoice.recordStop(peer->first, now);
+            }
         }
+        if (const Result<bool> answer = booleanMember(message, "answer"); answer && answer.value())
+            this->sendTo(from, this->heartbeatMessage());
         this->applyQuotaAllocatorHint(message, now);
         const uint64_t own = this->proxy.configurationVersion();
         // The sender need not be a known peer: a VM that the store has rejected since its start knows no peers.
@@ -381,8 +372,12 @@
 void PeerExchange::handleQuotaRequest(const VmId& vm, const json::object& message, const Udp::endpoint& from)
 {
     const TimePoint now = bootNow();
-    if (!this->proxy.isConfigured() || !this->mayAllocate(now))
+    if (!this->canAllocate(now)) {
+        // The heartbeat states that this VM cannot allocate, so that the requester uses another one at once.
+        this->sendTo(from, this->heartbeatMessage());
         return;
+    }
+    this->allocatedAt = now;
     std::vector<QuotaRequest> quotaRequests;
     for (const json::value& each : message.at("list").as_array()) {
         const json::array& quotaRequest = each.as_array();
@@ -416,6 +411,9 @@
     this->lastGrantNumber = request->number;
     this->lastGrantPeer = request->allocator;
     this->lastGrantReceivedAt = now;
+    this->allocatorChoice.recordGrant(request->allocator);
+    if (const auto peer = this->peers.find(request->allocator); peer != this->peers.end())
+        this->recordAllocatorHeard(peer->second, now);
     this->applyQuotaAllocatorHint(message, now);
     std::vector<QuotaGrant> grants;
     for (const json::value& each : message.at("list").as_array()) {
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/base/Json.h"
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
+#include "foxtailtrail/limits/QuotaAllocatorChoice.h"
 #include "foxtailtrail/limits/QuotaRequestLog.h"
 #include "foxtailtrail/net/HttpClient.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
@@ -65,11 +66,10 @@
         PeerEntry entry;
         TimePoint addedAt {};
         TimePoint lastSeenAt {};
-        // After several unanswered quota requests or the announcement of its stop, the peer is excluded as quota allocator and relay until
-        // this time.
+        // After several unanswered quota requests or the announcement of its stop, the peer is excluded as relay until this time.
         TimePoint excludedUntil {};
-        // When its process started, by the clock of this VM, not corrected for the transit time of the heartbeat.
-        TimePoint startedAt {};
+        // When it was last heard from, by this VM or by one that passed it on, ready to allocate quota.
+        TimePoint allocatorHeardAt {};
     };
     // The last quota request that this VM answered for another VM. The requester gives the times of its group updates relative to this
     // answer.
@@ -86,13 +86,14 @@
     void sendTo(const boost::asio::ip::udp::endpoint&, const std::string&);
     void sendTo(const Peer&, const std::string&);
     bool isLive(const Peer&, TimePoint now) const;
-    std::string heartbeatMessage();
-    // Returns the VM that allocates quota to this one, or null when that is this VM itself or, while this VM may not allocate, when there
-    // is none. It is one of the oldest processes, so that the grants survive restarts of other VMs.
-    Peer* quotaAllocatorPeer(TimePoint now);
-    // Returns which VM this one uses as the quota allocator and how recent that information is. With these hints the VMs agree on one
-    // sooner than by their own heartbeats alone.
+    // A VM that receives a message that requests an answer returns its own heartbeat.
+    std::string heartbeatMessage(bool requestsAnswer = false);
+    // Returns whether this VM can allocate quota.
+    bool canAllocate(TimePoint now) const { return !this->isStopping && this->proxy.isConfigured() && this->mayAllocate(now); }
+    // Returns which VM this one uses as the quota allocator and how long ago that one was heard from. With these hints, all VMs return to
+    // an allocator that is available again at about the same time.
     json::object quotaAllocatorHint(TimePoint now);
+    void recordAllocatorHeard(Peer&, TimePoint heardAt);
     void applyQuotaAllocatorHint(const json::object& message, TimePoint now);
     // Returns the next peers in the order of their ids, starting at the current position of this VM's heartbeat rounds.
     std::vector<const Peer*> nextPeers(size_t count);
@@ -107,10 +108,12 @@
     std::array<char, maxDatagramBytes> buffer {};
     std::map<VmId, Peer> peers;
     size_t nextPeerIndex = 0;
-    TimePoint startedAt {};
     TimePoint allocatesFrom = TimePoint::max();
     bool isStopping = false;
+    QuotaAllocatorChoice allocatorChoice;
     QuotaAllocator quotaAllocator;
+    // When this VM last allocated quota to a VM, which may be itself.
+    TimePoint allocatedAt {};
     QuotaRequestLog quotaRequestLog;
     // The last grant message: the number of its request, the VM that sent it, and when it was received.
     uint64_t lastGrantNumber = 0;
--- a/tests/limits/QuotaTest.cpp
+++ b/tests/limits/QuotaTest.cpp
@@ -96,6 +96,7 @@
         void admit(Vm& vm, int64_t now, int64_t giveUpAt, bool hasWaited)
         {
             const TimePoint time { milliseconds(now) };
+            const TimePoint waitingSince { milliseconds(giveUpAt - grantTimeout) };
             const QuotaDecision decision = vm.quota.admit(this->limit, this->vms.size(), time, hasWaited);
             if (decision == QuotaDecision::Admitted)
                 this->admitted.push_back(now);
@@ -103,7 +104,7 @@
                 vm.waitingUntil.push_back(giveUpAt);
             else {
                 if (decision == QuotaDecision::Wait)
-                    vm.quota.stopWaiting(this->limit.organisation);
+                    vm.quota.stopWaiting(this->limit.organisation, waitingSince);
                 ++this->refusedCount;
             }
         }
@@ -236,6 +237,31 @@
         EXPECT_NE(localQuota.admit(limit, 9, TimePoint(milliseconds(1200))), QuotaDecision::Admitted);
     }
 
+    // Guards against refusals in the log and the metrics without their cause.
+    TEST(QuotaTest, NamesTheCauseOfEachRefusal)
+    {
+        const auto at = [](int64_t time) { return TimePoint(milliseconds(time)); };
+        const OrganisationLimit limit { OrganisationId("o"), 90, 90 };
+        LocalQuota localQuota(bounds);
+        ASSERT_EQ(localQuota.admit(limit, 9, at(1000)), QuotaDecision::Wait);
+        EXPECT_EQ(localQuota.stopWaiting(limit.organisation, at(1000)), QuotaRefusalCause::NotRequested);
+        ASSERT_EQ(localQuota.admit(limit, 9, at(2000)), QuotaDecision::Wait);
+        localQuota.collectRequests(at(2010));
+        localQuota.recordRequestSent(at(2010));
+        ASSERT_EQ(localQuota.admit(limit, 9, at(2020), true), QuotaDecision::Wait);
+        EXPECT_EQ(localQuota.stopWaiting(limit.organisation, at(2000)), QuotaRefusalCause::NoReply);
+        ASSERT_EQ(localQuota.admit(limit, 9, at(3000)), QuotaDecision::Wait);
+        localQuota.collectRequests(at(3010));
+        localQuota.applyGrants({ { limit.organisation, 0.5 } }, at(3010), at(3030));
+        EXPECT_EQ(localQuota.stopWaiting(limit.organisation, at(3000)), QuotaRefusalCause::GrantTooSmall);
+        localQuota.admit(limit, 9, at(3040));
+        localQuota.collectRequests(at(3050));
+        localQuota.applyGrants({ { limit.organisation, 0 } }, at(3050), at(3060));
+        ASSERT_EQ(localQuota.admit(limit, 9, at(3070)), QuotaDecision::Refused);
+        EXPECT_EQ(localQuota.refusalCause(limit.organisation, at(3070)), QuotaRefusalCause::OrganisationExhausted);
+        EXPECT_EQ(localQuota.refusalCause(limit.organisation, at(9000)), QuotaRefusalCause::StaticShareUsed);
+    }
+
     // Guards against a VM that refuses everything while it is partitioned from all allocators.
     TEST(QuotaTest, UsesStaticShareWithoutAllocator)
     {
