Repeat a declined quota request at once, and use a VM that declined only once it is ready

Cause: a VM that runs but cannot allocate quota yet answers requests with a heartbeat, but the requester still waited 60 ms before it asked the next one, and asked the first again after 500 ms. While many VMs start, operations that wait for 200 ms found no allocator.

A declined request is now repeated at once with the waiting operations, at most 24 times in a row, and a VM that declined is used once it has been heard from ready. QuotaAllocatorChoiceTest.RestartWithAllocatorsThatAreReadyLateRefusesFewOperations failed before (45 of 49 operations refused until the allocators were ready, bound 10%) and passes.

--- a/foxtailtrail/limits/QuotaAllocatorChoice.cpp
+++ b/foxtailtrail/limits/QuotaAllocatorChoice.cpp
@@ -16,8 +16,6 @@
     constexpr Duration silenceLifetime = std::chrono::seconds(30);
     // A VM that announces its stop has exited within this time.
     constexpr Duration stopLifetime = std::chrono::seconds(6);
-    // A VM that starts is ready to allocate about this time after it responds.
-    constexpr Duration notReadyLifetime = std::chrono::milliseconds(500);
     // A VM that joins the fleet does not allocate for this time.
     constexpr Duration joiningLifetime = std::chrono::seconds(2);
     constexpr const char* allocatorKey = "quota";
@@ -82,10 +80,8 @@
 
 void QuotaAllocatorChoice::recordNotReady(const VmId& vm, TimePoint now)
 {
-    // Other VMs still hear from it once it is ready, but not necessarily this one, so that only the time counts.
     Unavailability& state = this->unavailable[vm];
-    state.excludedUntil = std::max(state.excludedUntil, now + notReadyLifetime);
-    state.heardAt = std::max(state.heardAt, now);
+    state.since = std::max(state.since, now);
 }
 
 void QuotaAllocatorChoice::recordHeard(const VmId& vm, TimePoint heardAt)
--- a/foxtailtrail/limits/QuotaRequestLog.cpp
+++ b/foxtailtrail/limits/QuotaRequestLog.cpp
@@ -12,6 +12,8 @@
     constexpr Duration nextReplyTimeout = std::chrono::milliseconds(120);
     // An allocator that leaves this many requests in a row without a reply does not respond.
     constexpr size_t maxUnansweredRequests = 3;
+    // While many VMs start, each of them declines. A VM sends at most this many requests without a pause.
+    constexpr size_t maxDeclinedInRow = 24;
 
 }
 
@@ -20,12 +22,13 @@
     if (!this->unanswered.empty() && this->unanswered.back().allocator != allocator)
         this->unanswered.clear();
     this->unanswered.push_back({ ++this->lastNumber, allocator, now });
+    this->isDeclined = false;
     return this->lastNumber;
 }
 
 bool QuotaRequestLog::isReplyAwaited(TimePoint now) const
 {
-    if (this->unanswered.empty())
+    if (this->unanswered.empty() || this->isDeclined)
         return false;
     return now < this->unanswered.back().sentAt + (this->unanswered.size() == 1 ? firstReplyTimeout : nextReplyTimeout);
 }
@@ -36,11 +39,26 @@
         this->unanswered.begin(), this->unanswered.end(), [&](const SentQuotaRequest& request) { return request.number == number; });
     if (answered == this->unanswered.end())
         return std::nullopt;
+    this->declinedInRow = 0;
     const SentQuotaRequest request = *answered;
     this->unanswered.erase(this->unanswered.begin(), std::next(answered));
     return request;
 }
 
+bool QuotaRequestLog::recordDeclined(const VmId& vm)
+{
+    if (this->unanswered.empty() || this->isDeclined || this->unanswered.back().allocator != vm)
+        return false;
+    if (++this->declinedInRow > maxDeclinedInRow) {
+        this->declinedInRow = 0;
+        return false;
+    }
+    // The VM responds, so that its earlier requests without a reply show nothing.
+    this->unanswered.erase(this->unanswered.begin(), std::prev(this->unanswered.end()));
+    this->isDeclined = true;
+    return true;
+}
+
 std::optional<VmId> QuotaRequestLog::takeUnresponsiveAllocator(TimePoint now)
 {
     if (this->unanswered.size() < maxUnansweredRequests || this->isReplyAwaited(now))
--- a/foxtailtrail/limits/QuotaRequestLog.h
+++ b/foxtailtrail/limits/QuotaRequestLog.h
@@ -29,6 +29,9 @@
     // Records a reply and returns the request, or std::nullopt when a reply to it or to a newer one has been received. A reply to an older
     // request than the newest is valid too: the allocator counts the grant in it as used when it receives the newer request.
     std::optional<SentQuotaRequest> recordReply(uint64_t number);
+    // Records that the VM answered that it cannot allocate quota. A request to it is repeated at once, to another VM. Returns false when
+    // none is awaited, or after so many such answers in a row that the next request waits for its time.
+    bool recordDeclined(const VmId&);
     // Returns the allocator once several requests to it in a row have had no reply, and forgets them.
     std::optional<VmId> takeUnresponsiveAllocator(TimePoint now);
 
@@ -36,6 +39,9 @@
     // Ordered by number. All are sent to the same allocator.
     std::deque<SentQuotaRequest> unanswered;
     uint64_t lastNumber = 0;
+    // The newest request was declined.
+    bool isDeclined = false;
+    size_t declinedInRow = 0;
 };
 
 }
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -348,6 +348,11 @@
                 peer->second.excludedUntil = now + stoppingExclusionLifetime;
                 this->allocatorChoice.recordStop(peer->first, now);
             }
+            if (!allocates.value() && this->quotaRequestLog.recordDeclined(peer->first)) {
+                // Evaluates the waiting operations, so that the next request contains them again.
+                this->proxy.serveQuotaWaiters();
+                this->requestQuotaIfDue();
+            }
         }
         if (const Result<bool> answer = booleanMember(message, "answer"); answer && answer.value())
             this->sendTo(from, this->heartbeatMessage());
--- a/tests/limits/QuotaAllocatorChoiceTest.cpp
+++ b/tests/limits/QuotaAllocatorChoiceTest.cpp
@@ -46,12 +46,13 @@
                 this->step();
         }
 
-        // Restarts the VM; its process is ready to allocate after the given delay.
-        void restart(size_t index, int64_t delay)
+        // Restarts the VM. Its process responds after the first delay and can allocate after the second one.
+        void restart(size_t index, int64_t delay, int64_t readyDelay = 0)
         {
             const VmId id = this->vms[index]->id;
             this->vms[index] = std::make_unique<Vm>(id);
             this->vms[index]->runsFrom = this->now + delay;
+            this->vms[index]->readyFrom = this->now + std::max(delay, readyDelay);
             this->vms[index]->heartbeatAt = this->now + delay;
             this->vms[index]->choice.setCandidates(this->list, at(this->now));
         }
@@ -67,6 +68,7 @@
         void setPartition(size_t firstOfOtherSide) { this->firstOfOtherSide = firstOfOtherSide; }
 
         size_t indexOf(const VmId& vm) const { return this->indexById.at(vm); }
+        bool isLarge(size_t index) const { return this->list[index].processorShare > 0.12; }
         size_t vmCount() const { return this->vms.size(); }
         VmId allocatorOf(size_t index) const { return this->vms[index]->choice.allocatorAt(at(this->now), true).value(); }
         // Returns the allocators that the running VMs use.
@@ -134,6 +136,7 @@
             QuotaRequestLog requestLog;
             std::map<VmId, TimePoint> heardAt;
             int64_t runsFrom = 0;
+            int64_t readyFrom = 0;
             int64_t heartbeatAt = 0;
             int64_t allocatedAt = INT64_MIN / 2;
             size_t nextPeer = 0;
@@ -165,6 +168,10 @@
         {
             if (from == to || !this->isDelivered(from, to))
                 return;
+            if (this->now < this->vms[from]->readyFrom) {
+                this->vms[to]->choice.recordNotReady(this->vms[from]->id, at(this->now));
+                return;
+            }
             this->hear(*this->vms[to], this->vms[from]->id, at(this->now));
             const auto [hint, heardAt] = this->hintOf(*this->vms[from]);
             this->hear(*this->vms[to], hint, heardAt);
@@ -187,10 +194,12 @@
                 vm.choice.recordUnresponsive(*unresponsive, time);
             if (!isRepetition && !vm.quota.isRequestDue(this->vms.size(), time))
                 return;
-            const VmId allocator = vm.choice.allocatorAt(time, true).value();
+            const std::optional<VmId> allocator = vm.choice.allocatorAt(time, this->now >= vm.readyFrom);
+            if (!allocator)
+                return;
             const std::vector<QuotaRequest> requests = vm.quota.collectRequests(time);
             vm.quota.recordRequestSent(time);
-            Vm& lender = *this->vms[this->indexById[allocator]];
+            Vm& lender = *this->vms[this->indexById[*allocator]];
             if (lender.id == vm.id)
                 lender.allocatedAt = this->now;
             if (lender.id == vm.id) {
@@ -198,13 +207,21 @@
                 this->serveWaiting(vm);
                 return;
             }
-            const uint64_t number = vm.requestLog.recordSent(allocator, time);
-            if (!this->isDelivered(index, this->indexById[allocator]))
+            const uint64_t number = vm.requestLog.recordSent(*allocator, time);
+            if (!this->isDelivered(index, this->indexById[*allocator]))
+                return;
+            if (this->now < lender.readyFrom) {
+                vm.choice.recordNotReady(*allocator, time);
+                if (vm.requestLog.recordDeclined(*allocator)) {
+                    this->serveWaiting(vm);
+                    this->requestGrants(index);
+                }
                 return;
+            }
             lender.allocatedAt = this->now;
             const auto grants = lender.allocator.grant(vm.id, requests, { this->limit }, this->vms.size(), time);
             const auto [hint, heardAt] = this->hintOf(lender);
-            if (this->isDelivered(this->indexById[allocator], index))
+            if (this->isDelivered(this->indexById[*allocator], index))
                 vm.inbox.push_back({ this->now + 1 + static_cast<int64_t>(this->random() % 30), number, grants, hint, heardAt });
         }
 
@@ -312,6 +329,34 @@
         }
     }
 
+    // Guards against operations that wait in vain because the first allocators of the order run but cannot allocate yet, after a restart in
+    // which some VMs get their configuration late.
+    TEST(QuotaAllocatorChoiceTest, RestartWithAllocatorsThatAreReadyLateRefusesFewOperations)
+    {
+        size_t operationCount = 0;
+        size_t refusedCount = 0;
+        for (uint32_t seed = 1; seed <= 8; ++seed) {
+            const OrganisationLimit limit = organisationWithRate(120);
+            ChoiceFleet fleet(seed, 300, limit, 0.625, 0.01);
+            fleet.runUntil(4000);
+            for (size_t index = 0; index < fleet.vmCount(); ++index)
+                fleet.restart(index, 100, index % 3 == 0 && !fleet.isLarge(index) ? 150 : 950);
+            const VmId first = fleet.allocatorOf(0);
+            ASSERT_TRUE(fleet.isLarge(fleet.indexOf(first)));
+            fleet.runUntil(4300);
+            fleet.resetCounts();
+            fleet.runUntil(4950);
+            EXPECT_LT(fleet.refusedShare(), 0.1) << fleet.refusedCount << " of " << fleet.operationCount << " before all are ready";
+            fleet.resetCounts();
+            fleet.runUntil(7000);
+            operationCount += fleet.operationCount;
+            refusedCount += fleet.refusedCount;
+            EXPECT_EQ(fleet.allocatorsInUse(), std::set<VmId> { first });
+            EXPECT_LE(static_cast<double>(fleet.maxAdmittedInWindow()), permittedOperations(limit));
+        }
+        RecordProperty("refusedOnReturn", std::to_string(refusedCount) + " of " + std::to_string(operationCount));
+    }
+
     // Guards against an allocator that is lost or returns and leaves the VMs with different ones for long.
     TEST(QuotaAllocatorChoiceTest, VmsLeaveLostAllocatorAndReturnTogether)
     {
@@ -427,6 +472,8 @@
         EXPECT_EQ(choice.allocatorAt(at(5100), false), VmId("large"));
         choice.recordNotReady(VmId("large"), at(5200));
         EXPECT_EQ(choice.allocatorAt(at(5300), false), std::nullopt);
+        choice.recordHeard(VmId("large"), at(5400));
+        EXPECT_EQ(choice.allocatorAt(at(5400), false), VmId("large"));
     }
 
 }
--- a/tests/limits/QuotaRequestLogTest.cpp
+++ b/tests/limits/QuotaRequestLogTest.cpp
@@ -45,6 +45,29 @@
         EXPECT_FALSE(log.isReplyAwaited(start + milliseconds(181)));
     }
 
+    // Guards against a wait for the reply of an allocator that has answered that it cannot allocate, and against requests without a pause
+    // while all VMs start.
+    TEST(QuotaRequestLogTest, RepeatsDeclinedRequestAtOnceButNotWithoutEnd)
+    {
+        QuotaRequestLog log;
+        log.recordSent(allocator, start);
+        EXPECT_FALSE(log.recordDeclined(VmId("vm2"))) << "the request was sent to another VM";
+        EXPECT_TRUE(log.recordDeclined(allocator));
+        EXPECT_FALSE(log.recordDeclined(allocator)) << "the request has been declined already";
+        EXPECT_TRUE(log.isRepetitionDue(start));
+        EXPECT_FALSE(log.takeUnresponsiveAllocator(start));
+        size_t requests = 0;
+        for (; requests < 1000; ++requests) {
+            const VmId next("vm" + std::to_string(requests));
+            log.recordSent(next, start);
+            if (!log.recordDeclined(next))
+                break;
+        }
+        EXPECT_LT(requests, 30U);
+        EXPECT_TRUE(log.isReplyAwaited(start));
+        EXPECT_TRUE(log.isRepetitionDue(start + milliseconds(60)));
+    }
+
     // Guards against replies of one allocator that are counted for another.
     TEST(QuotaRequestLogTest, ForgetsRequestsToEarlierAllocator)
     {
