--- a/tests/limits/QuotaAllocatorChoiceTest.cpp
+++ b/tests/limits/QuotaAllocatorChoiceTest.cpp
@@ -124,7 +124,7 @@
             TimePoint hintHeardAt {};
         };
         struct Vm {
-            explicit Vm(VmId id)
+            explicit Vm(const VmId& id)
                 : id(id)
                 , choice(id)
             {
