Resume replicas only within the lifetime of the promotion lock

A VM that holds the promotion lock and is suspended for longer than the lock's lifetime (4 s) goes on with its promotion after another VM has acquired the lock and paused the replicas. Its own commands are bound to the lock, except Resume, which carries no fencing token: at the end of a failed promotion, and after a completed one, it was sent in any case. The replicas that the next holder relies on then receive again; the old primary acknowledges a commit, and the promoted server lacks it (LOST). No other fault is needed. Trace: V1 acquires the lock and is suspended, V2 acquires it and pauses, V1 wakes and resumes, V2 commits at the old primary, V2 promotes.

Change: HeldPromotionLock::mayResumeAt(): until 3.5 s after the request for the lock, so that 0.5 s remain for the delivery. Later the replicas stay paused, with a log line, and the next holder resumes them.

The test of the lock's times runs in test_failover.

--- a/foxtailtrail/failover/PromotionLock.h
+++ b/foxtailtrail/failover/PromotionLock.h
@@ -25,6 +25,9 @@
 // acquire it, so that a delayed command still arrives before those of the next holder.
 constexpr Duration promotionLockUsableLifetime = std::chrono::milliseconds(2500);
 
+// After the usable part, replicas may still be resumed for this long. The rest of the lifetime covers the delivery of the command.
+constexpr Duration promotionLockResumeAllowance = std::chrono::milliseconds(1000);
+
 // Returns true when a lock of an earlier era, whose record the store may have lost, can no longer be used.
 bool haveEarlierLocksEnded(const StoreEra&, TimePoint now);
 
@@ -52,6 +55,9 @@
     {
         return now < this->usableUntil && newestEra.number == this->storedVersion.era;
     }
+    // Returns whether the holder may end the pause of the replicas. A VM that was suspended beyond the lifetime of the lock must not: the
+    // command carries no fencing token, and the next holder may rely on the pause.
+    bool mayResumeAt(TimePoint now) const { return now < this->usableUntil + promotionLockResumeAllowance; }
 };
 
 }
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -177,7 +177,7 @@
                 { { "service", this->service.value }, { "fence", lock->record.fencingToken }, { "pausedReplicas", hasPausedReplicas },
                     { "formerPrimaries", formerPrimaries.size() } });
             if (hasPausedReplicas)
-                this->resumeReplicas();
+                this->resumeReplicas(*lock);
             for (const BackendServerId& id : formerPrimaries) {
                 if (const ServerEntry* former = this->proxy.directory().find(id))
                     this->logStatuses("demote", this->sendCommand({ *former }, BackendCommand::Demote, newestPrimary(statuses)->term));
@@ -186,11 +186,22 @@
         }
 
         // Resumes all servers except the primary.
-        void resumeReplicas()
+        void resumeReplicas(const HeldPromotionLock& lock)
         {
             const std::optional<PrimaryView> primary = this->proxy.directory().findPrimary(this->service);
             std::vector<ServerEntry> replicas = this->members();
             std::erase_if(replicas, [&](const ServerEntry& entry) { return primary && entry.id == primary->server; });
+            this->resume(replicas, lock);
+        }
+
+        // Resumes servers while the lock allows it. The next holder of the lock resumes servers that stay paused.
+        void resume(const std::vector<ServerEntry>& replicas, const HeldPromotionLock& lock)
+        {
+            if (!lock.mayResumeAt(bootNow())) {
+                logEvent(LogLevel::Warning, "replicas stay paused: the promotion lock is about to expire or has expired",
+                    { { "service", this->service.value }, { "fence", lock.record.fencingToken } });
+                return;
+            }
             this->logStatuses("resume", this->commands.sendToAll(replicas, BackendCommand::Resume, Term {}, probeTimeout));
         }
 
@@ -261,10 +272,9 @@
                     return;
                 failed.push_back(confirmed->server);
             }
-            this->commands.sendToAll(replicas, BackendCommand::Resume, Term {}, probeTimeout);
+            this->resume(replicas, *lock);
             this->coordinator.releaseLock(*lock);
-            logEvent(LogLevel::Warning, "promotion failed; the replicas were sent the resume command",
-                { { "service", this->service.value }, { "fence", lock->record.fencingToken } });
+            logEvent(LogLevel::Warning, "promotion failed", { { "service", this->service.value }, { "fence", lock->record.fencingToken } });
         }
 
         // Abandons a promotion that was recorded but never took effect, so that the previous primary still leads. Returns false when no
@@ -420,7 +430,7 @@
                 { { "service", this->service.value }, { "server", record.server.value }, { "term", record.term.value },
                     { "fence", lock.record.fencingToken } });
             // The promotion has ended the pause of the promoted server only.
-            this->resumeReplicas();
+            this->resumeReplicas(lock);
             StoreTransaction completionTransaction;
             const std::string lockRowKey = promotionLockRowKey(lock.storedVersion.era);
             completionTransaction.preconditions.push_back({ StoreTable::PromotionLocks, lockRowKey, lock.storedVersion });
--- a/tests/failover/FailoverPlanTest.cpp
+++ b/tests/failover/FailoverPlanTest.cpp
@@ -341,6 +341,16 @@
         std::multimap<int64_t, std::pair<uint64_t, size_t>> commands;
     };
 
+    // Guards against a VM that was suspended while it held the lock and ends a pause that the next holder relies on.
+    TEST(PromotionLockTest, ResumesReplicasOnlyWithinTheLifetime)
+    {
+        const TimePoint acquiredAt(std::chrono::seconds(100));
+        const HeldPromotionLock lock { {}, 1, acquiredAt + promotionLockUsableLifetime };
+        EXPECT_TRUE(lock.mayResumeAt(acquiredAt + promotionLockUsableLifetime));
+        EXPECT_FALSE(lock.mayResumeAt(acquiredAt + promotionLockLifetime - std::chrono::milliseconds(500)));
+        EXPECT_FALSE(lock.mayResumeAt(acquiredAt + promotionLockLifetime));
+    }
+
     // Guards against commands with a lower fencing token than an earlier one, and against two holders of one fencing token.
     void expectRisingTokensWithOneHolder(PromotionLockSimulation simulation, uint32_t seed)
     {
