Pause the replicas again after the demotion of the old primary

A replica's restart ends its pause. When it restarts between the pause and the demotion of the old primary, the primary acknowledges a commit that only this replica received, and the successor, chosen before, lacks it (LOST). Trace: V1 commits at A without a reply, V1 pauses B and C, C restarts and receives the commit, V1 demotes A and promotes B.

Change: after the demotion, the replicas that answered the first pause are paused again, together with those that have joined since, and the longest log is promoted (confirmSuccessor(), unchanged). Replicas that did not answer the first pause stay out, so that one counted as lost does not block the promotion. It costs one round trip to the replicas within the wait for the leases. Not covered: an old primary that does not answer the demotion.

--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -8,6 +8,7 @@
 #include "foxtailtrail/server/Log.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace foxtail {
@@ -305,6 +306,11 @@
                     sleepFor(statusPollInterval);
                     continue;
                 }
+                this->unansweredReplicas.clear();
+                for (const ProbedStatus& status : pausedStatuses) {
+                    if (status.outcome != ProbeOutcome::Answered)
+                        this->unansweredReplicas.insert(status.server);
+                }
                 std::erase_if(pausedStatuses,
                     [&](const ProbedStatus& status) { return std::find(failed.begin(), failed.end(), status.server) != failed.end(); });
                 const bool areMissingReplicasLost = bootNow() >= startedAt + lostReplicaTimeout
@@ -327,9 +333,9 @@
             return std::nullopt;
         }
 
-        // Demotes the old primary so that it acknowledges no more commits, and pauses servers that have joined since the other replicas
-        // were paused: until then the old primary may have acknowledged commits that only those servers received. Returns the server to
-        // promote.
+        // Demotes the old primary so that it acknowledges no more commits, and pauses the replicas again, with servers that have joined
+        // since. Until then the old primary may have acknowledged commits that only a new server received, or a replica whose restart
+        // ended its pause. Returns the server to promote.
         std::optional<ProbedStatus> demoteOldPrimaryAndConfirm(
             const ProbedStatus& chosen, std::vector<ServerEntry>& replicas, const std::optional<BackendServerId>& oldPrimary, Term term)
         {
@@ -345,14 +351,19 @@
                     { { "service", this->service.value }, { "detail", refreshed.error().detail } });
                 return std::nullopt;
             }
-            std::vector<ServerEntry> newMembers = this->members();
-            std::erase_if(newMembers, [&](const ServerEntry& entry) {
-                return (oldPrimary && entry.id == *oldPrimary)
-                    || std::any_of(replicas.begin(), replicas.end(), [&](const ServerEntry& known) { return known.id == entry.id; });
+            std::vector<ServerEntry> others = this->members();
+            // Replicas that did not answer the first pause were counted as lost.
+            std::erase_if(others, [&](const ServerEntry& entry) {
+                return (oldPrimary && entry.id == *oldPrimary) || this->unansweredReplicas.count(entry.id) > 0;
             });
-            const std::vector<ProbedStatus> pausedStatuses = this->sendCommand(newMembers, BackendCommand::Pause, term);
+            const std::vector<ProbedStatus> pausedStatuses = this->sendCommand(others, BackendCommand::Pause, term);
             this->logStatuses("pause", pausedStatuses);
-            replicas.insert(replicas.end(), newMembers.begin(), newMembers.end());
+            for (const ServerEntry& entry : others) {
+                const bool isKnown
+                    = std::any_of(replicas.begin(), replicas.end(), [&](const ServerEntry& known) { return known.id == entry.id; });
+                if (!isKnown)
+                    replicas.push_back(entry);
+            }
             return confirmSuccessor(chosen, pausedStatuses, demotedStatus);
         }
 
@@ -465,6 +476,8 @@
         ServerCommands commands;
         // When all replicas that replied had stopped receiving.
         TimePoint pausedAt {};
+        // The replicas that did not answer the last pause command.
+        std::set<BackendServerId> unansweredReplicas;
     };
 
 }
