Refuse the lease of an isolated VM while a replica does not answer

Change: an isolated VM (no store, most peers silent) does not renew the lease by status rounds while a replica that it knows does not answer: that one may be the promoted server. Ruled out: the same for every VM that the store does not serve, since a store outage and one silent replica would then leave a group that is not written to without a usable primary.

--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -106,12 +106,14 @@
     if (!this->hasSettledPrimary() || this->knownPrimaryTerm == Term {})
         return;
     bool isComplete = !this->groupContext.mayMissServers();
+    bool isReplicaUnanswered = false;
     std::optional<TimePoint> earliestRequestAt;
     for (const ProbedStatus& status : statuses) {
         if (status.server == this->lastPrimaryView->server || status.isRemoved)
             continue;
         if (status.outcome != ProbeOutcome::Answered) {
             isComplete = false;
+            isReplicaUnanswered = true;
             continue;
         }
         if (this->knownPrimaryTerm < status.term) {
@@ -136,6 +138,14 @@
     }
     if (!earliestRequestAt)
         return;
+    if (isReplicaUnanswered && this->groupContext.isIsolated()) {
+        // The replica may have been promoted. No record of that reaches this VM, and the replicas that answer may not have been reached by
+        // the new primary.
+        this->firstRoundAt.reset();
+        logEvent(LogLevel::Info, "lease not renewed: this VM is isolated and a replica does not answer",
+            { { "service", this->serviceName.value }, { "primary", this->lastPrimaryView->server.value } });
+        return;
+    }
     if (isComplete) {
         this->lease.renew(this->lastPrimaryView->server, *earliestRequestAt);
         this->serveWaiters();
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -64,7 +64,8 @@
     // Evaluates one round of statuses of the group's servers. The lease is renewed when every replica reports that it receives in the
     // primary's term, because a promoted replica would report that it is the primary. When a replica does not answer or still
     // leads in an older term, or this VM may not know all replicas, the others must report this in two rounds some time apart: by the
-    // second round, a promotion would have paused them or informed them of the new primary.
+    // second round, a promotion would have paused them or informed them of the new primary. An isolated VM does not renew the lease while a
+    // replica does not answer.
     void applyStatusRound(const std::vector<ProbedStatus>&);
     // Handles the result of an examination: the primary of the directory answered and no server knows a newer term.
     void confirmPrimary(const ProbedStatus&);
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -231,6 +231,23 @@
         EXPECT_TRUE(this->isUsable(this->now + milliseconds(800)));
     }
 
+    // Guards against a lease that an isolated VM renews by a replica that a new primary has not reached, while the new primary does not
+    // answer this VM.
+    TEST_F(GroupTrackerTest, DoesNotRenewLeaseOfIsolatedVmWhileAReplicaIsUnanswered)
+    {
+        this->commitAt(this->now, 6);
+        this->context.isVmIsolated = true;
+        ProbedStatus unansweredStatus;
+        unansweredStatus.server = BackendServerId("b3");
+        for (int round = 1; round < 5; ++round)
+            this->group->applyStatusRound({ answeredStatus(replica, false, 1, this->now + milliseconds(200 * round)), unansweredStatus });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(800)));
+        // All replicas that are known have answered.
+        for (int round = 5; round < 8; ++round)
+            this->group->applyStatusRound({ answeredStatus(replica, false, 1, this->now + milliseconds(200 * round)) });
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(1400)));
+    }
+
     // Guards against a primary that is never used again after one NotPrimary error (day both-replicas-behind on wattle: a third of
     // the requests was refused).
     TEST_F(GroupTrackerTest, UsesPrimaryAgainAfterExaminationConfirmsIt)
