Check ranges in the decoders of entries, rows and group updates

Cause: found by fuzzing the decoders. (2) Times of group updates were not bounded: one in the far future renewed a lease that never expires.

--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -3,6 +3,9 @@
 #include "foxtailtrail/base/Json.h"
 #include "foxtailtrail/server/Log.h"
 
+#include <cmath>
+#include <cstdint>
+
 namespace foxtail {
 
 namespace {
@@ -20,6 +23,14 @@
         return std::nullopt;
     }
 
+    Result<uint16_t> portMember(const json::object& object, std::string_view name)
+    {
+        BOOST_OUTCOME_TRY(const uint64_t number, unsignedMember(object, name));
+        if (number > UINT16_MAX)
+            return fail(ErrorKind::MalformedRequest, "member \"" + std::string(name) + "\" must be a port");
+        return static_cast<uint16_t>(number);
+    }
+
     Result<PeerEntry> parsePeer(std::string_view id, std::string_view value)
     {
         BOOST_OUTCOME_TRY(const json::object object, parseJsonObject(value));
@@ -27,13 +38,12 @@
         entry.id = VmId(std::string(id));
         BOOST_OUTCOME_TRY(entry.configurationEndpoint.address, stringMember(object, "address"));
         BOOST_OUTCOME_TRY(entry.dataCentre.value, stringMember(object, "dataCentre"));
-        BOOST_OUTCOME_TRY(const uint64_t configurationPort, unsignedMember(object, "controlPort"));
-        BOOST_OUTCOME_TRY(const uint64_t datagramPortNumber, unsignedMember(object, "datagramPort"));
-        entry.configurationEndpoint.port = static_cast<uint16_t>(configurationPort);
-        entry.datagramPort = static_cast<uint16_t>(datagramPortNumber);
-        BOOST_OUTCOME_TRY(const uint64_t relayPortNumber, unsignedMember(object, "relayPort"));
-        entry.relayPort = static_cast<uint16_t>(relayPortNumber);
+        BOOST_OUTCOME_TRY(entry.configurationEndpoint.port, portMember(object, "controlPort"));
+        BOOST_OUTCOME_TRY(entry.datagramPort, portMember(object, "datagramPort"));
+        BOOST_OUTCOME_TRY(entry.relayPort, portMember(object, "relayPort"));
         BOOST_OUTCOME_TRY(entry.processorShare, numberMember(object, "processorShare"));
+        if (!std::isfinite(entry.processorShare) || entry.processorShare <= 0)
+            return fail(ErrorKind::MalformedRequest, "member \"processorShare\" must be above 0");
         return entry;
     }
 
@@ -55,6 +65,8 @@
         BOOST_OUTCOME_TRY(record.holder.value, stringMember(object, "holder"));
         BOOST_OUTCOME_TRY(record.fencingToken, unsignedMember(object, "fence"));
         BOOST_OUTCOME_TRY(const uint64_t endsAt, unsignedMember(object, "endsAtMs"));
+        if (endsAt > INT64_MAX)
+            return fail(ErrorKind::MalformedRequest, "member \"endsAtMs\" is out of range");
         record.endsAtMs = static_cast<int64_t>(endsAt);
         return record;
     }
--- a/foxtailtrail/proxy/GroupUpdateCodec.cpp
+++ b/foxtailtrail/proxy/GroupUpdateCodec.cpp
@@ -3,11 +3,25 @@
 #include "foxtailtrail/server/Log.h"
 
 #include <cmath>
+#include <stdexcept>
 
 namespace foxtail {
 
 namespace {
 
+    // A VM reports what it knows at present, so a time outside of this range is not that of a renewal or a sample.
+    constexpr std::chrono::milliseconds maxPast = std::chrono::hours(24);
+    constexpr std::chrono::milliseconds maxFuture = std::chrono::minutes(1);
+
+    // Converts a time relative to the reference. Throws std::out_of_range.
+    TimePoint absoluteTime(const json::value& relative, TimePoint reference)
+    {
+        const std::chrono::milliseconds offset(relative.to_number<int64_t>());
+        if (offset < -maxPast || offset > maxFuture)
+            throw std::out_of_range("a time is out of range");
+        return reference + offset;
+    }
+
     int64_t relativeMilliseconds(TimePoint time, TimePoint reference)
     {
         return std::chrono::floor<std::chrono::milliseconds>(time - reference).count();
@@ -36,10 +50,10 @@
             update.service.value = std::string_view(item.at(0).as_string());
             update.primaryServer.value = std::string_view(item.at(1).as_string());
             update.term.value = item.at(2).to_number<uint64_t>();
-            update.leaseRenewedAt = reference + std::chrono::milliseconds(item.at(3).to_number<int64_t>());
+            update.leaseRenewedAt = absoluteTime(item.at(3), reference);
             update.position.term.value = item.at(4).to_number<uint64_t>();
             update.position.position.value = item.at(5).to_number<uint64_t>();
-            update.sampledAt = reference + std::chrono::milliseconds(item.at(6).to_number<int64_t>());
+            update.sampledAt = absoluteTime(item.at(6), reference);
             updates.push_back(std::move(update));
         } catch (const std::exception& error) {
             logEvent(LogLevel::Debug, "group update ignored: it cannot be decoded", { { "detail", error.what() } });
