Adapt the search of promotions and the fuzzing to versions with an era

Cause: the two parts were written side by side; the search, the fuzzing and one lock test used store versions without an era. Change: their worlds use one era; requests for changes carry the era's header. No check or bound is changed.

--- a/tests/failover/FailoverPlanTest.cpp
+++ b/tests/failover/FailoverPlanTest.cpp
@@ -345,7 +345,7 @@
     TEST(PromotionLockTest, ResumesReplicasOnlyWithinTheLifetime)
     {
         const TimePoint acquiredAt(std::chrono::seconds(100));
-        const HeldPromotionLock lock { {}, 1, acquiredAt + promotionLockUsableLifetime };
+        const HeldPromotionLock lock { {}, StoreVersion { 0, 1 }, acquiredAt + promotionLockUsableLifetime };
         EXPECT_TRUE(lock.mayResumeAt(acquiredAt + promotionLockUsableLifetime));
         EXPECT_FALSE(lock.mayResumeAt(acquiredAt + promotionLockLifetime - std::chrono::milliseconds(500)));
         EXPECT_FALSE(lock.mayResumeAt(acquiredAt + promotionLockLifetime));
--- a/tests/fuzzing/DecoderFuzzTest.cpp
+++ b/tests/fuzzing/DecoderFuzzTest.cpp
@@ -206,7 +206,7 @@
                     EXPECT_EQ(entry, decodePeer("vm/v1", encodePeer(*entry)));
                 }
                 (void)decodePrimary("leader/s", input);
-                const std::optional<PromotionLockRecord> decoded = decodePromotionLock(input);
+                const std::optional<PromotionLockRecord> decoded = decodePromotionLock(promotionLockRowKey(0), input);
                 if (decoded) {
                     EXPECT_GE(decoded->endsAtMs, 0);
                 }
@@ -218,10 +218,10 @@
         ChangeExchange exchange;
         RowSet rows;
         // The newest version is above those of all requests, so that none of them waits for changes.
-        rows.version = UINT64_MAX;
-        rows.rows.push_back({ "key", "value", 5, false });
+        rows.version = { 0, UINT64_MAX };
+        rows.rows.push_back({ "key", "value", { 0, 5 }, false });
         exchange.recordList(StoreTable::Servers, RowSet {});
-        exchange.recordChanges(StoreTable::Servers, 0, rows);
+        exchange.recordChanges(StoreTable::Servers, {}, rows);
         Mutator mutator(seed(), { "declarations", "servers", "fleet", "0", "17", "2500", "18446744073709551614" });
         const size_t count = inputCount(shortRunInputs);
         for (size_t index = 0; index < count; ++index) {
@@ -229,8 +229,8 @@
             request.method = "GET";
             request.target = "/changes";
             const auto valueOr = [&](const char* valid) { return mutator.below(3) == 0 ? mutator.next() : std::string(valid); };
-            request.headers
-                = { { "Foxtail-Table", valueOr("servers") }, { "Foxtail-After", valueOr("3") }, { "Foxtail-Wait-Ms", valueOr("10") } };
+            request.headers = { { "Foxtail-Table", valueOr("servers") }, { "Foxtail-After", valueOr("3") },
+                { "Foxtail-Wait-Ms", valueOr("10") }, { "Foxtail-Store-Era", valueOr("0") } };
             if (request.headers[1].value.starts_with("18446744073709551615"))
                 continue;
             const HttpResponse response = exchange.handleRequest(request);
--- a/tests/promotion/PromotionWorld.cpp
+++ b/tests/promotion/PromotionWorld.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // The store of this world loses nothing.
+    const StoreEra onlyEra {};
+
     const ServiceName service("s");
     constexpr uint8_t maxTerm = 6;
     // Ages of the promotion lock are equal beyond this many ticks.
@@ -243,7 +246,7 @@
     Vm& self = this->vms[vm];
     if (!self.isStoreUnavailable && self.lock->storedVersion == this->storedLockVersion) {
         this->storedLock = releasePromotionLock(self.lock->record, this->storeNowMs());
-        ++this->storedLockVersion;
+        ++this->storedLockVersion.number;
     }
     self.lock.reset();
     self.chosen.reset();
@@ -387,13 +390,14 @@
         return;
     if (self.isStoreUnavailable)
         return;
-    const std::optional<PromotionLockRecord> acquired = acquirePromotionLock(this->storedLock, vmIds[vm], this->storeNowMs());
+    const std::optional<PromotionLockRecord> acquired
+        = acquirePromotionLock(this->storedLock, vmIds[vm], this->storeNowMs(), onlyEra, this->now());
     if (!acquired || acquired->fencingToken > this->settings.acquisitionLimit)
         return;
     if (this->storedLock && acquired->fencingToken <= this->storedLock->fencingToken)
         this->brokenGuarantee = "two holders of the promotion lock have the same fencing token";
     this->storedLock = acquired;
-    ++this->storedLockVersion;
+    ++this->storedLockVersion.number;
     self.lock = HeldPromotionLock { *acquired, this->storedLockVersion, this->now() + promotionLockUsableLifetime };
     if (cause == FailoverCause::None) {
         if (hasPausedReplicas)
@@ -578,7 +582,7 @@
             // Only reads and writes.
         } else if (self.step == Step::Idle) {
             add(name(vm) + " examines the group", 0, [&](PromotionWorld& world) { world.examine(vm); });
-        } else if (self.step != Step::Ordered && !self.lock->isUsableAt(this->now())) {
+        } else if (self.step != Step::Ordered && !self.lock->isUsableAt(this->now(), onlyEra)) {
             add(name(vm) + " gives the promotion up", 0, [&](PromotionWorld& world) { world.endPromotion(vm, false); });
             if (this->settings.allowLateResume)
                 add(name(vm) + " gives the promotion up, resume is late", 1, [&](PromotionWorld& world) { world.endPromotion(vm, true); });
--- a/tests/promotion/PromotionWorld.h
+++ b/tests/promotion/PromotionWorld.h
@@ -156,7 +156,7 @@
     uint8_t promoted = 0;
     std::array<Vm, vmCount> vms;
     std::optional<PromotionLockRecord> storedLock;
-    uint64_t storedLockVersion = 0;
+    StoreVersion storedLockVersion;
     std::optional<PrimaryRecord> storedRecord;
     std::optional<Order> pendingOrder;
     uint64_t highestFencingToken = 0;
