Move the version of the store to the base of the decision library

Cause: failover/PromotionLock included it from the store folder, which is part of the shell; the check DecisionLibraryHasNoIo failed. Change: the header, which holds two plain types, stands in foxtailtrail/base. Measured: scripts/check-decisions passes.

--- a/foxtailtrail/failover/PromotionLock.h
+++ b/foxtailtrail/failover/PromotionLock.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "foxtailtrail/base/Ids.h"
+#include "foxtailtrail/base/StoreVersion.h"
 #include "foxtailtrail/base/Time.h"
-#include "foxtailtrail/store/StoreVersion.h"
 
 #include <cstdint>
 #include <optional>
--- a/foxtailtrail/proxy/ConfigurationExchange.h
+++ b/foxtailtrail/proxy/ConfigurationExchange.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "foxtailtrail/base/Result.h"
+#include "foxtailtrail/base/StoreVersion.h"
 #include "foxtailtrail/net/Http.h"
 #include "foxtailtrail/net/HttpClient.h"
-#include "foxtailtrail/store/StoreVersion.h"
 
 #include <cstdint>
 #include <optional>
--- a/foxtailtrail/proxy/SharedStore.h
+++ b/foxtailtrail/proxy/SharedStore.h
@@ -2,8 +2,8 @@
 
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Result.h"
+#include "foxtailtrail/base/StoreVersion.h"
 #include "foxtailtrail/base/Time.h"
-#include "foxtailtrail/store/StoreVersion.h"
 
 #include <cstdint>
 #include <string>
