Hold back SIGHUP until a starting VM handles it

Cause: until the signal set exists, SIGHUP ends the process; the settings may also have been read before a change. Change: SIGHUP is blocked before the settings are read and unblocked once the VM has started, so it is handled then. No test of its own.

--- a/foxtailtrail/Main.cpp
+++ b/foxtailtrail/Main.cpp
@@ -100,6 +100,7 @@
         return exitUsage;
     }
     const std::string file = arguments.empty() ? environmentFile : arguments[0];
+    ProxyVm::holdReloadSignal();
     const auto settings = readProxySettings(file);
     if (!settings) {
         printSettingsErrors(settings.error());
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -14,6 +14,15 @@
 
     constexpr Duration stopPollInterval = std::chrono::milliseconds(50);
 
+    // Blocks or unblocks SIGHUP for the calling thread. Without a handler, the signal ends the process.
+    void maskReloadSignal(int how)
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGHUP);
+        pthread_sigmask(how, &signals, nullptr);
+    }
+
 }
 
 ProxyVm::ProxyVm(FiberThread& thread, std::string settingsFile, const ProxySettings& settings, const ProxyPlatform& platform,
@@ -145,6 +154,8 @@
     return HttpResponse { 200, "text/plain; version=0.0.4", {}, this->proxy.metrics().exposition(gauges) };
 }
 
+void ProxyVm::holdReloadSignal() { maskReloadSignal(SIG_BLOCK); }
+
 int ProxyVm::run(const std::string& settingsFile, const ProxySettings& settings, const ProxyPlatform& platform)
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -161,6 +172,8 @@
         flushLog();
         std::_Exit(EXIT_FAILURE);
     }
+    // A signal that was held while the VM started is handled now.
+    maskReloadSignal(SIG_UNBLOCK);
     future.wait();
     // Fibers still wait for the store, so the process exits without joining them.
     std::_Exit(EXIT_SUCCESS);
--- a/foxtailtrail/proxy/ProxyVm.h
+++ b/foxtailtrail/proxy/ProxyVm.h
@@ -28,6 +28,9 @@
 // between threads costs a wake-up.
 class ProxyVm {
 public:
+    // Holds back SIGHUP until run() handles it. To be called before the settings are read, so that no change of them is missed and the
+    // signal does not end the process.
+    static void holdReloadSignal();
     // Runs until SIGTERM or SIGINT and the end of the sessions. Returns the exit status.
     static int run(const std::string& settingsFile, const ProxySettings&, const ProxyPlatform&);
 
