Show the change that no VM learns of after the store was silent

The store stand-in gains a fault that takes the calls which it holds: they and later calls on their connections never get a response, and the connections stay open. Two tests with three VM processes publish a change, make the store silent for 5.25 s or for 0.3 s, and publish a route.

--- a/standins/platform/RowStore.cpp
+++ b/standins/platform/RowStore.cpp
@@ -1,5 +1,6 @@
 #include "standins/platform/RowStore.h"
 
+#include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <openssl/evp.h>
@@ -73,6 +74,8 @@
 void RowStore::setFaults(const RowStoreFaults& newFaults)
 {
     const std::lock_guard<std::mutex> lock(this->mutex);
+    if (newFaults.isSilent && !this->faults.isSilent)
+        ++this->silenceCount;
     this->faults = newFaults;
 }
 
@@ -156,6 +159,8 @@
             return;
         Response result;
         bool isRejected = false;
+        bool isSilenced = false;
+        uint64_t silencesBefore = 0;
         std::chrono::milliseconds handlingDelay { 0 };
         {
             std::unique_lock<std::mutex> lock(this->mutex);
@@ -167,10 +172,24 @@
                 || (this->faults.rejectedConnectionShare > 0
                     && static_cast<double>(number * 7919 % 100) < this->faults.rejectedConnectionShare * 100);
             handlingDelay = this->faults.requestDelay;
+            isSilenced = this->faults.isSilent;
+            silencesBefore = this->silenceCount;
         }
         if (handlingDelay.count() > 0)
             std::this_thread::sleep_for(handlingDelay);
-        result = isRejected ? Response { 503, "{}", false } : this->handleRequest(request);
+        if (!isSilenced)
+            result = isRejected ? Response { 503, "{}", false } : this->handleRequest(request);
+        {
+            const std::lock_guard<std::mutex> lock(this->mutex);
+            isSilenced = isSilenced || this->silenceCount != silencesBefore;
+        }
+        if (isSilenced) {
+            // Returns when the client closes the connection.
+            std::array<char, 1024> ignored {};
+            while (!code)
+                socket.read_some(boost::asio::buffer(ignored), code);
+            return;
+        }
         if (result.isLost)
             return;
         http::response<http::string_body> response(static_cast<http::status>(result.status), 11);
--- a/standins/platform/RowStore.h
+++ b/standins/platform/RowStore.h
@@ -24,6 +24,8 @@
     bool isUnavailable = false;
     // Calls receive no reply, and their connections stay open.
     bool isUnresponsive = false;
+    // Calls that run while this is set never receive a reply, nor do later calls on their connections, which stay open.
+    bool isSilent = false;
     // The share of connections whose calls receive status 503 while others are served. The number of a connection decides.
     double rejectedConnectionShare = 0;
     // Every request is delayed by this time before it takes effect.
@@ -109,6 +111,8 @@
     uint64_t historyStartVersion = 0;
     uint64_t connectionCount = 0;
     uint64_t calls = 0;
+    // How often the store has become silent.
+    uint64_t silenceCount = 0;
     bool isStopping = false;
     std::vector<PromotionOrder> receivedOrders;
     // Declared last, so that it is destroyed first and no handler outlives the state it uses.
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -555,6 +555,61 @@
         }
     }
 
+    // The bound on the time from the confirmation of a change to the time when it is in force on every VM.
+    constexpr std::chrono::milliseconds configurationBound { 3000 };
+
+    class SilentStoreTest : public FleetTest {
+    protected:
+        // Publishes a configuration with another database and returns when the store has confirmed it.
+        std::chrono::steady_clock::time_point addDatabase(const std::string& database)
+        {
+            this->fleet.extraDatabases.push_back(database);
+            this->fleet.publishConfiguration();
+            return std::chrono::steady_clock::now();
+        }
+        bool isServed(size_t vm, const std::string& database)
+        {
+            Caller caller(this->fleet.callerPort(vm));
+            return caller.start(database, "key-of-orga").succeeded();
+        }
+        // Publishes a configuration, waits until every VM has it and waits for changes again, and makes the store silent for a time.
+        void makeSilentAfterChange(std::chrono::milliseconds silence)
+        {
+            this->addDatabase("first");
+            for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm)
+                ASSERT_TRUE(eventually([&] { return this->isServed(vm, "first"); })) << this->fleet.logs();
+            std::this_thread::sleep_for(std::chrono::milliseconds(600));
+            standins::RowStoreFaults faults;
+            faults.isSilent = true;
+            this->fleet.store().setFaults(faults);
+            std::this_thread::sleep_for(silence);
+            this->fleet.store().setFaults({});
+        }
+        void expectServedInTime(const std::string& database, std::chrono::steady_clock::time_point confirmedAt)
+        {
+            std::this_thread::sleep_until(confirmedAt + configurationBound);
+            for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm)
+                EXPECT_TRUE(this->isServed(vm, database)) << "vm" << vm << this->fleet.logs();
+        }
+    };
+
+    INSTANTIATE_TEST_SUITE_P(
+        ConnectionModes, SilentStoreTest, testing::Values(Fleet::ConnectionMode::Direct), [](const auto&) { return "Direct"; });
+
+    // Guards against a change that no VM learns of because the calls of all VMs were lost while the store was silent.
+    TEST_P(SilentStoreTest, ServesRouteThatWasAddedAfterLongSilence)
+    {
+        this->makeSilentAfterChange(std::chrono::milliseconds(5250));
+        this->expectServedInTime("fresh", this->addDatabase("fresh"));
+    }
+
+    // Guards against the same after a silence so short that no other call fails.
+    TEST_P(SilentStoreTest, ServesRouteThatWasAddedAfterShortSilence)
+    {
+        this->makeSilentAfterChange(std::chrono::milliseconds(300));
+        this->expectServedInTime("fresh", this->addDatabase("fresh"));
+    }
+
 }
 
 }
