Keep the longest time of a held call below the time within which changes must be in force

What callers saw: requests were handled by a configuration that had been replaced more than config_ms before (CONFIG).

Cause: the store held a call for 10 to 15 s, and it was given up 1.2 s later. A call whose response is lost told the VM nothing in all that time; config_ms is 3 s. A change makes all VMs call again within 0.4 s, so a silence right after it took the calls of all of them and no peer had the next version. The other tables' calls failed meanwhile, but the configuration's call was not ended.

Change: FeedSchedule, a class of the decision library, derives the hold, the reply timeout and the retry delay of each table from the bound of the promise that depends on it (config_ms and revoke_ms for configurations, drain_ms for servers), for calls to the store and to the VM that reads it for others. The bounds are settings, filled in by the platform. A call without a response ends the calls that are held for the other tables; so does a newer configuration that only a peer delivered. After a lost response no idle connection is used again, since it may have been silenced too.

--- a/foxtailtrail/net/HttpClient.cpp
+++ b/foxtailtrail/net/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <set>
 #include <vector>
 
 namespace foxtail {
@@ -60,6 +61,7 @@
     Result<HttpResponse> send(const HttpRequest& request, TimePoint deadline)
     {
         BOOST_OUTCOME_TRY(std::unique_ptr<beast::tcp_stream> stream, this->acquireConnection(deadline));
+        const BusyStream busy(this->busyStreams, stream.get());
 
         http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
         message.set(http::field::host, this->endpoint.address);
@@ -88,12 +90,38 @@
         return toResponse(parser.release());
     }
 
+    void abortRequests()
+    {
+        for (beast::tcp_stream* stream : this->busyStreams)
+            stream->cancel();
+    }
+
     Endpoint endpoint;
     TransferCounters counters;
 
 private:
-    boost::outcome_v2::failure_type<Error> outcomeUnknown(beast::error_code code) const
+    // Lists a connection as busy while it exists.
+    class BusyStream {
+    public:
+        BusyStream(std::set<beast::tcp_stream*>& busyStreams, beast::tcp_stream* stream)
+            : busyStreams(busyStreams)
+            , stream(stream)
+        {
+            this->busyStreams.insert(this->stream);
+        }
+        ~BusyStream() { this->busyStreams.erase(this->stream); }
+        BusyStream(const BusyStream&) = delete;
+        BusyStream& operator=(const BusyStream&) = delete;
+
+    private:
+        std::set<beast::tcp_stream*>& busyStreams;
+        beast::tcp_stream* stream;
+    };
+
+    boost::outcome_v2::failure_type<Error> outcomeUnknown(beast::error_code code)
     {
+        // What took the response may have silenced the idle connections too.
+        this->idleConnections.clear();
         return fail(ErrorKind::OutcomeUnknown, this->endpointText() + ": no complete response: " + code.message());
     }
 
@@ -126,6 +154,7 @@
 
     size_t maxIdle;
     std::vector<std::unique_ptr<beast::tcp_stream>> idleConnections;
+    std::set<beast::tcp_stream*> busyStreams;
 };
 
 HttpClient::HttpClient(Endpoint endpoint, size_t maxIdleConnections)
@@ -140,6 +169,8 @@
     return this->implementation->send(request, deadline);
 }
 
+void HttpClient::abortRequests() { this->implementation->abortRequests(); }
+
 const Endpoint& HttpClient::endpoint() const { return this->implementation->endpoint; }
 
 const TransferCounters& HttpClient::counters() const { return this->implementation->counters; }
--- a/foxtailtrail/net/HttpClient.h
+++ b/foxtailtrail/net/HttpClient.h
@@ -38,6 +38,9 @@
     // later failure.
     Result<HttpResponse> send(const HttpRequest&, TimePoint deadline);
 
+    // Closes the connections of the requests that wait for a response. The requests fail with OutcomeUnknown.
+    void abortRequests();
+
     const Endpoint& endpoint() const;
     const TransferCounters& counters() const;
 
--- a/foxtailtrail/proxy/ChangeExchange.cpp
+++ b/foxtailtrail/proxy/ChangeExchange.cpp
@@ -25,8 +25,6 @@
     constexpr uint64_t maxWaitMs = 10000;
     // Status of the response to a version of an ended era.
     constexpr unsigned endedEraStatus = 410;
-    // Added to the wait of a request; covers a round trip, and a VM that has used up its processor quota.
-    constexpr Duration replyTimeout = std::chrono::milliseconds(700);
     // A VM receives three tables at a time, each on a connection of its own.
     constexpr size_t maxIdleConnections = 3;
     // One reader is used at a time; others are kept for a change of reader.
@@ -121,7 +119,7 @@
     }
 }
 
-Result<RowSet> ChangeExchange::fetch(const Endpoint& peer, StoreTable table, const StoreVersion& after, Duration wait)
+Result<RowSet> ChangeExchange::fetch(const Endpoint& peer, StoreTable table, const StoreVersion& after, const FeedCall& call)
 {
     if (this->clients.size() >= maxClients && this->clients.count(peer) == 0)
         this->clients.clear();
@@ -133,8 +131,8 @@
     request.method = "GET";
     request.target = requestTarget;
     request.headers = { { tableHeader, std::string(tableNames[static_cast<size_t>(table)]) }, { eraHeader, std::to_string(after.era) },
-        { afterHeader, std::to_string(after.number) }, { waitHeader, std::to_string(toMilliseconds(wait)) } };
-    BOOST_OUTCOME_TRY(const HttpResponse response, client->send(request, now() + wait + replyTimeout));
+        { afterHeader, std::to_string(after.number) }, { waitHeader, std::to_string(toMilliseconds(call.hold)) } };
+    BOOST_OUTCOME_TRY(const HttpResponse response, client->send(request, call.giveUpAt));
     if (response.status == endedEraStatus)
         return fail(ErrorKind::VersionConflict, "the peer reads the store in a later era than " + std::to_string(after.era));
     if (response.status != 200)
--- a/foxtailtrail/proxy/ChangeExchange.h
+++ b/foxtailtrail/proxy/ChangeExchange.h
@@ -29,7 +29,7 @@
     HttpResponse handleRequest(const HttpRequest&);
     // Requests the changes after a version from another VM. Blocks the calling fiber. Fails with VersionConflict when that VM reads the
     // store in a later era.
-    Result<RowSet> fetch(const Endpoint&, StoreTable, const StoreVersion& after, Duration wait);
+    Result<RowSet> fetch(const Endpoint&, StoreTable, const StoreVersion& after, const FeedCall&);
 
 private:
     struct ServedTable {
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -1,5 +1,6 @@
 #include "foxtailtrail/proxy/ProxySettings.h"
 
+#include "foxtailtrail/membership/FeedSchedule.h"
 #include "foxtailtrail/server/Log.h"
 
 #include <cstdlib>
@@ -74,6 +75,17 @@
 
     Duration milliseconds(double value) { return Duration(static_cast<Duration::rep>(value * 1000)); }
 
+    // Replaces the default bound when the document has the member.
+    void readChangeBound(SettingsReader& reader, std::string_view name, Duration& bound)
+    {
+        const YAML::Node node = reader.find("bounds", name);
+        if (!node || node.IsNull())
+            return;
+        bound = milliseconds(reader.read<double>("bounds", name, "a number of milliseconds"));
+        if (!FeedSchedule::create(bound, 0))
+            reader.addError("bounds", name, "must be at least " + std::to_string(toMilliseconds(FeedSchedule::minBound)));
+    }
+
     ProxySettings readSettings(SettingsReader& reader)
     {
         ProxySettings settings;
@@ -101,6 +113,9 @@
         settings.quota.window = milliseconds(1000 * reader.read<double>("bounds", "quotaWindowSeconds", "a number of seconds"));
         settings.quota.excessShare = reader.read<double>("bounds", "quotaExcess", "a share");
         settings.quota.slack = reader.read<double>("bounds", "quotaSlack", "a number of operations");
+        readChangeBound(reader, "configurationMilliseconds", settings.changeBounds.configuration);
+        readChangeBound(reader, "keyWithdrawalMilliseconds", settings.changeBounds.keyWithdrawal);
+        readChangeBound(reader, "serverDrainMilliseconds", settings.changeBounds.serverDrain);
         return settings;
     }
 
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -12,6 +12,13 @@
 
 namespace foxtail {
 
+// The times within which changes that the store has confirmed must be in force on every VM.
+struct ChangeBounds {
+    Duration configuration = std::chrono::milliseconds(3000);
+    Duration keyWithdrawal = std::chrono::milliseconds(5000);
+    Duration serverDrain = std::chrono::milliseconds(7000);
+};
+
 // The settings of a VM that runs on the platform, read from a YAML file. docs/settings.md lists the names.
 struct ProxySettings {
     VmId vmId;
@@ -37,6 +44,7 @@
     // The time between the stop signal and the kill signal.
     Duration stopGracePeriod { 0 };
     QuotaBounds quota;
+    ChangeBounds changeBounds;
     std::string logLevel = "info";
 };
 
--- a/foxtailtrail/proxy/SharedStore.h
+++ b/foxtailtrail/proxy/SharedStore.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/base/Result.h"
 #include "foxtailtrail/base/StoreVersion.h"
 #include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/membership/FeedSchedule.h"
 
 #include <cstdint>
 #include <string>
@@ -59,16 +60,18 @@
     std::vector<Put> puts;
 };
 
-// The platform's store. Each call blocks the calling fiber, at the latest until its deadline or the end of its wait.
+// The platform's store. Each call blocks the calling fiber, at the latest until its deadline.
 class SharedStore {
 public:
     virtual ~SharedStore() = default;
 
     // Returns all rows of a table.
     virtual Result<RowSet> list(StoreTable, TimePoint deadline) = 0;
-    // Returns the changes after a version, as soon as there is one or the wait has ended. Fails with VersionConflict when the store has
-    // dropped that part of its history or is in another era.
-    virtual Result<RowSet> follow(StoreTable, const StoreVersion& after, Duration wait) = 0;
+    // Returns the changes after a version, as soon as there is one or the hold has ended. Fails with VersionConflict when the store has
+    // dropped that part of its history or is in another era, and with OutcomeUnknown when there was no complete response in time.
+    virtual Result<RowSet> follow(StoreTable, const StoreVersion& after, const FeedCall&) = 0;
+    // Ends the calls that the store holds open. They fail with OutcomeUnknown.
+    virtual void endHeldCalls() = 0;
     // Commits a transaction. Returns the new version. Fails with VersionConflict when a precondition does not hold or is of an ended era,
     // and with StoreOutcomeUnknown when the transaction may have been committed or may still be committed, or was committed in another
     // era than that of a precondition.
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -17,18 +17,8 @@
 
 namespace {
 
-    // How long the store may hold a call of a feed open. Each call has a cost. TCP keep-alive detects a silent connection within three
-    // seconds; this wait is the second bound on the detection. It is random so that the feeds of the VMs do not end at the same time.
-    constexpr int minFeedWaitMs = 10000;
-    constexpr int maxFeedWaitMs = 15000;
-    // How long another VM may hold a request for changes open. It bounds the time until a VM notices that its reader does not respond.
-    constexpr Duration readerFeedWait = std::chrono::milliseconds(2500);
-    // How long the store may hold a call of a reader open. The store may leave the calls of one VM without a reply while it serves others;
-    // the VMs that depend on this reader then read the store themselves within this time and the reply timeout.
-    constexpr Duration maxStoreWaitOfReader = std::chrono::seconds(5);
-    // Changes often come in bursts, and each response of a feed has a cost for every VM, so further changes are collected for this
-    // time.
-    constexpr Duration changeBatchDelay = std::chrono::milliseconds(400);
+    // No promise to callers depends on the time within which changes of the fleet are known; each call has a cost.
+    constexpr Duration fleetChangeBound = std::chrono::seconds(18);
     // Used while a fleet starts, when VMs and servers register one after the other.
     constexpr Duration startupBatchDelay = std::chrono::milliseconds(1500);
     constexpr Duration startupPeriod = std::chrono::seconds(4);
@@ -40,9 +30,6 @@
     constexpr int minRegistrationRetryMs = 300;
     constexpr int maxRegistrationRetryMs = 1500;
     constexpr Duration listTimeout = std::chrono::milliseconds(1000);
-    // The delay after a failed call doubles up to the maximum.
-    constexpr Duration initialRetryDelay = std::chrono::milliseconds(100);
-    constexpr Duration maxRetryDelay = std::chrono::milliseconds(800);
     // When all tables are unavailable, the tables other than the declarations are retried after this time at the latest.
     constexpr Duration tableRestoredTimeout = std::chrono::milliseconds(2500);
     constexpr Duration peerFetchTimeout = std::chrono::milliseconds(800);
@@ -100,23 +87,27 @@
 void StoreFollower::start()
 {
     startFiber([this] {
-        this->follow(StoreTable::Declarations, "configuration", [this](const RowSet& rows, bool) { this->applyDeclarations(rows); });
+        const ChangeBounds& bounds = this->proxy.settings().changeBounds;
+        this->follow(StoreTable::Declarations, "configuration", std::min(bounds.configuration, bounds.keyWithdrawal),
+            [this](const RowSet& rows, bool) { this->applyDeclarations(rows); });
     });
     startFiber([this] {
-        this->follow(StoreTable::Servers, "servers", [this](const RowSet& rows, bool isWhole) { this->applyServers(rows, isWhole); });
+        this->follow(StoreTable::Servers, "servers", this->proxy.settings().changeBounds.serverDrain,
+            [this](const RowSet& rows, bool isWhole) { this->applyServers(rows, isWhole); });
     });
     startFiber([this] {
-        this->follow(StoreTable::Fleet, "fleet", [this](const RowSet& rows, bool isWhole) { this->applyFleet(rows, isWhole); });
+        this->follow(
+            StoreTable::Fleet, "fleet", fleetChangeBound, [this](const RowSet& rows, bool isWhole) { this->applyFleet(rows, isWhole); });
     });
     startFiber([this] { this->contactUnlistedSeeds(); });
 }
 
-void StoreFollower::follow(StoreTable table, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply)
+void StoreFollower::follow(
+    StoreTable table, const std::string& name, Duration bound, const std::function<void(const RowSet&, bool isWhole)>& apply)
 {
+    FeedSchedule schedule = FeedSchedule::create(bound, stableHash(this->proxy.settings().vmId.value + name)).value();
     bool isListed = false;
-    bool isUnavailable = false;
     StoreVersion version;
-    Duration delay = initialRetryDelay;
     if (table == StoreTable::Declarations) {
         if (const std::optional<StoreVersion> followed = this->fetchInitialConfiguration()) {
             version = *followed;
@@ -125,22 +116,19 @@
         }
         this->isStarting = false;
     }
-    std::minstd_rand random(static_cast<std::minstd_rand::result_type>(stableHash(this->proxy.settings().vmId.value + name)));
-    std::uniform_int_distribution<int> feedWaitMs(minFeedWaitMs, maxFeedWaitMs);
     // Runs until the process ends.
     while (true) {
-        // The first call after a failure is not held, because only its reply shows whether the store is still in the same era.
-        const Duration storeWait = isUnavailable ? Duration(0) : std::chrono::milliseconds(feedWaitMs(random));
+        const TimePoint calledAt = bootNow();
         const Result<RowSet> rows
-            = isListed ? this->receiveChanges(table, version, storeWait) : this->store.list(table, now() + listTimeout);
+            = isListed ? this->receiveChanges(table, version, schedule) : this->store.list(table, now() + listTimeout);
         if (rows) {
-            if (std::exchange(isUnavailable, false)) {
+            if (schedule.isUnavailable()) {
                 --this->unavailableTableCount;
                 this->areDeclarationsUnavailable = this->areDeclarationsUnavailable && table != StoreTable::Declarations;
                 this->tableRestored.notify_all();
                 logEvent(LogLevel::Info, "store table available again", { { "table", name } });
             }
-            delay = initialRetryDelay;
+            schedule.recordResponse();
             version = rows.value().version;
             if (table == StoreTable::Declarations)
                 this->configurationExchange.setFollowedStoreVersion(version);
@@ -159,6 +147,11 @@
                 sleepFor(this->batchDelay(table, rows.value()));
             continue;
         }
+        const bool hasNoResponse = rows.error().kind == ErrorKind::OutcomeUnknown || rows.error().kind == ErrorKind::PeerUnavailable;
+        if (hasNoResponse && calledAt <= this->heldCallsEndedAt && !schedule.isUnavailable()) {
+            schedule.requestImmediateResponse();
+            continue;
+        }
         this->changeExchange.stopServing(table);
         if (rows.error().kind == ErrorKind::VersionConflict) {
             logEvent(LogLevel::Info, "store table is read again as a whole",
@@ -166,39 +159,50 @@
             isListed = false;
             continue;
         }
-        if (!std::exchange(isUnavailable, true)) {
+        if (!schedule.isUnavailable()) {
             ++this->unavailableTableCount;
             this->areDeclarationsUnavailable = this->areDeclarationsUnavailable || table == StoreTable::Declarations;
-            logEvent(LogLevel::Warning, "store table unavailable; retrying", { { "table", name }, { "detail", rows.error().detail } });
+            logEvent(LogLevel::Warning, "store table unavailable; retrying",
+                { { "table", name }, { "detail", rows.error().detail }, { "calledMsAgo", toMilliseconds(bootNow() - calledAt) } });
+            if (hasNoResponse)
+                this->renewHeldCalls("a call for table " + name + " received no response");
         }
+        const Duration delay = schedule.recordFailure();
         if (table == StoreTable::Declarations)
             this->fetchFromNextPeer();
         this->waitBeforeRetry(table, delay);
-        delay = std::min(delay * 2, maxRetryDelay);
     }
 }
 
-Result<RowSet> StoreFollower::receiveChanges(StoreTable table, const StoreVersion& after, Duration storeWait)
+Result<RowSet> StoreFollower::receiveChanges(StoreTable table, const StoreVersion& after, FeedSchedule& schedule)
 {
     const std::optional<VmId> reader = this->storeReaders.readerAt(bootNow());
     const auto known = reader ? this->fleetTable.members().find(vmRowKey(*reader)) : this->fleetTable.members().end();
     if (known != this->fleetTable.members().end()) {
         this->changeExchange.stopServing(table);
-        Result<RowSet> changes = this->changeExchange.fetch(known->second.configurationEndpoint, table, after, readerFeedWait);
+        Result<RowSet> changes
+            = this->changeExchange.fetch(known->second.configurationEndpoint, table, after, schedule.nextReaderCall(now()));
         if (changes || changes.error().kind == ErrorKind::VersionConflict) {
             this->storeReaders.recordSuccess(*reader);
             return changes;
         }
         this->storeReaders.recordFailure(*reader, bootNow());
         logEvent(LogLevel::Info, "store reader excluded", { { "reader", reader->value }, { "detail", changes.error().detail } });
+        schedule.requestImmediateResponse();
     }
-    const Duration wait = this->storeReaders.isReader() ? std::min(storeWait, maxStoreWaitOfReader) : storeWait;
-    Result<RowSet> changes = this->store.follow(table, after, wait);
+    Result<RowSet> changes = this->store.follow(table, after, schedule.nextStoreCall(now(), this->storeReaders.isReader()));
     if (changes)
         this->changeExchange.recordChanges(table, after, changes.value());
     return changes;
 }
 
+void StoreFollower::renewHeldCalls(std::string_view reason)
+{
+    logEvent(LogLevel::Info, "held calls to the store are made again", { { "reason", reason } });
+    this->heldCallsEndedAt = bootNow();
+    this->store.endHeldCalls();
+}
+
 Duration StoreFollower::batchDelay(StoreTable table, const RowSet& rows) const
 {
     const bool isStartingUp = bootNow() < this->startedAt + startupPeriod;
@@ -208,7 +212,7 @@
     });
     if (isPromotion)
         return Duration(0);
-    return isStartingUp && table != StoreTable::Declarations ? startupBatchDelay : changeBatchDelay;
+    return isStartingUp && table != StoreTable::Declarations ? startupBatchDelay : FeedSchedule::changeBatchDelay;
 }
 
 void StoreFollower::waitBeforeRetry(StoreTable table, Duration delay)
@@ -531,8 +535,13 @@
         if (!fetched)
             logEvent(LogLevel::Warning, "fetching the configuration from a peer failed",
                 { { "peer", peer.address }, { "detail", fetched.error().detail } });
-        else if (fetched.value())
+        else if (fetched.value()) {
+            const uint64_t versionBefore = this->proxy.configurationVersion();
             this->installDocument(fetched.value()->document, "peer " + peer.address);
+            // The store has confirmed this version, and the held call should have delivered it.
+            if (versionBefore < this->proxy.configurationVersion() && !this->areDeclarationsUnavailable)
+                this->renewHeldCalls("peer " + peer.address + " has a newer configuration");
+        }
         this->isFetching = false;
     });
 }
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailtrail/membership/FeedSchedule.h"
 #include "foxtailtrail/membership/StoreReaders.h"
 #include "foxtailtrail/proxy/ChangeExchange.h"
 #include "foxtailtrail/proxy/ConfigurationExchange.h"
@@ -44,9 +45,12 @@
 
 private:
     static constexpr size_t followedTableCount = 3;
-    void follow(StoreTable, const std::string& name, const std::function<void(const RowSet&, bool isWhole)>& apply);
+    // Changes of the table are known within the bound after their confirmation.
+    void follow(StoreTable, const std::string& name, Duration bound, const std::function<void(const RowSet&, bool isWhole)>& apply);
     // Returns the changes of a table after a version, from another VM that reads the store for this data centre or from the store.
-    Result<RowSet> receiveChanges(StoreTable, const StoreVersion& after, Duration storeWait);
+    Result<RowSet> receiveChanges(StoreTable, const StoreVersion& after, FeedSchedule&);
+    // Makes the calls that the store holds open again, for all tables, because the store may have lost them.
+    void renewHeldCalls(std::string_view reason);
     // Returns how long to collect further changes after some rows have changed.
     Duration batchDelay(StoreTable, const RowSet&) const;
     // Waits before the next attempt to read a table. When all tables are unavailable, and the VM is not starting up, only the
@@ -96,6 +100,8 @@
     // True until the attempt to fetch the initial configuration has ended.
     bool isStarting = true;
     bool areDeclarationsUnavailable = false;
+    // When the held calls were last ended to be made again.
+    TimePoint heldCallsEndedAt {};
     // The newest configuration version that a peer has reported, and when it was first reported.
     uint64_t newestReportedVersion = 0;
     TimePoint newestReportedAt {};
--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr Duration callTimeout = std::chrono::seconds(5);
+    constexpr Duration heldTime = std::chrono::milliseconds(20);
 
     class TableStoreTest : public testing::Test {
     protected:
@@ -34,7 +35,7 @@
         }
         Result<RowSet> follow(const StoreVersion& after)
         {
-            return this->thread->call([&] { return this->store->follow(StoreTable::Fleet, after, std::chrono::milliseconds(20)); });
+            return this->thread->call([&] { return this->store->follow(StoreTable::Fleet, after, { heldTime, now() + callTimeout }); });
         }
         Result<StoreVersion> replaceRow(TableStore& client, const StoreVersion& expected)
         {
--- a/tests/proxy/ChangeExchangeTest.cpp
+++ b/tests/proxy/ChangeExchangeTest.cpp
@@ -1,4 +1,5 @@
 #include "foxtailtrail/proxy/ChangeExchange.h"
+#include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/net/FiberThread.h"
 #include "foxtailtrail/net/HttpServer.h"
 
@@ -11,6 +12,7 @@
     using std::chrono::milliseconds;
 
     constexpr uint64_t era = 1;
+    constexpr Duration replyTimeout = milliseconds(700);
 
     RowSet rowSet(uint64_t version, std::vector<TableRow> rows = {}, uint64_t inEra = era)
     {
@@ -110,8 +112,8 @@
         Result<RowSet> fetch(uint64_t afterNumber, Duration wait, uint64_t inEra = era)
         {
             return this->thread->call([&] {
-                return this->follower.fetch(
-                    Endpoint { "127.0.0.1", this->server->port() }, StoreTable::Servers, { inEra, afterNumber }, wait);
+                return this->follower.fetch(Endpoint { "127.0.0.1", this->server->port() }, StoreTable::Servers, { inEra, afterNumber },
+                    { wait, now() + wait + replyTimeout });
             });
         }
 
