Decode the store's replies without exceptions, and skip single rows that cannot be decoded

Operators of similar systems report that one odd entry among the servers ended the processes that read the list, or kept them from following it.

Boost.JSON refuses more than 32 levels, and ports and numbers were checked.

By reading, one level further out: numbers of the store's own replies ("ver", "now_ms") were converted without an error code. The end of a list was found by searching its text, and a page whose last rows were skipped ended it early or began again before them.

Change: platform/RowReply decodes a reply; what is out of range is an error of this reply or of this row, with a log line, and the next page begins after the last key, skipped or not.

--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -555,6 +555,62 @@
         }
     }
 
+    // Entries of servers that another writer has left.
+    std::vector<std::string> oddServerEntries()
+    {
+        const auto entry = [](const std::string& address, const std::string& slots, const std::string& sequence) {
+            return R"({"service":"groupa","zone":"zone-a","version":"1","state":"ready","db_role":"primary","addr":")" + address
+                + R"(","slots":)" + slots + R"(,"seq":)" + sequence + "}";
+        };
+        const std::string address = "127.0.0.1:9";
+        constexpr size_t depth = 20'000;
+        std::vector<std::string> entries { "", "null", "\xff\xfe", std::string(depth, '['),
+            std::string(depth, '[') + std::string(depth, ']'), entry(address, "2", std::string(depth, '[') + std::string(depth, ']')),
+            "{" + std::string(depth, '9') + "}" };
+        for (const char* number : { "1e400", "1e300", "99999999999999999999", "-1", "1.5", "true" }) {
+            entries.push_back(entry(address, number, "1"));
+            entries.push_back(entry(address, "2", number));
+        }
+        for (const char* port : { "0", "-1", "65536", "99999999999999999999", "1e3", "", "9:9:x" })
+            entries.push_back(entry("127.0.0.1:" + std::string(port), "2", "1"));
+        std::string nested;
+        for (size_t level = 0; level < depth; ++level)
+            nested += R"({"service":)";
+        entries.push_back(nested);
+        return entries;
+    }
+
+    // Guards against an entry of a server, left by another writer, that ends the VMs or keeps them from following the list.
+    TEST_P(FleetTest, FollowsServersBesideEntriesThatCannotBeDecoded)
+    {
+        const std::vector<std::string> entries = oddServerEntries();
+        for (size_t index = 0; index < entries.size(); ++index)
+            this->fleet.store().put("servers", "odd-" + std::to_string(index), entries[index]);
+        const auto ignoredCount = [&](const std::string& entry) {
+            const std::string logs = this->fleet.logs();
+            size_t count = 0;
+            for (size_t at = logs.find("\"server\":\"" + entry + "\""); at != std::string::npos;
+                 at = logs.find("\"server\":\"" + entry + "\"", at + 1))
+                ++count;
+            return count;
+        };
+        // Each VM reads them as changes, the restarted one as part of a whole list; all of them still follow the table afterwards.
+        for (size_t index = 0; index < entries.size(); ++index)
+            EXPECT_TRUE(eventually([&] { return ignoredCount("odd-" + std::to_string(index)) >= this->fleet.vmCount(); }))
+                << entries[index].substr(0, 200);
+        this->fleet.killVm(0);
+        this->fleet.startVm(0);
+        ASSERT_TRUE(this->fleet.waitUntilReady()) << this->fleet.logs();
+        this->fleet.store().put("servers", "odd-last", "{}");
+        EXPECT_TRUE(eventually([&] { return ignoredCount("odd-last") >= this->fleet.vmCount(); })) << this->fleet.logs();
+        EXPECT_TRUE(this->fleet.unexpectedExits().empty());
+        for (size_t vm = 0; vm < this->fleet.vmCount(); ++vm) {
+            Caller caller(this->fleet.callerPort(vm));
+            startSession(caller, "strict");
+            EXPECT_TRUE(queryUntilRun(caller, "odd" + std::to_string(vm), "WRITE odd 1").succeeded());
+        }
+    }
+
     // The bound on the time from the confirmation of a change to the time when it is in force on every VM.
     constexpr std::chrono::milliseconds configurationBound { 3000 };
 
--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/TableStore.h"
 #include "foxtailtrail/net/Clock.h"
 #include "foxtailtrail/net/FiberThread.h"
+#include "platform/RowReply.h"
 #include "standins/platform/RowStore.h"
 
 #include <gtest/gtest.h>
@@ -60,6 +61,32 @@
         std::unique_ptr<TableStore> otherStore;
     };
 
+    // Guards against a number out of range that ends the process or the reading of the table.
+    TEST(RowReplyTest, RejectsNumbersOutOfRange)
+    {
+        for (const char* number : { "1e300", "1.5", "-1", "99999999999999999999", "1e400", "null", "[]" }) {
+            const std::string text = number;
+            EXPECT_FALSE(decodeRowReply(R"({"ver":)" + text + R"(,"rows":[]})", 1)) << text;
+            EXPECT_FALSE(decodeRowReply(R"({"ver":1,"now_ms":)" + text + R"(,"rows":[]})", 1)) << text;
+        }
+    }
+
+    // Guards against one row of another shape that hides the others, and against a list that ends with a page of such rows.
+    TEST(RowReplyTest, SkipsRowsThatCannotBeDecodedAndContinuesAfterThem)
+    {
+        for (const char* row : { R"({"key":"z","ver":1.5,"value":"YQ=="})", R"({"key":"z","ver":-1,"value":"YQ=="})",
+                 R"({"key":"z","value":"YQ=="})", R"({"key":"z","ver":3,"value":"?"})", R"({"key":"z","ver":3,"value":{"a":[[[[]]]]}})" }) {
+            const std::string text = row;
+            const Result<RowReply> reply = decodeRowReply(
+                R"({"ver":5, "has_more" : true, "rows":[7,{"key":1},{"key":"a","ver":2,"value":"YQ=="},)" + text + "]}", 1);
+            ASSERT_TRUE(reply) << reply.error().detail;
+            ASSERT_EQ(reply.value().set.rows.size(), 1U) << text;
+            EXPECT_EQ(reply.value().set.rows.front().value, "a");
+            EXPECT_TRUE(reply.value().hasMore);
+            EXPECT_EQ(reply.value().lastKey, "z");
+        }
+    }
+
     // Guards against changes that are missed because the restored store has counted up to the version of the ended era.
     TEST_F(TableStoreTest, TreatsVersionOfEndedEraAsLostHistory)
     {
