Refuse to renew the lease without the store while a replica does not answer

What callers could see: a stale read at the old primary (PromotionSearchTest.KeepsGuaranteesWhenOnlyDeafReplicaAnswersVmWithoutStore, a read that lacks an acknowledged commit after 379,081 states).

Cause: a VM that the store does not serve, but that hears other VMs, renewed its lease by two rounds of reports of a replica that the new primary had not reached, while the promoted server did not answer it. Only the store tells it of the promotion. The isolated VM was mended before; the condition was too narrow.

Change: the same refusal for every VM that may miss entries of the store. Acknowledged commits and updates of other VMs still renew its lease.

The new test of GroupTracker fails on the code before. One check of RenewsLeaseOnlyWhenAllAnsweringReplicasAgree expected the renewal with a VM that may miss entries, which is the fault; it now states that the VM reads the store, and the new test checks both sides.

--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -138,11 +138,11 @@
     }
     if (!earliestRequestAt)
         return;
-    if (isReplicaUnanswered && this->groupContext.isIsolated()) {
-        // The replica may have been promoted. No record of that reaches this VM, and the replicas that answer may not have been reached by
-        // the new primary.
+    if (isReplicaUnanswered && (this->groupContext.isIsolated() || this->groupContext.mayMissServers())) {
+        // The replica may have been promoted. No record of that reaches this VM in time, and the replicas that answer may not have been
+        // reached by the new primary.
         this->firstRoundAt.reset();
-        logEvent(LogLevel::Info, "lease not renewed: this VM is isolated and a replica does not answer",
+        logEvent(LogLevel::Info, "lease not renewed: this VM may miss a promotion and a replica does not answer",
             { { "service", this->serviceName.value }, { "primary", this->lastPrimaryView->server.value } });
         return;
     }
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -226,6 +226,8 @@
                 { answeredStatus(replica, false, 1, probeSentAt), answeredStatus(entry.id, true, 1, probeSentAt) });
         }
         EXPECT_FALSE(this->isUsable(this->now + milliseconds(800)));
+        // This VM reads the records of promotions.
+        this->context.canMissServers = false;
         for (int round = 0; round < 5; ++round)
             this->group->applyStatusRound({ answeredStatus(replica, false, 1, this->now + milliseconds(200 * round)), unansweredStatus });
         EXPECT_TRUE(this->isUsable(this->now + milliseconds(800)));
@@ -248,6 +250,23 @@
         EXPECT_TRUE(this->isUsable(this->now + milliseconds(1400)));
     }
 
+    // Guards against the same at a VM that hears other VMs but does not read the records of promotions, which caused a stale read in the
+    // search of promotions.
+    TEST_F(GroupTrackerTest, DoesNotRenewLeaseOfVmWithoutStoreWhileAReplicaIsUnanswered)
+    {
+        this->commitAt(this->now, 6);
+        this->context.canMissServers = true;
+        ProbedStatus unansweredStatus;
+        unansweredStatus.server = BackendServerId("b3");
+        for (int round = 1; round < 5; ++round)
+            this->group->applyStatusRound({ answeredStatus(replica, false, 1, this->now + milliseconds(200 * round)), unansweredStatus });
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(800)));
+        this->context.canMissServers = false;
+        for (int round = 5; round < 8; ++round)
+            this->group->applyStatusRound({ answeredStatus(replica, false, 1, this->now + milliseconds(200 * round)), unansweredStatus });
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(1400)));
+    }
+
     // Guards against a primary that is never used again after one NotPrimary error (day both-replicas-behind on wattle: a third of
     // the requests was refused).
     TEST_F(GroupTrackerTest, UsesPrimaryAgainAfterExaminationConfirmsIt)
