Wait for the leases on an old primary whose process did not run

What callers could see: a stale read (PromotionSearchTest.KeepsGuaranteesWhenCrashedPrimaryReturnsDuringPromotion, after 78,187 states).

Cause: a promotion skipped the wait for the leases when the probe found the old process not running, as it then serves no reads. But a VM renews its lease by the replicas' reports until they are paused, and the process may answer again, with its log and as primary, before those leases have expired.

Ruled out: to have a VM renew its lease only when the primary has answered too. That needs one more status per renewal; the probe of a crashed primary would then be as good as the pause, which saves 0.2 to 0.3 s of the wait.

Change: earliestPromotionOrder, used by GroupExamination and by the model in the search, knows no exception.

Measured: the search visits all 378,599 states without a broken guarantee.

--- a/foxtailtrail/failover/FailoverPlan.cpp
+++ b/foxtailtrail/failover/FailoverPlan.cpp
@@ -1,10 +1,19 @@
 #include "foxtailtrail/failover/FailoverPlan.h"
 
+#include "foxtailtrail/replication/PrimaryLease.h"
+
 #include <algorithm>
 #include <array>
 
 namespace foxtail {
 
+namespace {
+
+    // A promotion takes about 300 ms from the order until the server is primary.
+    constexpr Duration minPromotionDuration = std::chrono::milliseconds(200);
+
+}
+
 std::string_view probeOutcomeName(ProbeOutcome outcome)
 {
     constexpr std::array<std::string_view, 4> names { "answered", "refused", "silent", "full" };
@@ -151,4 +160,6 @@
     return best;
 }
 
+TimePoint earliestPromotionOrder(TimePoint pausedAt) { return pausedAt + primaryLeaseLifetime - minPromotionDuration; }
+
 }
--- a/foxtailtrail/failover/FailoverPlan.h
+++ b/foxtailtrail/failover/FailoverPlan.h
@@ -112,4 +112,8 @@
 std::optional<ProbedStatus> confirmSuccessor(
     const ProbedStatus& chosen, const std::vector<ProbedStatus>& joinedServers, const std::optional<ProbedStatus>& oldPrimary);
 
+// Returns when the promotion may be ordered: it then takes effect after the leases of all VMs on the old primary have expired. An old
+// primary whose process did not run is no exception, because it may answer again, with its log, before they have.
+TimePoint earliestPromotionOrder(TimePoint pausedAt);
+
 }
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -21,9 +21,6 @@
     constexpr Duration confirmationDelay = std::chrono::milliseconds(200);
     constexpr Duration storeTimeout = std::chrono::milliseconds(600);
     constexpr Duration promotionOrderTimeout = std::chrono::milliseconds(600);
-    // A promotion takes about 300 ms from the order until the server is primary. The order may be sent this much before the lease of the
-    // old primary expires.
-    constexpr Duration minPromotionDuration = std::chrono::milliseconds(200);
     constexpr Duration statusPollInterval = std::chrono::milliseconds(40);
     constexpr Duration newPrimaryTimeout = std::chrono::milliseconds(1500);
     constexpr Duration retryDelay = std::chrono::milliseconds(100);
@@ -269,7 +266,7 @@
                 const std::optional<ProbedStatus> confirmed = this->demoteOldPrimaryAndConfirm(*successor, replicas, oldPrimary, term);
                 if (!confirmed)
                     continue;
-                if (this->promote(*confirmed, oldPrimary, statuses, term, *lock))
+                if (this->promote(*confirmed, oldPrimary, term, *lock))
                     return;
                 failed.push_back(confirmed->server);
             }
@@ -378,8 +375,8 @@
             }
         }
 
-        bool promote(const ProbedStatus& successor, const std::optional<BackendServerId>& oldPrimary,
-            const std::vector<ProbedStatus>& statuses, Term term, const HeldPromotionLock& lock)
+        bool promote(
+            const ProbedStatus& successor, const std::optional<BackendServerId>& oldPrimary, Term term, const HeldPromotionLock& lock)
         {
             // The decision is published before it takes effect, so that statements wait on every VM instead of failing.
             PrimaryRecord record { this->service, term, successor.server, false };
@@ -395,12 +392,7 @@
             }
             this->proxy.updateServerDirectory([&](ServerDirectory& directory) { directory.recordPrimary(record); });
 
-            // A process that is not running serves no reads; any other process may serve them until the leases on it have expired.
-            const bool hasOldProcessExited = std::any_of(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) {
-                return oldPrimary && status.server == *oldPrimary && status.outcome == ProbeOutcome::Refused;
-            });
-            if (!hasOldProcessExited)
-                sleepUntilBootTime(this->pausedAt + primaryLeaseLifetime - minPromotionDuration);
+            sleepUntilBootTime(earliestPromotionOrder(this->pausedAt));
 
             PromotionOrderOutcome orderOutcome = PromotionOrderOutcome::Unknown;
             while (orderOutcome == PromotionOrderOutcome::Unknown && this->coordinator.isUsable(lock)) {
--- a/tests/promotion/PromotionWorld.cpp
+++ b/tests/promotion/PromotionWorld.cpp
@@ -27,8 +27,6 @@
     constexpr int minPrimaryStartTicks = 5;
     // Longer than the lifetime of the promotion lock.
     constexpr int longPauseTicks = 23;
-    // The promotion order may be sent this long after the pause: the lifetime of the lease less 200 ms.
-    constexpr Duration orderDelay = primaryLeaseLifetime - std::chrono::milliseconds(200);
 
     const std::array<BackendServerId, PromotionWorld::serverCount> serverIds { BackendServerId("b1"), BackendServerId("b2"),
         BackendServerId("b3") };
@@ -252,7 +250,6 @@
     self.chosen.reset();
     self.step = Step::Idle;
     self.oldPrimary = self.term = 0;
-    self.isOldProcessDown = false;
     self.pausedAtTick = self.orderedAtTick = 0;
 }
 
@@ -420,8 +417,6 @@
         term = std::max(term, record->term);
     self.term = static_cast<uint8_t>(term.value + 1);
     self.oldPrimary = *primary;
-    self.isOldProcessDown = std::any_of(statuses.begin(), statuses.end(),
-        [&](const ProbedStatus& status) { return status.server == serverIds[*primary] && status.outcome == ProbeOutcome::Refused; });
     self.step = Step::Locked;
     if (cause == FailoverCause::Unfinished && newest && !newest->isDraining) {
         // The promotion took no effect: it is abandoned, and the server that leads stays the primary.
@@ -593,7 +588,7 @@
         } else if (self.step == Step::Confirmed) {
             add(name(vm) + " records the decision", 0, [&](PromotionWorld& world) { world.recordDecision(vm); });
         } else if (self.step == Step::Recorded) {
-            const bool isDue = self.isOldProcessDown || (this->tickNumber - self.pausedAtTick) * tick >= orderDelay;
+            const bool isDue = earliestPromotionOrder(this->now() - (this->tickNumber - self.pausedAtTick) * tick) <= this->now();
             if (isDue && !this->pendingOrder) {
                 add(name(vm) + " sends the promotion order", 0, [&](PromotionWorld& world) { world.order(vm, false); });
                 if (this->settings.allowLateOrder)
@@ -728,7 +723,6 @@
         put(vm.lock->record.fencingToken);
         put(std::clamp<int64_t>((vm.lock->usableUntil - this->now() + 1000 * tick) / tick - 1000, -maxLockAgeTicks, maxLockAgeTicks));
         put(vm.oldPrimary);
-        put(vm.isOldProcessDown);
         put(vm.term);
         put(vm.chosen ? indexOf(vm.chosen->server) + 1 : 0);
         putAge(vm.pausedAtTick);
--- a/tests/promotion/PromotionWorld.h
+++ b/tests/promotion/PromotionWorld.h
@@ -103,7 +103,6 @@
         Step step = Step::Idle;
         std::optional<HeldPromotionLock> lock;
         uint8_t oldPrimary = 0;
-        bool isOldProcessDown = false;
         uint8_t term = 0;
         std::optional<ProbedStatus> chosen;
         int pausedAtTick = 0;
