Keep the promotion lock until a resume command without a reply cannot be executed any more

What callers could see: a stale read (PromotionSearchTest.KeepsGuaranteesWhenResumeIsLate, after 1,330,360 states).

Cause: a holder that gave a promotion up released the lock at once, also when a resume command had no reply. The next holder paused the replicas; then the late command ended that pause, and the old primary acknowledged commits that the successor lacked.

Ruled out: not to release the lock at all in this case. One lock serves all groups, so each silent replica would delay every other promotion by up to 4 s.

Change: the released record ends 0.5 s after the command, the delivery time that the lock's lifetime allowed for already. A connection on which a command had no reply is closed with a reset, so that its bytes are not delivered later.

Measured: the search visits all 1,182,298 states without a broken guarantee; PromotionLockTest.StaysHeldUntilUnansweredResumeCannotBeExecuted states the times.

--- a/foxtailtrail/failover/PromotionLock.cpp
+++ b/foxtailtrail/failover/PromotionLock.cpp
@@ -1,5 +1,7 @@
 #include "foxtailtrail/failover/PromotionLock.h"
 
+#include <algorithm>
+
 namespace foxtail {
 
 namespace {
@@ -29,9 +31,15 @@
     return PromotionLockRecord { self, era.number << eraShift, 0 };
 }
 
-PromotionLockRecord releasePromotionLock(const PromotionLockRecord& record, int64_t storeNowMs)
+PromotionLockRecord HeldPromotionLock::releasedAt(TimePoint now, bool isResumeUnanswered) const
 {
-    return PromotionLockRecord { record.holder, record.fencingToken, storeNowMs };
+    const int64_t acquiredAtMs = this->record.endsAtMs - toMilliseconds(promotionLockLifetime);
+    if (!isResumeUnanswered)
+        return { this->record.holder, this->record.fencingToken, acquiredAtMs };
+    // The store read its clock after the request to acquire the lock was sent, so its time is at most this.
+    const TimePoint sentAt = this->usableUntil - promotionLockUsableLifetime;
+    const int64_t commandEndsAtMs = acquiredAtMs + toMilliseconds(now - sentAt + commandDeliveryTime) + 1;
+    return { this->record.holder, this->record.fencingToken, std::min(commandEndsAtMs, this->record.endsAtMs) };
 }
 
 }
--- a/foxtailtrail/failover/PromotionLock.h
+++ b/foxtailtrail/failover/PromotionLock.h
@@ -25,8 +25,11 @@
 // acquire it, so that a delayed command still arrives before those of the next holder.
 constexpr Duration promotionLockUsableLifetime = std::chrono::milliseconds(2500);
 
+// A command to a server is executed within this time after it was sent, or never: its connection is reset when there is no reply in time.
+constexpr Duration commandDeliveryTime = std::chrono::milliseconds(500);
+
 // After the usable part, replicas may still be resumed for this long. The rest of the lifetime covers the delivery of the command.
-constexpr Duration promotionLockResumeAllowance = std::chrono::milliseconds(1000);
+constexpr Duration promotionLockResumeAllowance = promotionLockLifetime - promotionLockUsableLifetime - commandDeliveryTime;
 
 // Returns true when a lock of an earlier era, whose record the store may have lost, can no longer be used.
 bool haveEarlierLocksEnded(const StoreEra&, TimePoint now);
@@ -40,9 +43,6 @@
 // later that they need not wait for those.
 PromotionLockRecord firstPromotionLockRecord(const VmId& self, const StoreEra&);
 
-// Returns the record that releases the lock early. It keeps the fencing token, so that the next holder gets a higher one.
-PromotionLockRecord releasePromotionLock(const PromotionLockRecord&, int64_t storeNowMs);
-
 // The promotion lock that this VM holds.
 struct HeldPromotionLock {
     PromotionLockRecord record;
@@ -58,6 +58,10 @@
     // Returns whether the holder may end the pause of the replicas. A VM that was suspended beyond the lifetime of the lock must not: the
     // command carries no fencing token, and the next holder may rely on the pause.
     bool mayResumeAt(TimePoint now) const { return now < this->usableUntil + promotionLockResumeAllowance; }
+    // Returns the record that releases the lock early. It keeps the fencing token, so that the next holder gets a higher one. After a
+    // resume command without a reply, the lock is free only once the command cannot be executed any more, because it would end the pause on
+    // which the next holder relies.
+    PromotionLockRecord releasedAt(TimePoint now, bool isResumeUnanswered) const;
 };
 
 }
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -180,7 +180,7 @@
                 if (const ServerEntry* former = this->proxy.directory().find(id))
                     this->logStatuses("demote", this->sendCommand({ *former }, BackendCommand::Demote, newestPrimary(statuses)->term));
             }
-            this->coordinator.releaseLock(*lock);
+            this->coordinator.releaseLock(*lock, this->isResumeUnanswered);
         }
 
         // Resumes all servers except the primary.
@@ -200,7 +200,10 @@
                     { { "service", this->service.value }, { "fence", lock.record.fencingToken } });
                 return;
             }
-            this->logStatuses("resume", this->commands.sendToAll(replicas, BackendCommand::Resume, Term {}, probeTimeout));
+            const std::vector<ProbedStatus> statuses = this->commands.sendToAll(replicas, BackendCommand::Resume, Term {}, probeTimeout);
+            this->logStatuses("resume", statuses);
+            this->isResumeUnanswered = std::any_of(
+                statuses.begin(), statuses.end(), [](const ProbedStatus& status) { return status.outcome == ProbeOutcome::Silent; });
         }
 
         // Logs the outcome of a command for each server.
@@ -241,7 +244,7 @@
             if (!refreshed || (after != before && after && after->isSettled)) {
                 logEvent(LogLevel::Info, "promotion cancelled: the primary has changed or the directory could not be read",
                     { { "service", this->service.value }, { "primary", after ? after->server.value : "" } });
-                this->coordinator.releaseLock(*lock);
+                this->coordinator.releaseLock(*lock, this->isResumeUnanswered);
                 return;
             }
             Term term = this->proxy.group(this->service)->primaryTerm();
@@ -271,7 +274,7 @@
                 failed.push_back(confirmed->server);
             }
             this->resume(replicas, *lock);
-            this->coordinator.releaseLock(*lock);
+            this->coordinator.releaseLock(*lock, this->isResumeUnanswered);
             logEvent(LogLevel::Warning, "promotion failed", { { "service", this->service.value }, { "fence", lock->record.fencingToken } });
         }
 
@@ -440,9 +443,7 @@
             // The successor's own entry settles the record for the other VMs, unless the promotion was abandoned and changed no server.
             if (!wasPromoted)
                 completionTransaction.puts.push_back({ StoreTable::Fleet, primaryRowKey(this->service), encodePrimary(record) });
-            // The fencing token stays; the lock is released by an end time in the past of the store clock.
-            const PromotionLockRecord releasedLock
-                = releasePromotionLock(lock.record, lock.record.endsAtMs - toMilliseconds(promotionLockLifetime));
+            const PromotionLockRecord releasedLock = lock.releasedAt(bootNow(), this->isResumeUnanswered);
             completionTransaction.puts.push_back({ StoreTable::PromotionLocks, lockRowKey, encodePromotionLock(releasedLock) });
             const Result<StoreVersion> stored = this->coordinator.sharedStore().commit(completionTransaction, now() + storeTimeout);
             if (!stored)
@@ -468,6 +469,8 @@
         ServerCommands commands;
         // When all replicas that replied had stopped receiving.
         TimePoint pausedAt {};
+        // Whether the last resume command had no reply from one of the replicas.
+        bool isResumeUnanswered = false;
         // The replicas that did not answer the last pause command.
         std::set<BackendServerId> unansweredReplicas;
     };
--- a/foxtailtrail/proxy/PromotionCoordinator.cpp
+++ b/foxtailtrail/proxy/PromotionCoordinator.cpp
@@ -125,10 +125,9 @@
     return HeldPromotionLock { *acquired, stored.value(), sentAt + promotionLockUsableLifetime };
 }
 
-void PromotionCoordinator::releaseLock(const HeldPromotionLock& heldLock)
+void PromotionCoordinator::releaseLock(const HeldPromotionLock& heldLock, bool isResumeUnanswered)
 {
-    const PromotionLockRecord released
-        = foxtail::releasePromotionLock(heldLock.record, heldLock.record.endsAtMs - toMilliseconds(promotionLockLifetime));
+    const PromotionLockRecord released = heldLock.releasedAt(bootNow(), isResumeUnanswered);
     StoreTransaction transaction;
     const std::string rowKey = promotionLockRowKey(heldLock.storedVersion.era);
     transaction.preconditions.push_back({ StoreTable::PromotionLocks, rowKey, heldLock.storedVersion });
--- a/foxtailtrail/proxy/PromotionCoordinator.h
+++ b/foxtailtrail/proxy/PromotionCoordinator.h
@@ -36,7 +36,7 @@
     // read, decoded or written. Blocks the calling fiber.
     std::optional<HeldPromotionLock> acquireLock();
     // Releases the lock before it expires, so that the next holder need not wait.
-    void releaseLock(const HeldPromotionLock&);
+    void releaseLock(const HeldPromotionLock&, bool isResumeUnanswered);
     // Returns true while this VM may use the lock.
     bool isUsable(const HeldPromotionLock&) const;
     // Reads the servers and the records of primaries from the store.
--- a/foxtailtrail/proxy/ServerCommands.cpp
+++ b/foxtailtrail/proxy/ServerCommands.cpp
@@ -96,7 +96,8 @@
             return;
         if (this->link) {
             this->link->setListener(nullptr);
-            this->link->close();
+            // A command that is executed long after it was sent could end the pause of a later promotion.
+            this->link->closeWithReset();
         }
         this->finish(ProbeOutcome::Silent);
     }
--- a/foxtailtrail/proxy/TcpStream.cpp
+++ b/foxtailtrail/proxy/TcpStream.cpp
@@ -147,6 +147,13 @@
     this->socket.close(ignored);
 }
 
+void TcpStream::closeWithReset()
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    this->close();
+}
+
 void TcpStream::closeAfterSending()
 {
     if (this->isWriting)
--- a/foxtailtrail/proxy/TcpStream.h
+++ b/foxtailtrail/proxy/TcpStream.h
@@ -19,6 +19,8 @@
     void send(std::string_view bytes);
     // Closes the connection immediately. disconnected() is not called.
     void close();
+    // Closes the connection and drops what the peer has not received yet.
+    void closeWithReset();
     // Closes the connection after all pending bytes have been sent.
     void closeAfterSending();
     bool isOpen() const { return this->socket.is_open() && !this->isClosing; }
--- a/tests/failover/FailoverPlanTest.cpp
+++ b/tests/failover/FailoverPlanTest.cpp
@@ -210,7 +210,29 @@
         const std::optional<PromotionLockRecord> second = acquirePromotionLock(first, VmId("b"), 1000 + 4000, StoreEra {}, TimePoint {});
         ASSERT_TRUE(second);
         EXPECT_EQ(second->fencingToken, 2U);
-        EXPECT_EQ(acquirePromotionLock(releasePromotionLock(*second, 6000), VmId("a"), 6000, StoreEra {}, TimePoint {})->fencingToken, 3U);
+        EXPECT_EQ(acquirePromotionLock(
+                      HeldPromotionLock { *second, {}, {} }.releasedAt(TimePoint {}, false), VmId("a"), 6000, StoreEra {}, TimePoint {})
+                      ->fencingToken,
+            3U);
+    }
+
+    // Guards against a resume command that ends the pause of the next holder's promotion, because it had no reply and the lock was
+    // released.
+    TEST(PromotionLockTest, StaysHeldUntilUnansweredResumeCannotBeExecuted)
+    {
+        const std::optional<PromotionLockRecord> record = acquirePromotionLock(std::nullopt, VmId("a"), 1000, StoreEra {}, TimePoint {});
+        ASSERT_TRUE(record);
+        const TimePoint sentAt {};
+        const HeldPromotionLock lock { *record, {}, sentAt + promotionLockUsableLifetime };
+        const auto isFreeAt = [&](const PromotionLockRecord& released, int64_t storeNowMs) {
+            return acquirePromotionLock(released, VmId("b"), storeNowMs, StoreEra {}, TimePoint {}).has_value();
+        };
+        const TimePoint resumedAt = sentAt + std::chrono::milliseconds(700);
+        EXPECT_TRUE(isFreeAt(lock.releasedAt(resumedAt, false), 1000 + 700));
+        EXPECT_FALSE(isFreeAt(lock.releasedAt(resumedAt, true), 1000 + 700 + toMilliseconds(commandDeliveryTime)));
+        EXPECT_TRUE(isFreeAt(lock.releasedAt(resumedAt, true), 1000 + 701 + toMilliseconds(commandDeliveryTime)));
+        // The lifetime of the lock covers the delivery of a command that was sent while it was allowed.
+        EXPECT_TRUE(isFreeAt(lock.releasedAt(sentAt + std::chrono::hours(1), true), record->endsAtMs));
     }
 
     // Guards against two holders after the store was restored from a copy that lacks the lock, and against a token that is used again.
--- a/tests/promotion/PromotionWorld.cpp
+++ b/tests/promotion/PromotionWorld.cpp
@@ -239,11 +239,11 @@
     this->recordPrimary(vm, record);
 }
 
-void PromotionWorld::releaseLock(size_t vm)
+void PromotionWorld::releaseLock(size_t vm, bool isResumeUnanswered)
 {
     Vm& self = this->vms[vm];
     if (!self.isStoreUnavailable && self.lock->storedVersion == this->storedLockVersion) {
-        this->storedLock = releasePromotionLock(self.lock->record, this->storeNowMs());
+        this->storedLock = self.lock->releasedAt(this->now(), isResumeUnanswered);
         ++this->storedLockVersion.number;
     }
     self.lock.reset();
@@ -524,7 +524,7 @@
         else
             this->send(vm, server, BackendCommand::Resume, 0);
     }
-    this->releaseLock(vm);
+    this->releaseLock(vm, isResumeLate);
 }
 
 std::vector<PromotionWorld::Successor> PromotionWorld::successors() const
--- a/tests/promotion/PromotionWorld.h
+++ b/tests/promotion/PromotionWorld.h
@@ -131,7 +131,7 @@
     template <typename Change> void changeTracker(size_t vm, const Change&);
     void recordPrimary(size_t vm, const PrimaryRecord&);
     void learn(size_t vm);
-    void releaseLock(size_t vm);
+    void releaseLock(size_t vm, bool isResumeUnanswered = false);
     void replicate(size_t server);
     void acknowledge();
     void advance(int ticks);
