--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -51,6 +51,8 @@
 
     fleet::Fleet& fleetUnderTest() { return this->fleet; }
     const std::vector<std::string>& injectedFaults() const { return this->faultLog; }
+    // Returns how many VMs were ended by a reload signal before their main function ran.
+    size_t earlyReloads() const { return this->earlyReloadCount; }
 
 private:
     struct ScheduledRepair {
@@ -155,8 +157,22 @@
     void reloadVm()
     {
         const size_t vm = this->pickVm();
-        if (this->fleet.isRunning(vm))
-            this->fleet.signalVm(vm, SIGHUP);
+        if (!this->fleet.isRunning(vm))
+            return;
+        const bool canReceive = this->fleet.canReceiveSignal(vm, SIGHUP);
+        this->fleet.signalVm(vm, SIGHUP);
+        if (canReceive)
+            return;
+        // The signal ends a process whose main function does not run yet. As on the platform, the VM is started again.
+        bool hasEnded = false;
+        fleet::eventually([&] {
+            hasEnded = hasEnded || this->fleet.takeProcessEndedBy(vm, SIGHUP);
+            return hasEnded || this->fleet.canReceiveSignal(vm, SIGHUP);
+        });
+        if (hasEnded) {
+            ++this->earlyReloadCount;
+            this->fleet.startVm(vm);
+        }
     }
 
     void injectStoreFault()
@@ -167,7 +183,8 @@
             faults.isUnavailable = true;
             break;
         case 1:
-            faults.isUnresponsive = true;
+            faults.isUnresponsive = this->unresponsiveStoreCount++ % 2 == 0;
+            faults.isSilent = !faults.isUnresponsive;
             break;
         case 2:
             faults.rejectedConnectionShare = 0.5;
@@ -281,6 +298,8 @@
 
     std::mt19937 random;
     size_t historyReplacementCount = 0;
+    size_t unresponsiveStoreCount = 0;
+    size_t earlyReloadCount = 0;
     std::map<size_t, std::unique_ptr<FaultProxy>> storeProxies;
     std::map<size_t, std::unique_ptr<FaultProxy>> serverProxies;
     std::priority_queue<ScheduledRepair, std::vector<ScheduledRepair>, std::greater<>> scheduledRepairs;
@@ -337,7 +356,8 @@
         foundViolations.push_back(std::move(violation));
     std::cout << "seed " << seed << ": " << workload.succeededStatements() << " succeeded, " << workload.failedStatements() << " failed, "
               << environment.injectedFaults().size() << " faults, " << environment.fleetUnderTest().store().promotionOrders().size()
-              << " promotions, " << foundViolations.size() << " violations" << std::endl;
+              << " promotions, " << environment.earlyReloads() << " reloads before main, " << foundViolations.size() << " violations"
+              << std::endl;
     if (!foundViolations.empty() && !logFile.empty()) {
         std::ofstream log(logFile + "." + std::to_string(seed));
         log << environment.fleetUnderTest().logs();
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -273,6 +273,30 @@
 
 void Fleet::signalVm(size_t vm, int signalNumber) { kill(this->processes.at(vm), signalNumber); }
 
+bool Fleet::canReceiveSignal(size_t vm, int signalNumber) const
+{
+    std::ifstream status("/proc/" + std::to_string(this->processes.at(vm)) + "/status");
+    constexpr size_t fieldLength = 7;
+    for (std::string line; std::getline(status, line);) {
+        const bool isMask = line.starts_with("SigBlk:") || line.starts_with("SigCgt:");
+        if (isMask && (std::stoull(line.substr(fieldLength), nullptr, 16) >> static_cast<unsigned>(signalNumber - 1) & 1U) != 0)
+            return true;
+    }
+    return false;
+}
+
+bool Fleet::takeProcessEndedBy(size_t vm, int signalNumber)
+{
+    const auto process = this->processes.find(vm);
+    siginfo_t info {};
+    if (process == this->processes.end() || waitid(P_PID, static_cast<id_t>(process->second), &info, WEXITED | WNOHANG | WNOWAIT) != 0
+        || info.si_pid != process->second || info.si_code != CLD_KILLED || info.si_status != signalNumber)
+        return false;
+    waitpid(process->second, nullptr, 0);
+    this->processes.erase(process);
+    return true;
+}
+
 void Fleet::killVm(size_t vm)
 {
     const pid_t pid = this->processes.at(vm);
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -105,6 +105,10 @@
 
     void startVm(size_t vm);
     void signalVm(size_t vm, int signalNumber);
+    // Returns whether a VM handles a signal or holds it back. No process does before its main function runs.
+    bool canReceiveSignal(size_t vm, int signalNumber) const;
+    // Returns true when a VM was ended by a signal, and removes its process from the list.
+    bool takeProcessEndedBy(size_t vm, int signalNumber);
     // Kills a VM and removes its process from the list.
     void killVm(size_t vm);
     // Waits until a VM exits that was sent a signal to stop. Returns its wait status.
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -611,6 +611,23 @@
         }
     }
 
+    // Guards against a reload signal that ends a VM which has just been started (soak seed 7711).
+    TEST_P(FleetTest, SurvivesReloadSignalsDuringItsStart)
+    {
+        for (int start = 0; start < 5; ++start) {
+            this->fleet.killVm(0);
+            this->fleet.startVm(0);
+            ASSERT_TRUE(eventually([&] { return this->fleet.canReceiveSignal(0, SIGHUP); }));
+            for (int signal = 0; signal < 50; ++signal) {
+                this->fleet.signalVm(0, SIGHUP);
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+        }
+        ASSERT_TRUE(this->fleet.waitUntilReady()) << this->fleet.logs();
+        EXPECT_TRUE(this->fleet.unexpectedExits().empty()) << this->fleet.logs();
+        EXPECT_NE(this->fleet.logs().find("settings reloaded"), std::string::npos);
+    }
+
     // The bound on the time from the confirmation of a change to the time when it is in force on every VM.
     constexpr std::chrono::milliseconds configurationBound { 3000 };
 
--- a/tests/fuzzing/DecoderFuzzTest.cpp
+++ b/tests/fuzzing/DecoderFuzzTest.cpp
@@ -7,6 +7,7 @@
 #include "foxtailtrail/server/Log.h"
 #include "platform/JsonDeclarationDecoder.h"
 #include "platform/LineProtocol.h"
+#include "platform/RowReply.h"
 #include "tests/fuzzing/Mutator.h"
 
 #include <gtest/gtest.h>
@@ -151,6 +152,18 @@
             [&](const std::string& input) { (void)decoder.decodeConfiguration(input); });
     }
 
+    // Guards against a reply of the store that ends the process of a VM.
+    TEST_F(DecoderFuzzTest, StoreReplies)
+    {
+        this->fuzz({ R"({"ver":12,"now_ms":5000,"has_more":true,"rows":[{"table":"servers","part":"","key":"a","ver":3,"value":"YWJj"}]})",
+                       R"({"ver":9007199254740993,"rows":[{"key":"a","ver":1,"tombstone":true},{"key":"b","ver":2,"value":"YQ=="}]})" },
+            [&](const std::string& input) {
+                const Result<platform::RowReply> reply = platform::decodeRowReply(input, 1);
+                if (reply)
+                    EXPECT_GE(reply.value().set.storeTimeMs, 0);
+            });
+    }
+
     // Guards against a VM or a foreign process that ends the process of a relay.
     TEST_F(DecoderFuzzTest, RelayFrames)
     {
