--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -337,13 +337,29 @@
     return failures;
 }
 
+// Writes the logs of the VMs, the injected faults and the violations of a seed to its log file.
+void writeLogs(SoakEnvironment& environment, const std::vector<std::string>& foundViolations, const std::string& logFile, uint32_t seed)
+{
+    if (foundViolations.empty() || logFile.empty())
+        return;
+    std::ofstream log(logFile + "." + std::to_string(seed));
+    log << environment.fleetUnderTest().logs();
+    for (const std::string& fault : environment.injectedFaults())
+        log << "injected: " << fault << "\n";
+    for (const std::string& violation : foundViolations)
+        log << "violation: " << violation << "\n";
+}
+
 // Runs one seed and returns the violated guarantees.
 std::vector<std::string> runSeed(uint32_t seed, std::chrono::seconds duration, const std::string& logFile)
 {
     SoakEnvironment environment(seed);
     std::vector<std::string> foundViolations;
-    if (!environment.fleetUnderTest().waitUntilReady())
-        return { "recover: the fleet did not start" };
+    if (!environment.fleetUnderTest().waitUntilReady()) {
+        foundViolations.emplace_back("recover: the fleet did not start");
+        writeLogs(environment, foundViolations, logFile, seed);
+        return foundViolations;
+    }
     ConsistencyWorkload workload(environment.fleetUnderTest(), callerCount, seed);
     environment.run(duration);
     for (const auto& [vm, status] : environment.fleetUnderTest().unexpectedExits())
@@ -358,14 +374,7 @@
               << environment.injectedFaults().size() << " faults, " << environment.fleetUnderTest().store().promotionOrders().size()
               << " promotions, " << environment.earlyReloads() << " reloads before main, " << foundViolations.size() << " violations"
               << std::endl;
-    if (!foundViolations.empty() && !logFile.empty()) {
-        std::ofstream log(logFile + "." + std::to_string(seed));
-        log << environment.fleetUnderTest().logs();
-        for (const std::string& fault : environment.injectedFaults())
-            log << "injected: " << fault << "\n";
-        for (const std::string& violation : foundViolations)
-            log << "violation: " << violation << "\n";
-    }
+    writeLogs(environment, foundViolations, logFile, seed);
     return foundViolations;
 }
 
