--- a/tests/platform/TableStoreTest.cpp
+++ b/tests/platform/TableStoreTest.cpp
@@ -4,6 +4,7 @@
 #include "platform/RowReply.h"
 #include "standins/platform/RowStore.h"
 
+#include <boost/fiber/fiber.hpp>
 #include <gtest/gtest.h>
 
 namespace foxtail::platform {
@@ -104,6 +105,36 @@
         EXPECT_TRUE(this->follow(after.version));
     }
 
+    // Guards against a held call that goes on waiting on a lost connection although another call has shown that the store was away, and
+    // against a call that is ended although the store need not hold it.
+    TEST_F(TableStoreTest, EndsHeldCallsAndNoOthers)
+    {
+        this->rowStore.put("foxtail-fleet", "a", "old");
+        const StoreVersion version = this->list(*this->store).version;
+        // Neither call has a response when the held calls are ended.
+        standins::RowStoreFaults faults;
+        faults.requestDelay = std::chrono::milliseconds(200);
+        this->rowStore.setFaults(faults);
+        const TimePoint startedAt = now();
+        this->thread->call([&] {
+            boost::fibers::fiber held([&] {
+                const Result<RowSet> changes = this->store->follow(StoreTable::Fleet, version, { callTimeout, now() + 2 * callTimeout });
+                ASSERT_FALSE(changes);
+                EXPECT_EQ(changes.error().kind, ErrorKind::OutcomeUnknown);
+            });
+            boost::fibers::fiber immediate([&] {
+                EXPECT_TRUE(this->store->follow(StoreTable::Fleet, version, { Duration(0), now() + callTimeout }));
+            });
+            sleepFor(heldTime);
+            this->store->endHeldCalls();
+            held.join();
+            immediate.join();
+            return true;
+        });
+        EXPECT_LT(now(), startedAt + callTimeout);
+        EXPECT_TRUE(this->follow(version));
+    }
+
     // Guards against a write whose precondition holds only because the store has given the version out again.
     TEST_F(TableStoreTest, RejectsPreconditionOfEndedEra)
     {
