--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -144,7 +144,8 @@
         for (size_t index = 0; index < requestCount; ++index)
             requests += "QUERY p" + std::to_string(index) + (index % 2 == 0 ? " READ p\r\n" : " SET v 1\r\n");
         caller.sendRaw(requests);
-        ASSERT_TRUE(eventually([&] { return this->fleet.records().size() >= requestCount / 2; })) << this->fleet.records().size();
+        ASSERT_TRUE(eventually([&] { return this->fleet.records().size() >= requestCount / 2; }))
+            << this->fleet.records().size() << this->fleet.logs();
         for (size_t index = 0; index < requestCount; ++index) {
             const Reply reply = caller.readReply();
             ASSERT_FALSE(reply.isConnectionLost) << "request " << index;
