--- a/foxtailtrail/membership/FeedSchedule.cpp
+++ b/foxtailtrail/membership/FeedSchedule.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    // The store rejects a longer hold.
+    // Bounds a held call of a table on which no promise with a short bound depends.
     constexpr Duration maxHold = std::chrono::seconds(15);
     // Covers a round trip between regions and a slow store.
     constexpr Duration longestReplyTimeout = std::chrono::milliseconds(1200);
