--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -773,11 +773,16 @@
     async def whole():
         deployment = Deployment(folder, **options)
         # A case that hangs ends its processes and fails.
-        watchdog = threading.Timer(limit + 5, lambda: (deployment.killVms(), os._exit(2)))
+        def abort(*_):
+            deployment.killVms()
+            shutil.rmtree(deployment.folder, ignore_errors=True)
+            os._exit(2)
+
+        watchdog = threading.Timer(limit + 5, abort)
         watchdog.daemon = True
         watchdog.start()
         for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: (deployment.killVms(), os._exit(2)))
+            signal.signal(number, abort)
         try:
             return await asyncio.wait_for(case(deployment, hasTrouble), limit)
         finally:
