--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -765,11 +765,9 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run(case, folder, limit=110, **options):
+def run(case, folder, hasTrouble, limit=110, **options):
     """Runs a case: a coroutine that takes the deployment and whether the disruption comes, and returns the breaks of the rule as texts.
     The exit status is 1 when the rule was broken, 0 when it held, and 2 when the case could not run."""
-    hasTrouble = os.environ.get("TROUBLE", "1") != "0"
-
     async def whole():
         deployment = Deployment(folder, **options)
         # A case that hangs ends its processes and fails.
