--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,10 +17,9 @@
 for pid in "${pids[@]}"; do
     wait "$pid"
 done
-for main in review/[0-9]*/*.cpp; do
-    case "$(dirname "$main")" in
-    review/[1-5]) continue ;;
-    esac
-    g++ -std=c++20 -O1 -I. "$main" "${objects[@]}" -o "target/review-2/case-$(basename "$(dirname "$main")")" \
-        -lboost_json -lssl -lcrypto -pthread
-done
+build_program() {
+    g++ -std=c++20 -O1 -I. "$1" "${objects[@]}" -o "target/review-2/$2" -lboost_json -lssl -lcrypto -pthread
+}
+build_program review/8/RefusingCut.cpp case-8
+build_program review/9/StaleOrder.cpp case-9
+build_program review/withdrawn-key-2/KeyInTransaction.cpp withdrawn-key
--- a/review/10/KeyInTransaction.cpp
+++ b/review/withdrawn-key-2/KeyInTransaction.cpp
@@ -29,7 +29,7 @@
 
 static int run()
 {
-    Record record("review/10/record.txt");
+    Record record("review/withdrawn-key-2/record.txt");
     Deployment deployment(2, record);
     if (!deployment.waitUntilReady())
         return couldNotRun;
