Take only replies of the primary for proof that it led

Cause: a leaving server counts as gone when it was removed before the primary was last known to lead. That time went on while the primary was behind a partition, because rounds of replicas' statuses renewed it; replicas do not notice that the primary is out of reach. So a server that received commits behind the partition was forgotten. Ruled out: that the other VMs' reports suffice; six of nine were behind the partition and silent.

Change: only a reply of the primary under the lease, or a position that another VM got from it, counts. The lease is renewed as before.

--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -60,13 +60,14 @@
         this->unansweredCommitCount = 0;
         if (position && this->lastPrimaryView->isSettled && this->serverReportingNotPrimary != server) {
             this->highestAcknowledged = std::max(this->highestAcknowledged, position);
-            this->primaryLedAt = std::max(this->primaryLedAt, sentAt);
             this->commitSentAt = std::max(this->commitSentAt, std::optional(sentAt));
             this->lease.renew(server, sentAt);
         }
     }
-    if (position && this->lease.isHeldBy(server, sentAt))
+    if (position && this->lease.isHeldBy(server, sentAt)) {
+        this->primaryLedAt = std::max(this->primaryLedAt, sentAt);
         this->positionHistory.recordPosition(*position, sentAt);
+    }
 }
 
 void GroupTracker::recordNotPrimary(const BackendServerId& server)
@@ -151,7 +152,6 @@
         return;
     }
     if (isComplete) {
-        this->primaryLedAt = std::max(this->primaryLedAt, *earliestRequestAt);
         this->lease.renew(this->lastPrimaryView->server, *earliestRequestAt);
         this->serveWaiters();
         return;
@@ -273,7 +273,7 @@
     if (!this->hasSettledPrimary() || this->lastPrimaryView->server != update.primaryServer || update.term < this->knownPrimaryTerm)
         return;
     this->knownPrimaryTerm = update.term;
-    this->primaryLedAt = std::max(this->primaryLedAt, update.leaseRenewedAt);
+    this->primaryLedAt = std::max(this->primaryLedAt, update.sampledAt);
     this->lease.renew(update.primaryServer, update.leaseRenewedAt);
     if (this->lease.isHeldBy(update.primaryServer, update.sampledAt))
         this->positionHistory.recordPosition(update.position, update.sampledAt);
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -155,7 +155,7 @@
     ReadServerSelector readServerSelector;
     std::optional<LogPoint> highestAcknowledged;
     std::optional<LogPoint> highestReported;
-    // When the primary was last known to lead.
+    // When the primary was last known to lead, by a reply of its own: replicas report the same while the primary is out of reach.
     TimePoint primaryLedAt {};
     // When this VM began to follow the group.
     TimePoint followedFrom {};
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -140,6 +140,24 @@
         EXPECT_FALSE(this->group->requiredLogPoint(this->now + milliseconds(14'000)));
     }
 
+    // Guards against a leaving server that counts as gone because the primary seems to have led after its removal, while both are behind a
+    // partition (review case 6): the replicas that this VM reaches do not notice that.
+    TEST_F(GroupTrackerTest, TakesOnlyRepliesOfThePrimaryForProofThatItLed)
+    {
+        this->context.canMissServers = false;
+        this->commitAt(this->now, 6);
+        EXPECT_EQ(this->group->lastLedAt(), this->now);
+        this->group->applyStatusRound({ answeredStatus(replica, false, 1, this->now + milliseconds(100)) });
+        EXPECT_TRUE(this->isUsable(this->now + milliseconds(800)));
+        EXPECT_EQ(this->group->lastLedAt(), this->now);
+        const GroupUpdate update { service, oldPrimary, Term { 1 }, this->now + milliseconds(300), point(1, 6),
+            this->now + milliseconds(200), point(1, 6) };
+        this->group->applyUpdate(update);
+        EXPECT_EQ(this->group->lastLedAt(), this->now + milliseconds(200));
+        this->group->recordReply(oldPrimary, point(1, 6), this->now + milliseconds(400), false);
+        EXPECT_EQ(this->group->lastLedAt(), this->now + milliseconds(400));
+    }
+
     // Guards against statements that reach a draining primary so late that it may stop before it answers (DRAIN beside a partition that
     // keeps it from being replaced).
     TEST_F(GroupTrackerTest, StopsUsingLeavingPrimaryThatMayStopSoon)
