Take no listed replica for the last primary at a VM that has just started

Cause: without a record of a primary, each listed server is examined as if it had been the last one. A VM that started while the primary and a replica were down listed one server, and that server holds every commit that it acknowledged itself. Ruled out: the reports of the VMs, all of which had been restarted.

Change: without a record, a VM that never knew the group with its primary selects nobody unless all VMs have reported what they acknowledged.

Test: SuccessorSelectionTest.SelectsNoServerOfUnknownGroupWithoutRecordOfPrimary; the former code selects "a" there by reading (not run on it).

--- a/foxtailtrail/failover/SuccessorSelection.cpp
+++ b/foxtailtrail/failover/SuccessorSelection.cpp
@@ -52,6 +52,9 @@
             return false;
         std::vector<BackendServerId> primaries = evidence.possiblePrimaries;
         if (primaries.empty()) {
+            // The last primary may be a server that this VM does not know.
+            if (!evidence.isGroupKnown && !evidence.canCountDownServersAsLost)
+                return false;
             for (const ProbedStatus& status : evidence.statuses)
                 primaries.push_back(status.server);
         }
--- a/tests/failover/SuccessorSelectionTest.cpp
+++ b/tests/failover/SuccessorSelectionTest.cpp
@@ -162,6 +162,23 @@
         EXPECT_EQ(selectFrom({ paused("a", 7), silentPrimary, silent }, true, {}), "");
     }
 
+    // Guards against a VM that has just started, finds one replica in the list and no record of a primary, and takes that replica for the
+    // last primary itself (review case 10, seed 7).
+    TEST(SuccessorSelectionTest, SelectsNoServerOfUnknownGroupWithoutRecordOfPrimary)
+    {
+        SuccessorEvidence evidence { { paused("a", 7) }, {} };
+        EXPECT_EQ(selectSuccessor(evidence)->server, BackendServerId("a"));
+        evidence.isGroupKnown = false;
+        EXPECT_FALSE(selectSuccessor(evidence));
+        // The last primary is known and shows what was acknowledged.
+        evidence.possiblePrimaries = { BackendServerId("a") };
+        EXPECT_EQ(selectSuccessor(evidence)->server, BackendServerId("a"));
+        // Every VM has reported what it acknowledged.
+        evidence.possiblePrimaries.clear();
+        evidence.canCountDownServersAsLost = true;
+        EXPECT_EQ(selectSuccessor(evidence)->server, BackendServerId("a"));
+    }
+
     // Guards against a second promotion beside one whose order may still take effect at a server that does not answer this VM.
     TEST(SuccessorSelectionTest, SelectsNoOtherServerWhileRecordedSuccessorIsSilent)
     {
