Wait for no server once every acknowledged commit is known

The group had been without a primary for a minute before.

Cause: the last primary and a replica had left as planned. They were silent, and nothing told them apart from servers behind a partition, so they were waited for. The two replicas that held every commit were draining and left meanwhile, and an empty server was promoted in the end.

Change: when every VM of the fleet has reported what it acknowledged and holds commits back, a server that holds all of it is promoted whichever others do not answer. Until now they also had to refuse connections.

Test: SuccessorSelectionTest.WaitsForNoServerOnceEveryCommitIsKnown; the former rule selects nobody there by reading (not run on it).

--- a/foxtailtrail/failover/PrimaryReplacement.cpp
+++ b/foxtailtrail/failover/PrimaryReplacement.cpp
@@ -540,9 +540,12 @@
     if (const std::optional<ProbedStatus> successor = selectSuccessor(evidence))
         return successor;
     const FleetEvidence& fleet = this->context->fleetEvidence();
-    if (fleet.isEveryCommitKnown(now))
+    if (fleet.isEveryCommitKnown(now)) {
         evidence.requiredLogPoint = std::max(evidence.requiredLogPoint, fleet.highestPossible());
-    else if (now < this->context->missingServersLostAt())
+        evidence.isEveryCommitKnown = true;
+        return selectSuccessor(evidence);
+    }
+    if (now < this->context->missingServersLostAt())
         return std::nullopt;
     evidence.canCountDownServersAsLost = true;
     return selectSuccessor(evidence);
--- a/foxtailtrail/failover/SuccessorSelection.cpp
+++ b/foxtailtrail/failover/SuccessorSelection.cpp
@@ -22,6 +22,8 @@
         const ProbedStatus* primaryStatus = findStatus(evidence.statuses, primary);
         if (primaryStatus && isReplica(*primaryStatus) && primary != evidence.stalledPrimary)
             return primaryStatus->receivedLogPoint <= candidate.receivedLogPoint;
+        if (evidence.isEveryCommitKnown)
+            return true;
         if (!evidence.isGroupKnown && !evidence.canCountDownServersAsLost)
             return false;
         const bool isPrimaryLost = evidence.canCountDownServersAsLost && (!primaryStatus || isDown(*primaryStatus));
@@ -53,7 +55,7 @@
         std::vector<BackendServerId> primaries = evidence.possiblePrimaries;
         if (primaries.empty()) {
             // The last primary may be a server that this VM does not know.
-            if (!evidence.isGroupKnown && !evidence.canCountDownServersAsLost)
+            if (!evidence.isGroupKnown && !evidence.isEveryCommitKnown && !evidence.canCountDownServersAsLost)
                 return false;
             for (const ProbedStatus& status : evidence.statuses)
                 primaries.push_back(status.server);
--- a/foxtailtrail/failover/SuccessorSelection.h
+++ b/foxtailtrail/failover/SuccessorSelection.h
@@ -26,7 +26,9 @@
     std::optional<LogPoint> requiredLogPoint;
     // Whether all servers of the group are known. Otherwise only the log of the last primary shows what was acknowledged.
     bool isGroupKnown = true;
-    // Whether servers that are down count as lost with their logs: no VM has acknowledged a commit beyond the required position, or can.
+    // Whether no VM has acknowledged a commit beyond the required position, or can. The servers that do not answer do not matter then.
+    bool isEveryCommitKnown = false;
+    // Whether the servers that are down have been missing for so long that they count as lost with their logs.
     bool canCountDownServersAsLost = false;
 };
 
--- a/tests/failover/SuccessorSelectionTest.cpp
+++ b/tests/failover/SuccessorSelectionTest.cpp
@@ -175,10 +175,30 @@
         EXPECT_EQ(selectSuccessor(evidence)->server, BackendServerId("a"));
         // Every VM has reported what it acknowledged.
         evidence.possiblePrimaries.clear();
-        evidence.canCountDownServersAsLost = true;
+        evidence.isEveryCommitKnown = true;
         EXPECT_EQ(selectSuccessor(evidence)->server, BackendServerId("a"));
     }
 
+    // Guards against a group that waits for servers that have left until those that hold the commits leave too (236 commits lost in review
+    // case 1, seed 4), and against a successor that lacks a commit of the fleet.
+    TEST(SuccessorSelectionTest, WaitsForNoServerOnceEveryCommitIsKnown)
+    {
+        ProbedStatus leftPrimary = draining(silentPrimary);
+        ProbedStatus leftReplica = draining(unanswered("b", ProbeOutcome::Silent));
+        leftPrimary.isRemoved = leftReplica.isRemoved = true;
+        SuccessorEvidence evidence { { leftPrimary, leftReplica, draining(paused("c", 9)), paused("new", 0) }, { primary } };
+        evidence.requiredLogPoint = LogPoint { Term { 2 }, Position { 9 } };
+        EXPECT_FALSE(selectSuccessor(evidence));
+        evidence.isEveryCommitKnown = true;
+        EXPECT_EQ(selectSuccessor(evidence)->server, BackendServerId("c"));
+        evidence.requiredLogPoint = LogPoint { Term { 2 }, Position { 10 } };
+        EXPECT_FALSE(selectSuccessor(evidence));
+        // The last primary has stopped and shows a commit that nobody has acknowledged. It is kept all the same.
+        evidence.requiredLogPoint = LogPoint { Term { 2 }, Position { 9 } };
+        evidence.statuses.front() = draining(paused("p", 10));
+        EXPECT_EQ(selectSuccessor(evidence)->server, primary);
+    }
+
     // Guards against a second promotion beside one whose order may still take effect at a server that does not answer this VM.
     TEST(SuccessorSelectionTest, SelectsNoOtherServerWhileRecordedSuccessorIsSilent)
     {
