Check the promotion lock at the moment an order is written

Cause: the lock was checked before the connection to the platform was opened. The holder froze while it waited for the connection and wrote the order on waking, 2 s after its lock had ended. Ruled out: the deadline of the call, which a timer of the steady clock enforces after the handler of the open connection has run.

Change: HttpClient::send evaluates the deadline and an optional check right before it writes the request. The order passes a check of the lock; PAUSE, DEMOTE and RESUME are checked in the same way before they are written.

Test: HttpTest.SendsNothingOnceTheCheckFailsWithTheConnectionOpen (the former client has no such check). The check of commands has no own test.

--- a/foxtailtrail/net/HttpClient.cpp
+++ b/foxtailtrail/net/HttpClient.cpp
@@ -58,7 +58,7 @@
     {
     }
 
-    Result<HttpResponse> send(const HttpRequest& request, TimePoint deadline)
+    Result<HttpResponse> send(const HttpRequest& request, TimePoint deadline, const SendCheck& maySend)
     {
         BOOST_OUTCOME_TRY(std::unique_ptr<beast::tcp_stream> stream, this->acquireConnection(deadline));
         const BusyStream busy(this->busyStreams, stream.get());
@@ -70,6 +70,9 @@
         message.body() = request.body;
         message.prepare_payload();
 
+        if (deadline <= now() || (maySend && !maySend()))
+            return fail(
+                ErrorKind::PeerUnavailable, this->endpointText() + ": not sent: the time for it had ended when the connection was open");
         stream->expires_at(toSteady(deadline));
         const IoOutcome writeOutcome = awaitIo([&](auto callback) { http::async_write(*stream, message, std::move(callback)); });
         this->counters.sentBytes += writeOutcome.bytes;
@@ -164,9 +167,9 @@
 
 HttpClient::~HttpClient() = default;
 
-Result<HttpResponse> HttpClient::send(const HttpRequest& request, TimePoint deadline)
+Result<HttpResponse> HttpClient::send(const HttpRequest& request, TimePoint deadline, const SendCheck& maySend)
 {
-    return this->implementation->send(request, deadline);
+    return this->implementation->send(request, deadline, maySend);
 }
 
 void HttpClient::abortRequests() { this->implementation->abortRequests(); }
--- a/foxtailtrail/net/HttpClient.h
+++ b/foxtailtrail/net/HttpClient.h
@@ -5,6 +5,7 @@
 #include "foxtailtrail/net/Http.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -33,10 +34,15 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
+    // Returns whether a request may be sent at this moment.
+    using SendCheck = std::function<bool()>;
+
     // Sends one request and blocks the calling fiber until the complete response has arrived. Fails with PeerUnavailable if no
     // connection could be made, so that the server cannot have received any part of the request, and with OutcomeUnknown on any
-    // later failure.
-    Result<HttpResponse> send(const HttpRequest&, TimePoint deadline);
+    // later failure. Opening a connection may take long, and the process may be suspended meanwhile, so the deadline and the check, if
+    // there is one, are evaluated right before the request is written; otherwise nothing is sent, and the request fails with
+    // PeerUnavailable.
+    Result<HttpResponse> send(const HttpRequest&, TimePoint deadline, const SendCheck& maySend = nullptr);
 
     // Closes the connections of the requests that wait for a response. The requests fail with OutcomeUnknown.
     void abortRequests();
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -114,9 +114,10 @@
             return entries;
         }
 
-        std::vector<ProbedStatus> sendCommands(const std::vector<ServerCommand>& serverCommands, Term term)
+        std::vector<ProbedStatus> sendCommands(
+            const std::vector<ServerCommand>& serverCommands, Term term, const ServerCommands::SendCheck& maySend = nullptr)
         {
-            std::vector<ProbedStatus> statuses = this->commands.sendToAll(serverCommands, term, probeTimeout);
+            std::vector<ProbedStatus> statuses = this->commands.sendToAll(serverCommands, term, probeTimeout, maySend);
             this->proxy.group(this->service)->recordReportedLogs(statuses);
             for (size_t index = 0; index < statuses.size(); ++index) {
                 ProbedStatus& status = statuses[index];
@@ -272,7 +273,10 @@
             case ReplacementStep::Kind::SendOrders:
                 if (step.asksFleet)
                     this->coordinator.fleetInquiry().ask(this->service, step.holdsBackCommits, this->evidence);
-                return replacement.ordersSent(this->sendOrders(step), bootNow());
+                // After the lock was released, only commands that carry a term are sent.
+                return replacement.ordersSent(
+                    this->sendOrders(step, replacement.currentState().phase <= PrimaryReplacement::Phase::ResumingAtEnd ? &lock : nullptr),
+                    bootNow());
             case ReplacementStep::Kind::ReadDirectory: {
                 const Result<void> refreshed = this->coordinator.refreshDirectory();
                 if (!refreshed)
@@ -284,7 +288,8 @@
                 return replacement.decisionRecorded(this->recordDecision(*step.record, lock), bootNow());
             case ReplacementStep::Kind::OrderPromotion: {
                 const PromotionOrderOutcome outcome = this->coordinator.promotionOrders().promote(this->service, step.record->server,
-                    this->proxy.settings().vmId, lock.record.fencingToken, now() + promotionOrderTimeout);
+                    this->proxy.settings().vmId, lock.record.fencingToken, now() + promotionOrderTimeout,
+                    [this, &lock] { return this->coordinator.isUsable(lock); });
                 return replacement.promotionOrdered(outcome, bootNow());
             }
             case ReplacementStep::Kind::Wait:
@@ -309,15 +314,19 @@
             return {};
         }
 
-        // Sends the orders to the servers that are known. Returns their statuses.
-        std::vector<ProbedStatus> sendOrders(const ReplacementStep& step)
+        // Sends the orders to the servers that are known, each only while the lock, if one is given, allows it. Returns their statuses.
+        std::vector<ProbedStatus> sendOrders(const ReplacementStep& step, const HeldPromotionLock* lock)
         {
             std::vector<ServerCommand> serverCommands;
             for (const ReplicationOrder& order : step.orders) {
                 if (const ServerEntry* entry = this->proxy.directory().findPossibleMember(order.server))
                     serverCommands.push_back({ *entry, order.command });
             }
-            return this->sendCommands(serverCommands, step.term);
+            return this->sendCommands(serverCommands, step.term, [this, lock](ReplicationCommand command) {
+                if (!lock || command == ReplicationCommand::Status)
+                    return true;
+                return command == ReplicationCommand::Resume ? lock->mayResumeAt(bootNow()) : this->coordinator.isUsable(*lock);
+            });
         }
 
         // Stores the decision before it takes effect, so that statements wait on every VM instead of failing.
--- a/foxtailtrail/proxy/ServerCommands.cpp
+++ b/foxtailtrail/proxy/ServerCommands.cpp
@@ -27,9 +27,10 @@
 // One command to one server: opens a connection unless there is one, sends the command, and fulfils the promise.
 class ServerCommands::Exchange final : public LinkListener, public std::enable_shared_from_this<ServerCommands::Exchange> {
 public:
-    Exchange(const BackendCodec& codec, const ServerEntry& entry, std::string command)
+    Exchange(const BackendCodec& codec, const ServerEntry& entry, std::string command, std::function<bool()> maySend)
         : codec(codec)
         , command(std::move(command))
+        , maySend(std::move(maySend))
     {
         this->status.server = entry.id;
         this->status.isDraining = entry.isDraining;
@@ -70,6 +71,10 @@
     {
         if (this->isFinished)
             return;
+        if (!this->maySend()) {
+            this->finish(ProbeOutcome::Silent);
+            return;
+        }
         this->link->setListener(this);
         this->link->sendStatements(this->command, 1);
     }
@@ -121,6 +126,7 @@
 
     const BackendCodec& codec;
     std::string command;
+    std::function<bool()> maySend;
     ProbedStatus status;
     std::shared_ptr<DirectLink> link;
     boost::fibers::promise<ProbedStatus> promise;
@@ -143,7 +149,8 @@
     }
 }
 
-std::vector<ProbedStatus> ServerCommands::sendToAll(const std::vector<ServerCommand>& serverCommands, Term term, Duration timeout)
+std::vector<ProbedStatus> ServerCommands::sendToAll(
+    const std::vector<ServerCommand>& serverCommands, Term term, Duration timeout, const SendCheck& maySend)
 {
     std::vector<std::shared_ptr<Exchange>> exchanges;
     std::vector<boost::fibers::future<ProbedStatus>> futures;
@@ -152,7 +159,8 @@
         this->codec.writeCommand(bytes, backendCommand(command), term, std::nullopt);
         const auto existingLink = this->links.find(server.id);
         const bool isUsable = existingLink != this->links.end() && existingLink->second->isOpen();
-        exchanges.push_back(std::make_shared<Exchange>(this->codec, server, std::move(bytes)));
+        exchanges.push_back(std::make_shared<Exchange>(this->codec, server, std::move(bytes),
+            [&maySend, replicationCommand = command] { return !maySend || maySend(replicationCommand); }));
         futures.push_back(exchanges.back()->start(this->context, server, isUsable ? existingLink->second : nullptr, timeout));
     }
     std::vector<ProbedStatus> statuses;
--- a/foxtailtrail/proxy/ServerCommands.h
+++ b/foxtailtrail/proxy/ServerCommands.h
@@ -5,6 +5,7 @@
 #include "foxtailtrail/proxy/DirectLink.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -27,9 +28,12 @@
     ServerCommands(const ServerCommands&) = delete;
     ServerCommands& operator=(const ServerCommands&) = delete;
 
+    // Returns whether a command may be sent at this moment.
+    using SendCheck = std::function<bool(ReplicationCommand)>;
+
     // Sends a command to each server at once and waits until each has replied or the timeout has passed. Returns the statuses in the order
-    // of the commands.
-    std::vector<ProbedStatus> sendToAll(const std::vector<ServerCommand>&, Term, Duration timeout);
+    // of the commands. A command that may not be sent any more once its connection is open is not sent, and its server counts as silent.
+    std::vector<ProbedStatus> sendToAll(const std::vector<ServerCommand>&, Term, Duration timeout, const SendCheck& maySend = nullptr);
 
 private:
     class Exchange;
--- a/foxtailtrail/proxy/SharedStore.h
+++ b/foxtailtrail/proxy/SharedStore.h
@@ -8,6 +8,7 @@
 #include "foxtailtrail/membership/FeedSchedule.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -85,8 +86,9 @@
 class PromotionOrders {
 public:
     virtual ~PromotionOrders() = default;
-    virtual PromotionOrderOutcome promote(
-        const ServiceName&, const BackendServerId&, const VmId& holder, uint64_t fencingToken, TimePoint deadline)
+    // Orders a promotion. The order is sent only if the holder still has the lock at the moment at which it is written.
+    virtual PromotionOrderOutcome promote(const ServiceName&, const BackendServerId&, const VmId& holder, uint64_t fencingToken,
+        TimePoint deadline, const std::function<bool()>& isLockHeld)
         = 0;
 };
 
--- a/tests/net/NetTest.cpp
+++ b/tests/net/NetTest.cpp
@@ -82,6 +82,28 @@
     EXPECT_LT(std::chrono::steady_clock::now() - startedAt, std::chrono::seconds(2));
 }
 
+// Guards against an order that is sent after the right to send it has ended, because opening the connection took long or the process was
+// suspended meanwhile (review case 9).
+TEST_F(HttpTest, SendsNothingOnceTheCheckFailsWithTheConnectionOpen)
+{
+    std::atomic<int> requestCount { 0 };
+    this->start([&](const HttpRequest&) {
+        ++requestCount;
+        return HttpResponse { 200, "text/plain", {}, "" };
+    });
+    this->clientThread->call([&] {
+        HttpClient client({ "127.0.0.1", this->server->port() });
+        const Result<HttpResponse> refused = client.send({ "POST", "/", {}, "" }, now() + longTimeout, [] { return false; });
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().kind, ErrorKind::PeerUnavailable);
+        // An open connection is no exception.
+        EXPECT_TRUE(client.send({ "POST", "/", {}, "" }, now() + longTimeout, [] { return true; }));
+        EXPECT_FALSE(client.send({ "POST", "/", {}, "" }, now() + longTimeout, [] { return false; }));
+        EXPECT_FALSE(client.send({ "POST", "/", {}, "" }, now()));
+    });
+    EXPECT_EQ(requestCount, 1);
+}
+
 // Guards against a response that is returned to the request of another fiber when many fibers share a client.
 TEST_F(HttpTest, ReturnsEachResponseToItsOwnRequest)
 {
