Refuse statements of open transactions whose key has been withdrawn

Cause: CallerConnection::admit checks the key when an operation begins; statements and COMMIT of an open transaction check nothing.

Change: each of them checks the key. If it is withdrawn, the transaction is rolled back and the statement refused with the error of a withdrawn key.

Test: FleetTest.RefusesWithdrawnKeyInsideOpenTransaction, passes on both connection modes.

--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -166,6 +166,10 @@
         this->rollback();
         return;
     }
+    if (this->session.currentTransactionState() == TransactionState::Open && this->isTransactionKeyWithdrawn()) {
+        this->refuseWithdrawnKey();
+        return;
+    }
     if (kind == StatementKind::Commit) {
         this->commit();
         return;
@@ -244,6 +248,24 @@
     this->sendLocalReply();
 }
 
+bool CallerConnection::isTransactionKeyWithdrawn() const
+{
+    if (this->organisation == openAccessOrganisation)
+        return false;
+    const OrganisationLimit* limit = this->proxy.routeTable().findOrganisation(this->keyDigest);
+    return !limit || limit->organisation.value != this->organisation;
+}
+
+void CallerConnection::refuseWithdrawnKey()
+{
+    this->rollBackPinnedLink();
+    if (this->statement().kind == StatementKind::Commit)
+        this->session.endTransaction();
+    else
+        this->session.failTransaction();
+    this->sendErrorReply(ErrorKind::KeyWithdrawn, "the key has been withdrawn; the transaction was rolled back");
+}
+
 void CallerConnection::commit()
 {
     if (this->session.currentTransactionState() == TransactionState::None) {
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -54,6 +54,10 @@
     void handleQuery(CallerMessage&&);
     void begin(bool readOnly);
     void rollback();
+    // Returns whether the key under which the open transaction began has been withdrawn.
+    bool isTransactionKeyWithdrawn() const;
+    // Rolls back the open transaction, whose key has been withdrawn, and refuses the statement.
+    void refuseWithdrawnKey();
     void commit();
     void prepare();
     void closePrepared();
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -133,6 +133,36 @@
         EXPECT_EQ(this->fleet.logs().find("key-of"), std::string::npos);
     }
 
+    // Guards against a withdrawn key with which a caller goes on to read and write inside a transaction that it had opened before.
+    TEST_P(FleetTest, RefusesWithdrawnKeyInsideOpenTransaction)
+    {
+        Caller reading(this->fleet.callerPort(2));
+        Caller committing(this->fleet.callerPort(2));
+        startSession(reading, "strict", "key-of-orgb");
+        startSession(committing, "strict", "key-of-orgb");
+        ASSERT_TRUE(queryUntilRun(reading, "w1", "WRITE k 1").succeeded());
+        ASSERT_EQ(reading.query("w2", "BEGIN").state, 'T');
+        ASSERT_TRUE(reading.query("w3", "WRITE k 2").succeeded());
+        ASSERT_EQ(committing.query("w4", "BEGIN").state, 'T');
+        ASSERT_TRUE(committing.query("w5", "WRITE k 3").succeeded());
+        this->fleet.organisations[1].keys = { "another-key-of-orgb" };
+        this->fleet.publishConfiguration();
+        int sequence = 0;
+        Reply refused;
+        EXPECT_TRUE(eventually([&] {
+            refused = reading.query("w6" + std::to_string(sequence++), "READ k");
+            return refused.error == "NOAUTH";
+        }));
+        EXPECT_EQ(refused.state, 'E');
+        EXPECT_EQ(reading.query("w7", "ROLLBACK").state, 'I');
+        const Reply commit = committing.query("w8", "COMMIT");
+        EXPECT_EQ(commit.error, "NOAUTH");
+        EXPECT_EQ(commit.state, 'I');
+        Caller other(this->fleet.callerPort(1));
+        startSession(other, "strict");
+        EXPECT_EQ(queryUntilRun(other, "w9", "READ k").rows, std::vector<std::string> { "1" });
+    }
+
     // Guards against requests without an answer when a caller sends more of them at once than a VM queues: the rest was not read until the
     // caller sent further bytes.
     TEST_P(FleetTest, AnswersAllRequestsOfPipeliningCaller)
