--- a/foxtailtrail/failover/PrimaryReplacement.cpp
+++ b/foxtailtrail/failover/PrimaryReplacement.cpp
@@ -537,7 +537,7 @@
     if (this->isPrimaryServingOthers())
         return std::nullopt;
     SuccessorEvidence evidence = this->makeEvidence(now);
-    if (const std::optional<ProbedStatus> successor = selectSuccessor(evidence))
+    if (std::optional<ProbedStatus> successor = selectSuccessor(evidence))
         return successor;
     const FleetEvidence& fleet = this->context->fleetEvidence();
     if (fleet.isEveryCommitKnown(now)) {
