Report commits that are acknowledged after the decision to replace their server

Cause: GroupTracker::recordReply kept the position of an acknowledged commit only while the directory named its server as the settled primary. A commit whose reply arrived after this VM had learned of the decision to replace the server was missing from the VM's group report, so that FleetEvidence could count every commit as known without it and leave out the servers that hold it.

Change: the position and the time of an acknowledged commit are recorded whatever the directory says by then. The lease is renewed only as before.

Result: GroupTrackerTest.ReportsCommitAcknowledgedAfterDecisionToReplaceItsServer fails with the former rule put back, and passes now.

--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -42,6 +42,12 @@
 
 void GroupTracker::recordReply(const BackendServerId& server, const std::optional<LogPoint>& position, TimePoint sentAt, bool isCommit)
 {
+    // A commit counts as acknowledged whichever server the directory names by now: its reply may arrive after the decision to replace the
+    // server.
+    if (isCommit && position) {
+        this->highestAcknowledged = std::max(this->highestAcknowledged, position);
+        this->commitSentAt = std::max(this->commitSentAt, std::optional(sentAt));
+    }
     if (!this->lastPrimaryView || this->lastPrimaryView->server != server)
         return;
     this->firstFailureAt.reset();
@@ -58,11 +64,8 @@
     if (isCommit) {
         this->firstUnansweredCommitAt.reset();
         this->unansweredCommitCount = 0;
-        if (position && this->lastPrimaryView->isSettled && this->serverReportingNotPrimary != server) {
-            this->highestAcknowledged = std::max(this->highestAcknowledged, position);
-            this->commitSentAt = std::max(this->commitSentAt, std::optional(sentAt));
+        if (position && this->lastPrimaryView->isSettled && this->serverReportingNotPrimary != server)
             this->lease.renew(server, sentAt);
-        }
     }
     if (position && this->lease.isHeldBy(server, sentAt)) {
         this->primaryLedAt = std::max(this->primaryLedAt, sentAt);
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -116,6 +116,21 @@
         EXPECT_EQ(this->group->requiredLogPoint(this->now), point(1, 10));
     }
 
+    // Guards against a commit that no VM reports, because its reply arrived after the decision to replace the server had become known.
+    TEST_F(GroupTrackerTest, ReportsCommitAcknowledgedAfterDecisionToReplaceItsServer)
+    {
+        this->commitAt(this->now, 6);
+        PrimaryRecord decision { service, Term { 2 }, replica, false };
+        decision.predecessor = oldPrimary;
+        this->context.servers.recordPrimary(decision);
+        this->group->directoryChanged();
+        this->commitAt(this->now + milliseconds(1), 7);
+        const GroupReport report = this->group->report(this->now + milliseconds(2), true);
+        EXPECT_EQ(report.acknowledged, point(1, 7));
+        EXPECT_EQ(report.commitSentAt, this->now + milliseconds(1));
+        EXPECT_FALSE(this->isUsable(this->now + milliseconds(2)));
+    }
+
     // Guards against a group that has no primary for good, because commits were lost with the servers that held them.
     TEST_F(GroupTrackerTest, RequiresNoLogThatIsLostForGood)
     {
