Check all evidence again at the moment of the promotion order

Cause: after the decision was recorded, the order was sent if no VM had reported a commit beyond the successor's log. Whether the other VMs still hold commits back was not asked again: their promise lasts two seconds, and a slow store or a holder that is short of processor time can use them up between the decision and the order. A primary and a replica that do not answer the holder may then serve the VMs that have not learned of the decision.

Change: PrimaryReplacement::orderPromotion selects the successor again from the evidence of that moment and sends the order only for the same server. A decision that needs the reports waits for new ones when recording it took long. The world of the search keeps the statuses in its key until the order, because the next steps depend on them.

Result: PrimaryReplacementTest.OrdersNoPromotionOnReportsThatCountNoLonger fails with the former rule put back (the order is sent 1.1 s after the last report), and passes now.

--- a/foxtailtrail/failover/PrimaryReplacement.cpp
+++ b/foxtailtrail/failover/PrimaryReplacement.cpp
@@ -294,7 +294,6 @@
         record.predecessor = {};
     this->state.phase = Phase::Recording;
     this->state.record = record;
-    this->state.successorLogPoint = successor.receivedLogPoint;
     ReplacementStep step;
     step.kind = ReplacementStep::Kind::RecordDecision;
     step.record = record;
@@ -305,9 +304,11 @@
 {
     if (!hasSucceeded)
         return this->examineAgain(now);
-    if (this->state.orderAt <= now)
+    if (this->state.orderAt <= now && !this->state.needsFleetEvidence)
         return this->orderPromotion(now);
-    ReplacementStep step = this->waitUntil(Phase::WaitingForLeases, this->state.orderAt);
+    // Recording may have taken so long that the reports of the other VMs count no longer.
+    const TimePoint reportsAt = this->state.needsFleetEvidence ? now + retryDelay : now;
+    ReplacementStep step = this->waitUntil(Phase::WaitingForLeases, std::max(this->state.orderAt, reportsAt));
     step.asksFleet = true;
     step.holdsBackCommits = this->state.needsFleetEvidence;
     return step;
@@ -315,9 +316,10 @@
 
 ReplacementStep PrimaryReplacement::orderPromotion(TimePoint now)
 {
-    // Another VM has reported an acknowledged commit since the decision.
-    const std::optional<LogPoint> required = this->context->requiredLogPoint(now);
-    if ((required && this->state.successorLogPoint < *required) || this->isPrimaryServingOthers())
+    // Since the decision, another VM may have reported an acknowledged commit, a promise to hold commits back may have ended, or a server
+    // of the group may have been found.
+    const std::optional<ProbedStatus> successor = this->selectFrom(now);
+    if (!successor || successor->server != this->state.record->server)
         return this->examineAgain(now);
     this->state.phase = Phase::Ordering;
     ReplacementStep step;
--- a/foxtailtrail/failover/PrimaryReplacement.h
+++ b/foxtailtrail/failover/PrimaryReplacement.h
@@ -119,8 +119,6 @@
         TimePoint giveUpAt {};
         // When the promotion may be ordered.
         TimePoint orderAt {};
-        // The log that the successor reported before the decision.
-        LogPoint successorLogPoint;
         // The decision, and later the settled record of the primary.
         std::optional<PrimaryRecord> record;
         // The primaries that were replaced, which are demoted at the end, and the term of that command.
--- a/tests/failover/PrimaryReplacementTest.cpp
+++ b/tests/failover/PrimaryReplacementTest.cpp
@@ -112,6 +112,10 @@
         std::optional<LogPoint> required;
         // The required position once the decision has been recorded.
         std::optional<LogPoint> requiredAfterDecision;
+        // How long the store takes to record a decision.
+        Duration recordTime { 0 };
+        // Whether the other VM no longer answers once the decision has been recorded.
+        bool isOtherVmLostAfterDecision = false;
         // The servers that the platform was told to promote, in order.
         std::vector<std::string> ordered;
         PromotionOrderOutcome orderOutcome = PromotionOrderOutcome::Accepted;
@@ -196,6 +200,9 @@
             case ReplacementStep::Kind::RecordDecision:
                 this->servers.recordPrimary(*step.record);
                 this->required = std::max(this->required, this->requiredAfterDecision);
+                this->now += this->recordTime;
+                if (this->isOtherVmLostAfterDecision)
+                    this->reportOfOther.reset();
                 return replacement.decisionRecorded(true, this->now);
             case ReplacementStep::Kind::OrderPromotion:
                 return replacement.promotionOrdered(this->promote(step.record->server.value), this->now);
@@ -362,6 +369,24 @@
         }
     }
 
+    // Guards against an order that is sent after a promise to hold commits back has ended: the VM that made it may have been served by the
+    // primary and the replica that do not answer.
+    TEST(PrimaryReplacementTest, OrdersNoPromotionOnReportsThatCountNoLonger)
+    {
+        for (const bool isOtherVmLost : { false, true }) {
+            FakeGroup group = groupOfThree(9, 9);
+            group.states["p"].isRunning = group.states["b"].isRunning = false;
+            GroupReport report;
+            report.sampledAt = group.now - std::chrono::seconds(1);
+            report.sampledLogPoint = report.acknowledged = LogPoint { Term { 2 }, Position { 9 } };
+            group.setReport(report);
+            group.recordTime = std::chrono::milliseconds(1100);
+            group.isOtherVmLostAfterDecision = isOtherVmLost;
+            EXPECT_EQ(group.replacePrimary() == ReplacementResult::Replaced, !isOtherVmLost);
+            EXPECT_EQ(group.ordered.empty(), isOtherVmLost);
+        }
+    }
+
     // Guards against commits of the old primary that reach another replica while an order may still take effect (review case 5).
     TEST(PrimaryReplacementTest, ResumesOnlySuccessorWhoseOrderMayTakeEffect)
     {
--- a/tests/promotion/PromotionWorld.cpp
+++ b/tests/promotion/PromotionWorld.cpp
@@ -747,7 +747,7 @@
         for (const BackendServerId& server : *servers)
             putServer(server);
     }
-    if (state.phase < Phase::Recording) {
+    if (state.phase <= Phase::Ordering) {
         put(state.statuses.size());
         for (const ProbedStatus& status : state.statuses) {
             putServer(status.server);
@@ -768,8 +768,6 @@
         putTicksUntil(state.giveUpAt);
     if (state.phase == Phase::Recording || state.phase == Phase::WaitingForLeases)
         putTicksUntil(state.orderAt);
-    if (state.phase >= Phase::Recording && state.phase <= Phase::AwaitingPrimary)
-        put(state.successorLogPoint.position.value);
     if (state.phase >= Phase::Recording)
         putRecord(state.record);
     if (state.phase > Phase::AwaitingPrimary) {
