Replace no unknown primary before lapsed entries would be back

Cause: a VM that starts while the store is away knows no primary for a group whose primary has no entry at the moment.

Change: evaluateFailoverCause reports no cause for a primary that this VM does not know while entries that lapsed may still be missing from its list. VMs that know the primary act as before.

--- a/foxtailtrail/failover/FailoverPlan.cpp
+++ b/foxtailtrail/failover/FailoverPlan.cpp
@@ -28,10 +28,10 @@
 }
 
 FailoverCause evaluateFailoverCause(const std::vector<ProbedStatus>& statuses, const std::optional<BackendServerId>& primaryId,
-    bool isPrimarySettled, bool areCommitsStalled)
+    bool isPrimarySettled, bool areCommitsStalled, bool areLapsedEntriesBack)
 {
     if (!primaryId)
-        return FailoverCause::NoPrimary;
+        return areLapsedEntriesBack ? FailoverCause::NoPrimary : FailoverCause::None;
     const auto found
         = std::find_if(statuses.begin(), statuses.end(), [&](const ProbedStatus& status) { return status.server == *primaryId; });
     if (found == statuses.end())
--- a/foxtailtrail/failover/FailoverPlan.h
+++ b/foxtailtrail/failover/FailoverPlan.h
@@ -63,9 +63,9 @@
 
 // Returns why the primary of a group has to be replaced, or None, after probes of all servers of the group. The primary is
 // settled when its promotion is complete. Commits are stalled when they have waited at the primary for a long time without
-// a reply.
-FailoverCause evaluateFailoverCause(
-    const std::vector<ProbedStatus>&, const std::optional<BackendServerId>& primaryId, bool isPrimarySettled, bool areCommitsStalled);
+// a reply. A primary that this VM does not know may be one whose entry lapsed while the store was away, until such entries are back.
+FailoverCause evaluateFailoverCause(const std::vector<ProbedStatus>&, const std::optional<BackendServerId>& primaryId,
+    bool isPrimarySettled, bool areCommitsStalled, bool areLapsedEntriesBack);
 
 // Returns the primary of the newest term among the servers that answered, or null.
 const ProbedStatus* newestPrimary(const std::vector<ProbedStatus>&);
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -93,7 +93,8 @@
             const bool hasStalledCommits
                 = this->proxy.group(this->service)->areCommitsStalled(bootNow()) && this->isPrimaryAheadOfReplicas(statuses);
             const auto primary = before ? std::optional(before->server) : std::nullopt;
-            FailoverCause cause = evaluateFailoverCause(statuses, primary, before && before->isSettled, hasStalledCommits);
+            FailoverCause cause = evaluateFailoverCause(statuses, primary, before && before->isSettled, hasStalledCommits,
+                this->coordinator.serverListCompleteness().areLapsedEntriesBack());
             if (cause == FailoverCause::PrimaryLost || cause == FailoverCause::CommitsStalled)
                 cause = this->confirmCause(statuses, cause);
             this->confirmPrimary(primary, statuses);
@@ -381,7 +382,7 @@
             return time < this->missingServersLostAt() ? std::max(required, this->evidence->highestAcknowledged()) : required;
         }
         const FleetEvidence& fleetEvidence() const override { return *this->evidence; }
-        bool isGroupKnown() const override { return this->primaryLedAt() >= this->coordinator.serverListCompleteFrom(); }
+        bool isGroupKnown() const override { return this->primaryLedAt() >= this->coordinator.serverListCompleteness().completeFrom(); }
         TimePoint missingServersLostAt() const override
         {
             // A VM that can ask no other VM leaves no server out.
--- a/foxtailtrail/proxy/PromotionCoordinator.cpp
+++ b/foxtailtrail/proxy/PromotionCoordinator.cpp
@@ -32,14 +32,14 @@
 }
 
 PromotionCoordinator::PromotionCoordinator(SessionProxy& proxy, SharedStore& store, PromotionOrders& orders, FleetInquiry& inquiry,
-    RendezvousRank rank, DirectoryRefresh refresh, ServerListCheck serverListCheck)
+    RendezvousRank rank, DirectoryRefresh refresh, const ServerListCompleteness& serverListCompleteness)
     : proxy(proxy)
     , store(store)
     , orders(orders)
     , inquiry(inquiry)
     , rank(std::move(rank))
     , refresh(std::move(refresh))
-    , listCompleteFrom(std::move(serverListCheck))
+    , listCompleteness(serverListCompleteness)
 {
 }
 
@@ -53,7 +53,7 @@
         const std::optional<PrimaryView> before = this->proxy.directory().findPrimary(service);
         sleepFor(rankDelay * std::min(this->rank(service.value), maxRankDelays));
         // VMs that knew the group while its primary led need less evidence.
-        if (this->proxy.group(service)->lastLedAt() < this->listCompleteFrom())
+        if (this->proxy.group(service)->lastLedAt() < this->listCompleteness.completeFrom())
             sleepFor(unknownGroupDelay);
         // Another VM may have replaced the primary in the meantime.
         Duration pause = minExaminationInterval;
--- a/foxtailtrail/proxy/PromotionCoordinator.h
+++ b/foxtailtrail/proxy/PromotionCoordinator.h
@@ -2,6 +2,7 @@
 
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/failover/PromotionLock.h"
+#include "foxtailtrail/membership/ServerListCompleteness.h"
 #include "foxtailtrail/proxy/FleetInquiry.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
 #include "foxtailtrail/proxy/SharedStore.h"
@@ -24,10 +25,8 @@
     // Reads the servers and the records of primaries from the store.
     using DirectoryRefresh = std::function<Result<void>()>;
 
-    // Returns from when on the list of servers lacks none that runs and reaches the store.
-    using ServerListCheck = std::function<TimePoint()>;
-
-    PromotionCoordinator(SessionProxy&, SharedStore&, PromotionOrders&, FleetInquiry&, RendezvousRank, DirectoryRefresh, ServerListCheck);
+    PromotionCoordinator(
+        SessionProxy&, SharedStore&, PromotionOrders&, FleetInquiry&, RendezvousRank, DirectoryRefresh, const ServerListCompleteness&);
 
     // Starts an examination unless one is running or has just ended.
     void examine(const ServiceName&, std::string_view reason);
@@ -49,7 +48,7 @@
     SharedStore& sharedStore() { return this->store; }
     PromotionOrders& promotionOrders() { return this->orders; }
     FleetInquiry& fleetInquiry() { return this->inquiry; }
-    TimePoint serverListCompleteFrom() const { return this->listCompleteFrom(); }
+    const ServerListCompleteness& serverListCompleteness() const { return this->listCompleteness; }
 
 private:
     struct ExaminationState {
@@ -63,7 +62,7 @@
     FleetInquiry& inquiry;
     RendezvousRank rank;
     DirectoryRefresh refresh;
-    ServerListCheck listCompleteFrom;
+    const ServerListCompleteness& listCompleteness;
     std::map<ServiceName, ExaminationState> examinations;
 };
 
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -41,7 +41,7 @@
     , fleetInquiry(proxy, peers)
     , promotionCoordinator(
           proxy, *store, *promotionOrders, fleetInquiry, [this](std::string_view key) { return this->peers.rendezvousRank(key); },
-          [this] { return this->storeFollower.refreshDirectory(); }, [this] { return this->storeFollower.serverListCompleteFrom(); })
+          [this] { return this->storeFollower.refreshDirectory(); }, storeFollower.serverListCompleteness())
     , signals(thread.ioContext(), SIGTERM, SIGINT, SIGHUP)
 {
 }
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -34,8 +34,7 @@
     // Returns true when this VM may not know all servers: a table cannot be read, or the store was restored from an older copy and the
     // servers have not had time to report again.
     bool mayMissServers() const;
-    // Returns from when on this VM has known all servers that ran and reached the store.
-    TimePoint serverListCompleteFrom() const { return this->listCompleteness.completeFrom(); }
+    const ServerListCompleteness& serverListCompleteness() const { return this->listCompleteness; }
     // Returns true when none of the tables can be read.
     bool isStoreUnavailable() const { return this->unavailableTableCount == followedTableCount; }
     // Reads the fleet table and the server table now. Fails when the store does not respond.
--- a/tests/failover/FailoverPlanTest.cpp
+++ b/tests/failover/FailoverPlanTest.cpp
@@ -28,7 +28,7 @@
     FailoverCause evaluate(
         const ProbedStatus& primaryStatus, const ProbedStatus& replica, bool isPrimarySettled = true, bool areCommitsStalled = false)
     {
-        return evaluateFailoverCause({ primaryStatus, replica }, primaryId, isPrimarySettled, areCommitsStalled);
+        return evaluateFailoverCause({ primaryStatus, replica }, primaryId, isPrimarySettled, areCommitsStalled, true);
     }
 
     ProbedStatus withLog(const char* id, uint64_t position, ProbeOutcome outcome = ProbeOutcome::Answered)
@@ -98,7 +98,15 @@
         ProbedStatus leaving = status("p", ProbeOutcome::Answered, true, 5);
         leaving.isDraining = true;
         EXPECT_EQ(evaluate(leaving, replica), FailoverCause::PrimaryLeaving);
-        EXPECT_EQ(evaluateFailoverCause({ replica }, std::nullopt, true, false), FailoverCause::NoPrimary);
+        EXPECT_EQ(evaluateFailoverCause({ replica }, std::nullopt, true, false, true), FailoverCause::NoPrimary);
+    }
+
+    // Guards against a VM that starts while the store is away and replaces a primary that leads, because its entry has not come back yet:
+    // it pauses the replicas that the primary needs (review case 7).
+    TEST(FailoverPlanTest, ReplacesNoPrimaryWhoseEntryMayComeBack)
+    {
+        const ProbedStatus replica = status("r", ProbeOutcome::Answered, false, 5);
+        EXPECT_EQ(evaluateFailoverCause({ replica }, std::nullopt, true, false, false), FailoverCause::None);
     }
 
     // Guards against a VM that replaces a working primary because its own links are broken.
--- a/tests/promotion/PromotionWorld.cpp
+++ b/tests/promotion/PromotionWorld.cpp
@@ -449,7 +449,7 @@
     }
     const std::optional<uint8_t> primary = this->primaryOf(self);
     const FailoverCause cause
-        = evaluateFailoverCause(statuses, known ? std::optional(known->server) : std::nullopt, known && known->isSettled, false);
+        = evaluateFailoverCause(statuses, known ? std::optional(known->server) : std::nullopt, known && known->isSettled, false, true);
     const ProbedStatus* newest = newestPrimary(statuses);
     const bool isConfirmed = newest && primary && newest->server == serverIds[*primary]
         && std::all_of(statuses.begin(), statuses.end(),
