Record the members of a group with its primary

Cause: which servers belong to a group was known from the list of servers and from the memory of VMs alone.

A member that the list lacks is waited for like a lapsed server: no replica is promoted beside it until it is listed and answers, every VM has reported its commits, or 11 s have passed. A group gets its first record when its primary is first used. Writing records again after a restore moves from StoreFollower to PrimaryRecordWriter. The keys of the search's worlds hold the members.

Cost: a write per group at the start, and one or two for each server that is replaced, in transactions of up to 40 groups.

Result: PrimaryReplacementTest.PromotesNoReplicaWhileRecordedMemberIsNotListed and ServerDirectoryTest.WaitsForRecordedMembersThatWereNeverListed fail with the members left out, and pass now.

--- a/foxtailtrail/failover/PrimaryReplacement.cpp
+++ b/foxtailtrail/failover/PrimaryReplacement.cpp
@@ -292,6 +292,7 @@
         record.predecessor = known->isSettled ? known->server : known->predecessor;
     if (!directory.findPossibleMember(record.predecessor))
         record.predecessor = {};
+    record.members = this->members();
     this->state.phase = Phase::Recording;
     this->state.record = record;
     ReplacementStep step;
@@ -353,6 +354,7 @@
             this->state.formerPrimaries.push_back(record.predecessor);
         record.predecessor = {};
         record.isSettled = true;
+        record.members = this->members();
         this->state.result = ReplacementResult::Replaced;
         return this->settle(record);
     }
@@ -377,7 +379,7 @@
     const std::optional<ProbedStatus>& kept = this->state.plan.primary;
     const std::optional<PrimaryView> known = this->context->directory().findPrimary(this->settings.service);
     if (kept && (!known || !known->isSettled || known->server != kept->server))
-        return this->settle({ this->settings.service, std::max(this->state.term, kept->term), kept->server, true });
+        return this->settle({ this->settings.service, std::max(this->state.term, kept->term), kept->server, true, {}, this->members() });
     return this->resumeReplicas(now);
 }
 
@@ -478,6 +480,7 @@
     std::vector<BackendServerId> members;
     for (const ServerEntry* entry : this->context->directory().possibleMembers(this->settings.service, this->context->primaryLedAt()))
         members.push_back(entry->id);
+    std::sort(members.begin(), members.end());
     return members;
 }
 
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -5,6 +5,7 @@
 
 #include <cmath>
 #include <cstdint>
+#include <utility>
 
 namespace foxtail {
 
@@ -58,6 +59,15 @@
         if (object.contains("predecessor")) {
             BOOST_OUTCOME_TRY(record.predecessor.value, stringMember(object, "predecessor"));
         }
+        if (object.contains("members")) {
+            BOOST_OUTCOME_TRY(const json::array members, arrayMember(object, "members"));
+            for (const json::value& member : members) {
+                if (!member.is_string())
+                    return fail(ErrorKind::MalformedRequest, "member \"members\" must hold ids of servers");
+                record.members.emplace_back(std::string(member.get_string()));
+            }
+            BOOST_OUTCOME_TRY(record.memberRevision, unsignedMember(object, "memberRevision"));
+        }
         return record;
     }
 
@@ -94,6 +104,13 @@
     json::object object { { "term", record.term.value }, { "server", record.server.value }, { "settled", record.isSettled } };
     if (!record.predecessor.empty())
         object["predecessor"] = record.predecessor.value;
+    if (!record.members.empty()) {
+        json::array members;
+        for (const BackendServerId& member : record.members)
+            members.emplace_back(member.value);
+        object["members"] = std::move(members);
+        object["memberRevision"] = record.memberRevision;
+    }
     return json::serialize(object);
 }
 
--- a/foxtailtrail/proxy/FleetTable.cpp
+++ b/foxtailtrail/proxy/FleetTable.cpp
@@ -63,15 +63,21 @@
     return known != this->memberEntries.end() && known->second == entry && this->unlistedUntil.count(key) == 0;
 }
 
+std::pair<std::optional<PrimaryRecord>, StoreVersion> FleetTable::findRecord(const ServiceName& service) const
+{
+    const auto listed = this->records.find(service);
+    if (listed == this->records.end())
+        return { std::nullopt, StoreVersion { this->appliedVersion.era, 0 } };
+    return { listed->second.record, listed->second.version };
+}
+
 std::vector<std::pair<PrimaryRecord, StoreVersion>> FleetTable::missingRecords(const std::vector<PrimaryRecord>& known) const
 {
     std::vector<std::pair<PrimaryRecord, StoreVersion>> missing;
     for (const PrimaryRecord& record : known) {
-        const auto listed = this->records.find(record.service);
-        if (listed == this->records.end())
-            missing.emplace_back(record, StoreVersion { this->appliedVersion.era, 0 });
-        else if (listed->second.record.term < record.term)
-            missing.emplace_back(record, listed->second.version);
+        const auto [listed, version] = this->findRecord(record.service);
+        if (!listed || listed->term < record.term)
+            missing.emplace_back(record, version);
     }
     return missing;
 }
--- a/foxtailtrail/proxy/FleetTable.h
+++ b/foxtailtrail/proxy/FleetTable.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace foxtail {
@@ -30,6 +31,8 @@
     bool isListed(const PeerEntry&) const;
     // Returns the records that the table lacks or holds in an older form, each with the version that its row must have to be replaced.
     std::vector<std::pair<PrimaryRecord, StoreVersion>> missingRecords(const std::vector<PrimaryRecord>& known) const;
+    // Returns the record of a group, if the table holds one, and the version that its row must have to be replaced.
+    std::pair<std::optional<PrimaryRecord>, StoreVersion> findRecord(const ServiceName&) const;
     // The newest version that was applied.
     const StoreVersion& version() const { return this->appliedVersion; }
 
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -101,6 +101,8 @@
     size_t logUnansweredRequests() const;
 
     std::shared_ptr<GroupTracker> group(const ServiceName&);
+    // Returns the groups that this VM has traffic for or reports of.
+    const std::map<ServiceName, std::shared_ptr<GroupTracker>>& followedGroups() const { return this->groups; }
     // Exchanges group updates with other VMs: returns those of this VM that are newer than the given time, and applies those of
     // another VM.
     std::vector<GroupUpdate> groupUpdates(TimePoint newerThan) const;
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -56,12 +56,6 @@
     constexpr Duration serverReportPeriod = std::chrono::seconds(5);
     // Every VM writes its row to a restored store within this time of reading it.
     constexpr int maxRegistrationDelayMs = 1500;
-    // Each VM waits this much longer per rank before it writes the record of a primary again, so that usually one VM does.
-    constexpr Duration recordRankDelay = std::chrono::milliseconds(150);
-    constexpr size_t maxRecordRankDelays = 16;
-    // A transaction may hold 100 entries; each record takes a precondition and a write.
-    constexpr size_t maxRecordsPerTransaction = 40;
-    constexpr Duration recordWriteTimeout = std::chrono::milliseconds(1000);
     // Key of the rendezvous order in which the VMs of a data centre read the configuration from the store.
     constexpr const char* configurationSourceKey = "configuration";
 
@@ -75,6 +69,8 @@
     , configurationExchange(proxy.settings().peerEndpoint)
     , startedAt(bootNow())
     , storeReaders(proxy.settings().vmId)
+    , recordWriter(proxy, store, peers, fleetTable,
+          [this] { return this->mayMissServers() ? TimePoint::max() : this->listCompleteness.completeFrom(); })
 {
 }
 
@@ -101,6 +97,7 @@
             StoreTable::Fleet, "fleet", fleetChangeBound, [this](const RowSet& rows, bool isWhole) { this->applyFleet(rows, isWhole); });
     });
     startFiber([this] { this->contactUnlistedSeeds(); });
+    this->recordWriter.start();
 }
 
 void StoreFollower::follow(
@@ -324,6 +321,8 @@
         this->proxy.updateServerDirectory([&](ServerDirectory& directory) {
             for (const PrimaryRecord& primary : primaries)
                 directory.recordPrimary(primary);
+            // A promotion that has just read the records must know the servers that they name.
+            directory.addRecordedServers(bootNow());
         });
     }
     if (isRestored)
@@ -356,49 +355,16 @@
         while (this->fleetTable.version().era == era && !this->tryToRegister())
             sleepFor(std::chrono::milliseconds(minRegistrationRetryMs + delayMs(random)));
     });
-    startFiber([this, era] { this->writePrimaryRecordsAgain(era); });
+    startFiber([this, era] { this->recordWriter.writeAgain(era); });
     startFiber([this, era] {
         sleepFor(FleetTable::registrationPeriod);
         if (this->fleetTable.expire(bootNow()))
             this->publishMembers();
         // A promotion that was running when the store was restored has ended.
-        this->writePrimaryRecordsAgain(era);
+        this->recordWriter.writeAgain(era);
     });
 }
 
-void StoreFollower::writePrimaryRecordsAgain(uint64_t era)
-{
-    std::map<size_t, std::vector<ServiceName>> servicesByRank;
-    for (const auto& [record, version] : this->fleetTable.missingRecords(this->proxy.directory().knownPrimaryRecords()))
-        servicesByRank[std::min(this->peers.rendezvousRank(record.service.value), maxRecordRankDelays)].push_back(record.service);
-    const TimePoint startedWritingAt = bootNow();
-    for (const auto& each : servicesByRank) {
-        const std::vector<ServiceName>& services = each.second;
-        const TimePoint writeAt = startedWritingAt + recordRankDelay * static_cast<Duration::rep>(each.first);
-        sleepFor(std::max(Duration(0), Duration(writeAt - bootNow())));
-        if (this->fleetTable.version().era != era)
-            return;
-        auto missing = this->fleetTable.missingRecords(this->proxy.directory().knownPrimaryRecords());
-        std::erase_if(missing,
-            [&](const auto& record) { return std::find(services.begin(), services.end(), record.first.service) == services.end(); });
-        for (size_t first = 0; first < missing.size(); first += maxRecordsPerTransaction)
-            this->writePrimaryRecords({ missing.begin() + static_cast<std::ptrdiff_t>(first),
-                missing.begin() + static_cast<std::ptrdiff_t>(std::min(missing.size(), first + maxRecordsPerTransaction)) });
-    }
-}
-
-void StoreFollower::writePrimaryRecords(const std::vector<std::pair<PrimaryRecord, StoreVersion>>& records)
-{
-    StoreTransaction transaction;
-    for (const auto& [record, version] : records) {
-        transaction.preconditions.push_back({ StoreTable::Fleet, primaryRowKey(record.service), version });
-        transaction.puts.push_back({ StoreTable::Fleet, primaryRowKey(record.service), encodePrimary(record) });
-    }
-    const Result<StoreVersion> stored = this->store.commit(transaction, now() + recordWriteTimeout);
-    logEvent(LogLevel::Info, "records of primaries written again",
-        { { "era", this->fleetTable.version().era }, { "records", records.size() }, { "detail", stored ? "" : stored.error().detail } });
-}
-
 bool StoreFollower::mayMissServers() const { return this->isAnyTableUnavailable() || bootNow() < this->serversRestoredUntil; }
 
 Result<void> StoreFollower::refreshDirectory()
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -8,6 +8,7 @@
 #include "foxtailtrail/proxy/DeclarationDecoder.h"
 #include "foxtailtrail/proxy/FleetTable.h"
 #include "foxtailtrail/proxy/PeerExchange.h"
+#include "foxtailtrail/proxy/PrimaryRecordWriter.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
 #include "foxtailtrail/proxy/SharedStore.h"
 
@@ -69,9 +70,6 @@
     // Writes what this VM knows to a store that was restored from an older copy, in the background: its own row and the records of
     // primaries. Members that do not register again are dropped later.
     void completeRestoredTables(uint64_t era);
-    // Writes the records of primaries that the restored table lacks, those first for which this VM comes first in the rendezvous order.
-    void writePrimaryRecordsAgain(uint64_t era);
-    void writePrimaryRecords(const std::vector<std::pair<PrimaryRecord, StoreVersion>>&);
     void installDocument(const std::string&, std::string_view source);
     // Fetches the configuration from a VM of the same data centre, so that the VMs of a starting fleet do not all read it from the store,
     // possibly over the link between regions. Returns the store version up to which that VM had applied the declarations, or an empty
@@ -127,6 +125,7 @@
     bool hasStartedRegistration = false;
     ChangeExchange changeExchange;
     StoreReaders storeReaders;
+    PrimaryRecordWriter recordWriter;
 };
 
 }
--- a/foxtailtrail/replication/ServerDirectory.cpp
+++ b/foxtailtrail/replication/ServerDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace foxtail {
 
@@ -170,22 +171,39 @@
 
 void ServerDirectory::expireLapsedServers(TimePoint now)
 {
-    std::set<BackendServerId> named;
+    this->addRecordedServers(now);
+    for (auto& [id, lapsed] : this->lapsedServers)
+        lapsed.isLost = lapsed.isLost || lapsed.removedAt + lapsedServerLifetime <= now;
+    std::erase_if(this->lapsedServers, [this](const auto& lapsed) { return lapsed.second.isLost && !this->isRecorded(lapsed.first); });
+}
+
+void ServerDirectory::addRecordedServers(TimePoint now)
+{
+    if (!std::exchange(this->haveRecordsChanged, false))
+        return;
     for (const auto& [service, record] : this->primaryRecords) {
-        for (const BackendServerId& server : namedServers(record)) {
-            named.insert(server);
-            // The entry had lapsed before this VM read the list for the first time. Without an address, the server is only waited for.
-            if (this->servers.count(server) == 0) {
-                ServerEntry unknown;
-                unknown.id = server;
-                unknown.service = service;
-                this->lapsedServers.try_emplace(server, LapsedServer { unknown, now });
-            }
+        const std::vector<BackendServerId> named = namedServers(record);
+        std::vector<BackendServerId> recorded = named;
+        recorded.insert(recorded.end(), record.members.begin(), record.members.end());
+        for (const BackendServerId& server : recorded) {
+            // A member whose removal this VM has seen is not waited for again; another VM may not have dropped it yet.
+            const bool hasDeparted
+                = this->departedServers.count(server) > 0 && std::find(named.begin(), named.end(), server) == named.end();
+            if (this->servers.count(server) > 0 || hasDeparted)
+                continue;
+            ServerEntry unknown;
+            unknown.id = server;
+            unknown.service = service;
+            this->lapsedServers.try_emplace(server, LapsedServer { unknown, now });
         }
     }
-    for (auto& [id, lapsed] : this->lapsedServers)
-        lapsed.isLost = lapsed.isLost || lapsed.removedAt + lapsedServerLifetime <= now;
-    std::erase_if(this->lapsedServers, [&](const auto& lapsed) { return lapsed.second.isLost && named.count(lapsed.first) == 0; });
+}
+
+bool ServerDirectory::isRecorded(const BackendServerId& id) const
+{
+    const auto contains = [&](const std::vector<BackendServerId>& ids) { return std::find(ids.begin(), ids.end(), id) != ids.end(); };
+    return std::any_of(this->primaryRecords.begin(), this->primaryRecords.end(),
+        [&](const auto& recorded) { return contains(namedServers(recorded.second)) || contains(recorded.second.members); });
 }
 
 std::vector<BackendServerId> ServerDirectory::namedServers(const PrimaryRecord& record)
@@ -200,16 +218,22 @@
     const auto found = this->primaryRecords.find(record.service);
     if (found == this->primaryRecords.end()) {
         this->primaryRecords.emplace(record.service, record);
+        this->haveRecordsChanged = true;
         return true;
     }
     PrimaryRecord& known = found->second;
     if (record.term < known.term || record == known)
         return false;
     // Within a term, only a record that is not settled may be replaced: by its settled form, or by another successor when
-    // the first one could not start.
-    if (record.term == known.term && known.isSettled)
+    // the first one could not start. The members of a settled one may change.
+    const bool hasNewerMembers = record.isSettled && record.server == known.server && known.memberRevision < record.memberRevision;
+    if (record.term == known.term && known.isSettled && !hasNewerMembers)
         return false;
+    std::vector<BackendServerId> knownMembers = std::move(known.members);
     known = record;
+    if (known.members.empty())
+        known.members = std::move(knownMembers);
+    this->haveRecordsChanged = true;
     return true;
 }
 
--- a/foxtailtrail/replication/ServerDirectory.h
+++ b/foxtailtrail/replication/ServerDirectory.h
@@ -42,6 +42,10 @@
     bool isSettled = false;
     // The primary that the promotion replaces, or empty when it is not known. It leads until the promotion takes effect.
     BackendServerId predecessor {};
+    // The servers that may hold commits of the group, in the order of their ids, whether listed or not. Empty when they are not known.
+    std::vector<BackendServerId> members {};
+    // Orders the records of a settled promotion by their members.
+    uint64_t memberRevision = 0;
     bool operator==(const PrimaryRecord&) const = default;
 };
 
@@ -81,8 +85,12 @@
     // deleted entries.
     std::vector<BackendServerId> expire(TimePoint now);
 
-    // Applies the record of a promotion. A record of an older term is ignored. Returns true when the known record changed.
+    // Applies the record of a promotion. A record of an older term is ignored. One that names no members keeps those that are known.
+    // Returns true when the known record changed.
     bool recordPrimary(const PrimaryRecord&);
+    // Adds the servers that changed records name and the list lacks to the lapsed ones, as of the given time. Without an address, they are
+    // only waited for.
+    void addRecordedServers(TimePoint now);
 
     // Returns the entry, including one that was removed a short time ago, or null.
     const ServerEntry* find(const BackendServerId&) const;
@@ -90,8 +98,8 @@
     bool isRemoved(const BackendServerId&) const;
     // Returns all entries of a group, in the order of their ids.
     std::vector<const ServerEntry*> members(const ServiceName&) const;
-    // Returns all servers of a group that may be running: the entries, and the servers whose entries have lapsed, until they count as lost.
-    // Those may serve others behind a partition.
+    // Returns all servers of a group that may be running: the entries, and the servers whose entries have lapsed or that only the record of
+    // the primary names, until they count as lost. Those may serve others behind a partition, or report again to a store that was away.
     std::vector<const ServerEntry*> possibleMembers(const ServiceName&, TimePoint primaryLedAt) const;
     // Returns the entry of a server that may be running, or null.
     const ServerEntry* findPossibleMember(const BackendServerId&) const;
@@ -140,6 +148,8 @@
     std::set<BackendServerId> putAll(const std::vector<ServerEntry>&);
     // Returns the record's server and, while the promotion is not settled, the one that it replaces.
     static std::vector<BackendServerId> namedServers(const PrimaryRecord&);
+    // Returns true when a record names the server, as primary or as a member.
+    bool isRecorded(const BackendServerId&) const;
     void expireLapsedServers(TimePoint now);
     // Returns whether a server that was removed before the store was restored sent this report, or a later one, before it left.
     bool isReportOfDeparted(const ServerEntry&) const;
@@ -148,6 +158,8 @@
     std::map<BackendServerId, DepartedServer> departedServers;
     std::map<BackendServerId, LapsedServer> lapsedServers;
     std::map<ServiceName, PrimaryRecord> primaryRecords;
+    // Whether records have changed since their servers were added to the lapsed ones.
+    bool haveRecordsChanged = false;
 };
 
 }
--- a/tests/failover/PrimaryReplacementTest.cpp
+++ b/tests/failover/PrimaryReplacementTest.cpp
@@ -328,6 +328,25 @@
         EXPECT_EQ(group.replacePrimary(), ReplacementResult::Replaced);
     }
 
+    // Guards against the loss of commits that a listed replica lacks: a VM that started while entries had lapsed does not see the replica
+    // that has received them, and the primary does not answer it (review case 7).
+    TEST(PrimaryReplacementTest, PromotesNoReplicaWhileRecordedMemberIsNotListed)
+    {
+        FakeGroup group;
+        group.add("p", { .isReachable = false, .leads = true, .position = 9 });
+        group.add("a", { .position = 7 });
+        group.servers.recordPrimary(
+            { service, Term { 2 }, BackendServerId("p"), true, {}, { BackendServerId("a"), BackendServerId("b"), BackendServerId("p") } });
+        group.servers.addRecordedServers(group.now);
+        group.states["b"].isReachable = false;
+        EXPECT_EQ(group.replacePrimary(), ReplacementResult::NoSuccessor);
+        EXPECT_TRUE(group.ordered.empty());
+        group.add("b", { .position = 9 });
+        EXPECT_EQ(group.replacePrimary(), ReplacementResult::Replaced);
+        EXPECT_EQ(group.ordered, std::vector<std::string> { "b" });
+        EXPECT_EQ(group.servers.findPrimaryRecord(service)->members.size(), 3U);
+    }
+
     // Guards against a VM that started while servers were missing from the list, and takes those that it sees for the whole group (review
     // cases 7 and 10).
     TEST(PrimaryReplacementTest, PromotesNoReplicaAtVmThatNeverKnewTheGroupWithItsPrimary)
--- a/tests/promotion/PromotionWorld.cpp
+++ b/tests/promotion/PromotionWorld.cpp
@@ -35,6 +35,15 @@
         return static_cast<size_t>(std::find(serverIds.begin(), serverIds.end(), id) - serverIds.begin());
     }
 
+    // Returns a bit for each member that the record names.
+    unsigned membersMask(const PrimaryRecord& record)
+    {
+        unsigned mask = 0;
+        for (const BackendServerId& member : record.members)
+            mask |= 1U << indexOf(member);
+        return mask;
+    }
+
     // The context of a tracker. It is set to the state of a VM before the tracker is used.
     class WorldContext : public GroupContext {
     public:
@@ -736,6 +745,7 @@
         putServer(record->server);
         putServer(record->predecessor);
         put(record->term.value << 1 | (record->isSettled ? 1U : 0U));
+        put(membersMask(*record));
     };
     using Phase = PrimaryReplacement::Phase;
     put(state.phase);
@@ -823,6 +833,7 @@
     put(this->storedRecord->term.value);
     put(indexOf(this->storedRecord->server) << 1 | (this->storedRecord->isSettled ? 1U : 0U));
     put(this->storedRecord->predecessor.empty() ? 0 : indexOf(this->storedRecord->predecessor) + 1);
+    put(membersMask(*this->storedRecord));
     put(this->highestFencingToken);
     put(this->highestArrivedToken);
     put(this->isLastServerListed | this->haveEntriesLapsed << 1);
@@ -839,6 +850,7 @@
         put(record ? record->term.value : 0);
         put(record ? indexOf(record->server) << 1 | (record->isSettled ? 1U : 0U) : 0U);
         put(record && !record->predecessor.empty() ? indexOf(record->predecessor) + 1 : 0);
+        put(record ? membersMask(*record) : 0);
         put(vm.trackerState.term);
         put(vm.trackerState.hasSettledPrimary);
         putAge(vm.trackerState.renewedAtTick);
--- a/tests/proxy/FleetTableTest.cpp
+++ b/tests/proxy/FleetTableTest.cpp
@@ -52,6 +52,17 @@
         EXPECT_FALSE(decodePrimary("leader/s", R"({"term":4,"server":"b4","settled":true,"predecessor":7})"));
     }
 
+    // Guards against members of a group that are lost on the way to a VM that starts later.
+    TEST(FleetRowsTest, KeepsMembersOfRecord)
+    {
+        PrimaryRecord record = primary("s", 4);
+        record.members = { BackendServerId("b3"), BackendServerId("b4") };
+        record.memberRevision = 7;
+        EXPECT_EQ(decodePrimary("leader/s", encodePrimary(record)), record);
+        EXPECT_FALSE(decodePrimary("leader/s", R"({"term":4,"server":"b4","settled":true,"members":["b3",7],"memberRevision":7})"));
+        EXPECT_FALSE(decodePrimary("leader/s", R"({"term":4,"server":"b4","settled":true,"members":["b3"]})"));
+    }
+
     // Guards against a fleet that shrinks, for quotas and relays, because the store was restored from a copy that lacks some VMs.
     TEST(FleetTableTest, KeepsMembersThatARestoredTableLacksWhileTheyRegisterAgain)
     {
--- a/tests/replication/ReplicationTest.cpp
+++ b/tests/replication/ReplicationTest.cpp
@@ -348,6 +348,62 @@
         EXPECT_EQ(possibleMembersOf(directory), std::vector<std::string> { "b" });
     }
 
+    PrimaryRecord recordWithMembers(uint64_t term, uint64_t revision, const std::vector<std::string>& members)
+    {
+        PrimaryRecord settled = record(term, "a", true);
+        for (const std::string& member : members)
+            settled.members.emplace_back(member);
+        settled.memberRevision = revision;
+        return settled;
+    }
+
+    // Guards against a VM that starts while entries have lapsed and takes the servers that are listed for the whole group.
+    TEST(ServerDirectoryTest, WaitsForRecordedMembersThatWereNeverListed)
+    {
+        ServerDirectory directory;
+        directory.put(entry("b", false));
+        directory.recordPrimary(recordWithMembers(2, 0, { "a", "b", "c" }));
+        directory.addRecordedServers(at(0));
+        EXPECT_EQ(possibleMembersOf(directory), (std::vector<std::string> { "b", "a", "c" }));
+        directory.put(entry("c", false));
+        EXPECT_EQ(possibleMembersOf(directory), (std::vector<std::string> { "b", "c", "a" }));
+        directory.expire(at(11'000));
+        EXPECT_EQ(possibleMembersOf(directory), (std::vector<std::string> { "b", "c" }));
+        directory.expire(at(90'000));
+        EXPECT_EQ(possibleMembersOf(directory), (std::vector<std::string> { "b", "c" }));
+    }
+
+    // Guards against a group that waits again and again for a server that this VM has seen leave, because another VM records it later.
+    TEST(ServerDirectoryTest, DoesNotWaitForRecordedMemberThatHasDeparted)
+    {
+        ServerDirectory directory;
+        directory.put(entry("a", true));
+        directory.put(entry("c", false));
+        directory.replaceAll({ entry("a", true) }, at(0));
+        directory.expire(at(2500));
+        directory.expire(at(11'000));
+        EXPECT_EQ(possibleMembersOf(directory), std::vector<std::string> { "a" });
+        directory.recordPrimary(recordWithMembers(2, 1, { "a", "c" }));
+        directory.expire(at(11'100));
+        EXPECT_EQ(possibleMembersOf(directory), std::vector<std::string> { "a" });
+    }
+
+    // Guards against members that are lost: through a record that a VM made without them, or one of an earlier state that arrives late.
+    TEST(ServerDirectoryTest, KeepsNewestMembersOfARecord)
+    {
+        const ServiceName service("s");
+        ServerDirectory directory;
+        directory.recordPrimary(recordWithMembers(2, 0, { "a", "b" }));
+        EXPECT_TRUE(directory.recordPrimary(recordWithMembers(2, 2, { "a", "b", "c" })));
+        EXPECT_FALSE(directory.recordPrimary(recordWithMembers(2, 1, { "a", "b" })));
+        EXPECT_EQ(directory.findPrimaryRecord(service)->members.size(), 3U);
+        PrimaryRecord other = record(2, "b", true);
+        other.memberRevision = 9;
+        EXPECT_FALSE(directory.recordPrimary(other));
+        EXPECT_TRUE(directory.recordPrimary(record(3, "b", true)));
+        EXPECT_EQ(directory.findPrimaryRecord(service)->members.size(), 3U);
+    }
+
     // Guards against statements that wait forever when the promoter died before it wrote its last record.
     TEST(ServerDirectoryTest, SettlesPromotionByReportOfSuccessor)
     {
