Keep the facts of earlier reports when a VM reports again

Cause: since the evidence is checked again at the order, a replacement that rests on the reports of all VMs found no successor there: VMs that learn of the decision drop the samples of the old primary, so their second report had none, and FleetEvidence replaced the first one by it. The group waited 14 s.

Change: a new report of a VM replaces what changes (its promise, its time, from when it remembers); the highest positions and latest times that it has reported before stay. The rank of a VM is requested only when members differ. The stand-in of the store returns each change of a row, as the users' store does, and a test with real processes plays an outage in which entries lapse and come back.

--- a/foxtailtrail/failover/FleetEvidence.cpp
+++ b/foxtailtrail/failover/FleetEvidence.cpp
@@ -7,7 +7,19 @@
 
 void FleetEvidence::expectReportsOf(std::set<VmId> vms) { this->expected = std::move(vms); }
 
-void FleetEvidence::record(const GroupReport& report) { this->reports[report.vm] = report; }
+void FleetEvidence::record(const GroupReport& report)
+{
+    GroupReport& known = this->reports[report.vm];
+    GroupReport merged = report;
+    if (merged.sampledAt < known.sampledAt) {
+        merged.sampledAt = known.sampledAt;
+        merged.sampledLogPoint = known.sampledLogPoint;
+    }
+    merged.acknowledged = std::max(merged.acknowledged, known.acknowledged);
+    merged.commitSentAt = std::max(merged.commitSentAt, known.commitSentAt);
+    merged.primaryLedAt = std::max(merged.primaryLedAt, known.primaryLedAt);
+    known = merged;
+}
 
 bool FleetEvidence::hasCommitAfter(TimePoint time) const
 {
--- a/foxtailtrail/failover/FleetEvidence.h
+++ b/foxtailtrail/failover/FleetEvidence.h
@@ -41,7 +41,8 @@
 
     // Sets the VMs that may have acknowledged commits of the group: this one and every other VM of the fleet.
     void expectReportsOf(std::set<VmId>);
-    // Adds a report. It replaces an earlier one of the VM.
+    // Adds a report. It replaces an earlier one of the VM, whose positions and times of commits stay true: a VM drops its samples when it
+    // learns of the decision to replace the primary.
     void record(const GroupReport&);
 
     // Returns true when a commit that was sent after the given time has been acknowledged to a VM, so that a primary leads and a replica
--- a/foxtailtrail/failover/MemberRecords.cpp
+++ b/foxtailtrail/failover/MemberRecords.cpp
@@ -5,7 +5,7 @@
 namespace foxtail {
 
 std::optional<PrimaryRecord> MemberRecords::dueRecord(
-    const GroupMembers& group, const std::optional<PrimaryRecord>& stored, size_t rank, TimePoint now)
+    const GroupMembers& group, const std::optional<PrimaryRecord>& stored, const Rank& rank, TimePoint now)
 {
     const bool isReplacing = stored && (!stored->isSettled || stored->server != group.primary);
     if (isReplacing || (stored && stored->members == group.members)) {
@@ -13,7 +13,7 @@
         return std::nullopt;
     }
     TimePoint& since = this->differsSince.try_emplace(group.service, now).first->second;
-    if (now < since + rankDelay * static_cast<Duration::rep>(std::min(rank, maxRankDelays)))
+    if (now < since + rankDelay * static_cast<Duration::rep>(std::min(rank(), maxRankDelays)))
         return std::nullopt;
     // A write without a response, or one that another VM's precedes, is repeated only if the record still differs later.
     since = now + rankDelay;
--- a/foxtailtrail/failover/MemberRecords.h
+++ b/foxtailtrail/failover/MemberRecords.h
@@ -5,6 +5,7 @@
 #include "foxtailtrail/replication/ServerDirectory.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -30,9 +31,13 @@
     static constexpr Duration rankDelay = std::chrono::milliseconds(1000);
     static constexpr size_t maxRankDelays = 16;
 
+    // Returns the rank of this VM in the order of the VMs that write the record of a group.
+    using Rank = std::function<size_t()>;
+
     // Returns the record to be written in place of the stored one, or std::nullopt when that names the same members, when a replacement is
-    // in progress, or while another VM is expected to write it.
-    std::optional<PrimaryRecord> dueRecord(const GroupMembers&, const std::optional<PrimaryRecord>& stored, size_t rank, TimePoint now);
+    // in progress, or while another VM is expected to write it. The rank is requested only if the members differ.
+    std::optional<PrimaryRecord> dueRecord(
+        const GroupMembers&, const std::optional<PrimaryRecord>& stored, const Rank& rank, TimePoint now);
 
 private:
     // When the stored record was first found to differ, or was last written by this VM.
--- a/foxtailtrail/proxy/PrimaryRecordWriter.cpp
+++ b/foxtailtrail/proxy/PrimaryRecordWriter.cpp
@@ -60,7 +60,8 @@
             members.members.push_back(entry->id);
         std::sort(members.members.begin(), members.members.end());
         const auto [stored, version] = this->fleetTable.findRecord(service);
-        if (const auto record = this->memberRecords.dueRecord(members, stored, this->peers.rendezvousRank(service.value), now))
+        const auto rank = [this, &key = service.value] { return this->peers.rendezvousRank(key); };
+        if (const auto record = this->memberRecords.dueRecord(members, stored, rank, now))
             due.emplace_back(*record, version);
     }
     return due;
--- a/standins/platform/RowStore.cpp
+++ b/standins/platform/RowStore.cpp
@@ -259,17 +259,14 @@
             return { 503, "{}", true };
         if (after < this->historyStartVersion || this->version < after)
             return { 410, "{}", false };
-        std::map<uint64_t, json::object> found;
-        for (const auto& [name, row] : this->rows) {
-            if (name.first == query.at("table") && row.version > after)
-                found.emplace(row.version, this->rowObject(name.first, name.second, row));
+        json::array found;
+        for (const Change& change : this->changes) {
+            if (change.name.first == query.at("table") && change.row.version > after)
+                found.push_back(this->rowObject(change.name.first, change.name.second, change.row));
         }
         if (!found.empty() || this->isStopping || std::chrono::steady_clock::now() >= deadline) {
-            json::array list;
-            for (auto& [rowVersion, object] : found)
-                list.push_back(std::move(object));
             json::object reply = this->responseObject();
-            reply["rows"] = std::move(list);
+            reply["rows"] = std::move(found);
             return { 200, json::serialize(reply), false };
         }
         this->stateCondition.wait_until(lock, deadline);
--- a/tests/failover/FleetEvidenceTest.cpp
+++ b/tests/failover/FleetEvidenceTest.cpp
@@ -46,6 +46,24 @@
         EXPECT_EQ(evidence.highestPossible(), point(10));
     }
 
+    // Guards against a replacement that finds no successor at its order: the VMs drop their samples when they learn of the decision.
+    TEST(FleetEvidenceTest, KeepsWhatAVmHasReportedBefore)
+    {
+        FleetEvidence evidence = evidenceOf(reportOf(self, 7), reportOf(other, 9));
+        GroupReport later = reportOf(other, 8);
+        later.sampledAt.reset();
+        later.sampledLogPoint.reset();
+        evidence.record(later);
+        later.vm = self;
+        evidence.record(later);
+        EXPECT_TRUE(evidence.isEveryCommitKnown(now));
+        EXPECT_EQ(evidence.highestPossible(), point(10));
+        // A VM that was started again has lost what it acknowledged after the sample.
+        later.remembersFrom = now;
+        evidence.record(later);
+        EXPECT_FALSE(evidence.isEveryCommitKnown(now));
+    }
+
     // Guards against a promotion beside a VM that does not answer, or that goes on to use the primary.
     TEST(FleetEvidenceTest, DoesNotKnowCommitsOfVmThatIsSilentOrUsesThePrimary)
     {
--- a/tests/failover/PrimaryReplacementTest.cpp
+++ b/tests/failover/PrimaryReplacementTest.cpp
@@ -201,6 +201,9 @@
                 this->servers.recordPrimary(*step.record);
                 this->required = std::max(this->required, this->requiredAfterDecision);
                 this->now += this->recordTime;
+                // The other VM drops its samples of the replaced primary.
+                if (this->reportOfOther)
+                    this->reportOfOther->sampledAt.reset();
                 if (this->isOtherVmLostAfterDecision)
                     this->reportOfOther.reset();
                 return replacement.decisionRecorded(true, this->now);
--- a/tests/fleet/PromotionTest.cpp
+++ b/tests/fleet/PromotionTest.cpp
@@ -15,6 +15,8 @@
     constexpr std::chrono::seconds replacementTimeout { 20 };
     // Longer than VMs use a server whose entry has been removed.
     constexpr std::chrono::seconds forgottenAfter { 3 };
+    // Longer than a call that the store holds open.
+    constexpr std::chrono::seconds longOutage { 8 };
 
     // Replacements of the primary of a group that are disturbed at one of their steps. Server 0 is the primary at first. Callers write at
     // the VM that replaces it, so that no other VM knows which commits were acknowledged last.
@@ -150,6 +152,24 @@
         this->expectAcknowledgedCommitsAtPrimary();
     }
 
+    // Guards against a primary that is replaced although it leads, and a replica that is forgotten although it receives: their entries lapsed
+    // and came back before the VMs could read the list again (review case 7).
+    TEST_F(PromotionTest, KeepsPrimaryWhoseEntryLapsedAndCameBackWhileStoreWasAway)
+    {
+        standins::RowStoreFaults outage;
+        outage.isUnavailable = true;
+        this->fleet.store().setFaults(outage);
+        std::this_thread::sleep_for(longOutage);
+        for (size_t server = 0; server < standins::LineProtocolGroup::serverCount; ++server)
+            this->fleet.unregisterServer(server);
+        this->fleet.registerServers();
+        this->fleet.store().setFaults({});
+        std::this_thread::sleep_for(2 * forgottenAfter);
+        this->write(3);
+        EXPECT_TRUE(this->fleet.store().promotionOrders().empty()) << this->fleet.logs();
+        this->expectAcknowledgedCommitsAtPrimary();
+    }
+
     // Guards against the loss of commits that only the primary and a replica hold whose entry has not reached the store yet.
     TEST_F(PromotionTest, KeepsCommitsOfReplicaThatIsNotListedYet)
     {
