--- a/tests/fleet/PromotionTest.cpp
+++ b/tests/fleet/PromotionTest.cpp
@@ -152,8 +152,8 @@
         this->expectAcknowledgedCommitsAtPrimary();
     }
 
-    // Guards against a primary that is replaced although it leads, and a replica that is forgotten although it receives: their entries lapsed
-    // and came back before the VMs could read the list again (review case 7).
+    // Guards against a primary that is replaced although it leads, and a replica that is forgotten although it receives: their entries
+    // lapsed and came back before the VMs could read the list again (review case 7).
     TEST_F(PromotionTest, KeepsPrimaryWhoseEntryLapsedAndCameBackWhileStoreWasAway)
     {
         standins::RowStoreFaults outage;
