--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -281,7 +281,8 @@
         // A session that does not end keeps the VM running for the whole grace period.
         Caller resting(this->fleet.callerPort(0));
         startSession(resting, "strict");
-        ASSERT_EQ(resting.query("b1", "BEGIN").state, 'T');
+        const Reply begun = resting.query("b1", "BEGIN");
+        ASSERT_EQ(begun.state, 'T') << begun.error << " " << begun.detail << "\n" << this->fleet.logs();
         // The statements of a transaction that goes on are answered as well.
         std::thread busy([port = this->fleet.callerPort(0)] {
             Caller caller(port);
