Describe a request for a connection by one type that also holds its objective

Change: LinkRequest, passed unchanged from the statement run to the pools; retryAfterDetail(), used for the one refusal that has it. No behaviour changes: the objective is carried and not used yet.

--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/proxy/CallerConnection.h"
 
 #include "foxtailtrail/base/Hash.h"
+#include "foxtailtrail/base/RetryAfter.h"
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/LinkRollback.h"
 #include "foxtailtrail/proxy/SessionProxy.h"
@@ -22,6 +23,8 @@
     constexpr const char* openAccessOrganisation = "public";
     // While the VM stops, a connection without a START message is kept open for this long.
     constexpr Duration startTimeout = std::chrono::milliseconds(200);
+    // The time after which a caller whose organisation is over its limit may repeat the operation.
+    constexpr Duration limitedRetryDelay = std::chrono::milliseconds(500);
     // The statement timeout of routes that do not define one.
     constexpr Duration defaultStatementTimeout = std::chrono::seconds(2);
 
@@ -329,7 +332,7 @@
         if (isAdmitted)
             proceed();
         else
-            self->sendErrorReply(ErrorKind::RateLimited, "retry-after-ms=500");
+            self->sendErrorReply(ErrorKind::RateLimited, retryAfterDetail(limitedRetryDelay));
     });
 }
 
@@ -366,6 +369,8 @@
     task.organisation = this->organisation;
     task.deadline
         = this->requestStartedAt + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
+    if (this->route->latencyObjective > Duration(0))
+        task.objectiveAt = this->requestStartedAt + this->route->latencyObjective;
     if (stop)
         task.stopBy = stop->replyBy();
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
--- a/foxtailtrail/proxy/DirectPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -47,7 +47,7 @@
     timer->async_wait([self = this->shared_from_this(), timer](const boost::system::error_code&) { self->serveWaiters(); });
 }
 
-uint64_t DirectPool::acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, AcquireCallback callback)
+uint64_t DirectPool::acquire(const LinkRequest& request, AcquireCallback callback)
 {
     if (this->isRetired) {
         callback(AcquireOutcome::Gone, nullptr);
@@ -56,17 +56,17 @@
     const TimePoint now = bootNow();
     // Waiting requests have precedence over the new one.
     if (this->waiters.empty() && this->maySendStatement(now)) {
-        if (std::shared_ptr<DirectLink> freeLink = this->takeFreeLink(organisation)) {
+        if (std::shared_ptr<DirectLink> freeLink = this->takeFreeLink(request.organisation)) {
             callback(AcquireOutcome::Acquired, freeLink);
             return 0;
         }
     }
     const uint64_t ticket = this->nextTicket++;
     // A lower number is a higher priority. Requests of equal priority are served in the order of arrival.
-    const auto insertionPoint
-        = std::find_if(this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.priority > priority; });
-    this->waiters.insert(insertionPoint, Waiter { ticket, organisation, priority, now, giveUpAt, std::move(callback) });
-    if (this->inUseByOrganisation.count(organisation) > 0)
+    const auto insertionPoint = std::find_if(
+        this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.request.priority > request.priority; });
+    this->waiters.insert(insertionPoint, Waiter { ticket, request, now, std::move(callback) });
+    if (this->inUseByOrganisation.count(request.organisation) > 0)
         this->serveWaitersAt(now + linkReuseTimeout);
     this->serveWaiters();
     return ticket;
@@ -112,19 +112,21 @@
     for (const PendingOpening& pendingOpening : this->pendingOpenings)
         ++pendingByOrganisation[pendingOpening.link->organisation()];
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end(); ++waiter) {
-        if (selected != this->waiters.end() && waiter->priority > selected->priority)
+        if (selected != this->waiters.end() && waiter->request.priority > selected->request.priority)
             break;
         // An organisation's connection that is in use usually becomes free before a new one could be opened.
-        const bool canWaitForReuse = now<waiter->queuedAt + linkReuseTimeout&& this->inUseByOrganisation.count(waiter->organisation)> 0;
-        if (canWaitForReuse && !this->hasFreeLink(waiter->organisation))
+        const bool canWaitForReuse
+            = now<waiter->queuedAt + linkReuseTimeout&& this->inUseByOrganisation.count(waiter->request.organisation)> 0;
+        if (canWaitForReuse && !this->hasFreeLink(waiter->request.organisation))
             continue;
         // A connection that is being opened serves the first waiter of its organisation.
-        size_t& pendingCount = pendingByOrganisation[waiter->organisation];
-        if (pendingCount > 0 && !this->hasFreeLink(waiter->organisation)) {
+        size_t& pendingCount = pendingByOrganisation[waiter->request.organisation];
+        if (pendingCount > 0 && !this->hasFreeLink(waiter->request.organisation)) {
             --pendingCount;
             continue;
         }
-        if (selected == this->waiters.end() || usedByOrganisation[waiter->organisation] < usedByOrganisation[selected->organisation])
+        if (selected == this->waiters.end()
+            || usedByOrganisation[waiter->request.organisation] < usedByOrganisation[selected->request.organisation])
             selected = waiter;
     }
     return selected;
@@ -147,7 +149,7 @@
         const auto waiter = this->nextWaiter();
         if (waiter == this->waiters.end())
             return;
-        if (std::shared_ptr<DirectLink> freeLink = this->takeFreeLink(waiter->organisation)) {
+        if (std::shared_ptr<DirectLink> freeLink = this->takeFreeLink(waiter->request.organisation)) {
             const AcquireCallback callback = std::move(waiter->callback);
             this->waiters.erase(waiter);
             callback(AcquireOutcome::Acquired, freeLink);
@@ -163,7 +165,7 @@
                 return;
             this->closeLongestIdle();
         }
-        this->openFor(waiter->organisation);
+        this->openFor(waiter->request.organisation);
     }
 }
 
@@ -177,7 +179,7 @@
 bool DirectPool::hasWaiter(const std::string& organisation) const
 {
     return std::any_of(
-        this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.organisation == organisation; });
+        this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.request.organisation == organisation; });
 }
 
 void DirectPool::openFor(const std::string& organisation)
@@ -291,7 +293,7 @@
     std::list<Waiter> expiredWaiters;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         auto next = std::next(waiter);
-        if (waiter->giveUpAt <= now)
+        if (waiter->request.giveUpAt <= now)
             expiredWaiters.splice(expiredWaiters.end(), this->waiters, waiter);
         waiter = next;
     }
--- a/foxtailtrail/proxy/DirectPool.h
+++ b/foxtailtrail/proxy/DirectPool.h
@@ -25,7 +25,7 @@
 
     DirectPool(boost::asio::io_context&, const BackendCodec&, const ServerEntry&, OpenListener);
 
-    uint64_t acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, AcquireCallback) override;
+    uint64_t acquire(const LinkRequest&, AcquireCallback) override;
     void cancel(uint64_t ticket) override;
     void release(const std::shared_ptr<BackendLink>&) override;
     void drop(const std::shared_ptr<BackendLink>&) override;
@@ -46,10 +46,8 @@
 private:
     struct Waiter {
         uint64_t ticket = 0;
-        std::string organisation;
-        uint32_t priority = 0;
+        LinkRequest request;
         TimePoint queuedAt {};
-        TimePoint giveUpAt {};
         AcquireCallback callback;
     };
     struct PendingOpening {
--- a/foxtailtrail/proxy/LinkPool.h
+++ b/foxtailtrail/proxy/LinkPool.h
@@ -11,6 +11,17 @@
 
 namespace foxtail {
 
+// A request for a connection to a backend server.
+struct LinkRequest {
+    std::string organisation;
+    // 0 is the highest priority.
+    uint32_t priority = 0;
+    // The request fails with Exhausted when there is no connection by this time.
+    TimePoint giveUpAt {};
+    // When the operation should end by the latency objective of its route.
+    TimePoint objectiveAt = TimePoint::max();
+};
+
 // A pool of connections to one backend server, either this VM's own or those of a relay. Each connection belongs to one
 // organisation.
 class LinkPool {
@@ -25,9 +36,9 @@
     LinkPool(const LinkPool&) = delete;
     LinkPool& operator=(const LinkPool&) = delete;
 
-    // Requests a connection for the organisation. The callback may run before the call returns. Returns a ticket for cancel(), or 0
-    // when there is no request to cancel.
-    virtual uint64_t acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, AcquireCallback) = 0;
+    // Requests a connection. The callback may run before the call returns. Returns a ticket for cancel(), or 0 when there is no request
+    // to cancel.
+    virtual uint64_t acquire(const LinkRequest&, AcquireCallback) = 0;
     // Cancels a request whose callback has not run.
     virtual void cancel(uint64_t ticket) = 0;
     // Returns a connection to the pool. A connection that is not reusable is closed.
--- a/foxtailtrail/proxy/RelayClient.cpp
+++ b/foxtailtrail/proxy/RelayClient.cpp
@@ -178,20 +178,19 @@
 
 void RelayStream::disconnected() { this->abandon(); }
 
-std::shared_ptr<RelayedLink> RelayedLink::create(const BackendCodec& codec, const ServerEntry& entry, const std::string& organisation,
-    uint32_t priority, TimePoint giveUpAt, std::shared_ptr<RelayStream> stream)
+std::shared_ptr<RelayedLink> RelayedLink::create(
+    const BackendCodec& codec, const ServerEntry& entry, const LinkRequest& request, std::shared_ptr<RelayStream> stream)
 {
-    std::shared_ptr<RelayedLink> link(new RelayedLink(codec, entry, organisation, priority, giveUpAt, std::move(stream)));
+    std::shared_ptr<RelayedLink> link(new RelayedLink(codec, entry, request, std::move(stream)));
     link->channel = link->stream->addChannel(link);
     return link;
 }
 
-RelayedLink::RelayedLink(const BackendCodec& codec, const ServerEntry& entry, const std::string& organisation, uint32_t priority,
-    TimePoint giveUpAt, std::shared_ptr<RelayStream> stream)
-    : BackendLink(codec, entry, organisation)
+RelayedLink::RelayedLink(
+    const BackendCodec& codec, const ServerEntry& entry, const LinkRequest& linkRequest, std::shared_ptr<RelayStream> stream)
+    : BackendLink(codec, entry, linkRequest.organisation)
     , stream(std::move(stream))
-    , priority(priority)
-    , giveUpAt(giveUpAt)
+    , request(linkRequest)
 {
 }
 
@@ -201,8 +200,9 @@
     if (std::exchange(this->isChannelOpened, true)) {
         writeRelayStatements(frame, this->channel, static_cast<uint8_t>(statements), bytes);
     } else {
-        const RelayRequest request { this->entry.id, this->organisation(), this->priority, toMilliseconds(this->giveUpAt - bootNow()) };
-        writeRelayOpen(frame, this->channel, request, static_cast<uint8_t>(statements), bytes);
+        const RelayRequest relayRequest { this->entry.id, this->organisation(), this->request.priority,
+            toMilliseconds(this->request.giveUpAt - bootNow()) };
+        writeRelayOpen(frame, this->channel, relayRequest, static_cast<uint8_t>(statements), bytes);
     }
     this->stream->sendFrame(frame);
 }
--- a/foxtailtrail/proxy/RelayClient.h
+++ b/foxtailtrail/proxy/RelayClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/proxy/LinkPool.h"
 #include "foxtailtrail/proxy/RelayFrame.h"
 #include "foxtailtrail/proxy/TcpStream.h"
 
@@ -64,9 +65,8 @@
 // A link whose connection to the backend server is held by another VM.
 class RelayedLink final : public BackendLink, public std::enable_shared_from_this<RelayedLink> {
 public:
-    // Creates a link and its channel. The first statements request a connection from the other VM and wait for it until the given time.
-    static std::shared_ptr<RelayedLink> create(const BackendCodec&, const ServerEntry&, const std::string& organisation, uint32_t priority,
-        TimePoint giveUpAt, std::shared_ptr<RelayStream>);
+    // Creates a link and its channel. The first statements pass the request for a connection on to the other VM.
+    static std::shared_ptr<RelayedLink> create(const BackendCodec&, const ServerEntry&, const LinkRequest&, std::shared_ptr<RelayStream>);
 
     // Releases the connection, so that the other VM can reuse it.
     void releaseChannel();
@@ -74,7 +74,7 @@
     bool isUsable() const override { return !this->hasChannelEnded; }
     void abort() override;
     bool lossIndicatesServerFailure() const override { return this->isServerLost; }
-    TimePoint startsBy() const override { return this->hasServerAnswered ? TimePoint {} : this->giveUpAt; }
+    TimePoint startsBy() const override { return this->hasServerAnswered ? TimePoint {} : this->request.giveUpAt; }
 
     // Returns the connection to the VM that holds this link's server connection.
     const std::shared_ptr<RelayStream>& relayStream() const { return this->stream; }
@@ -89,15 +89,13 @@
     void handleStreamLoss(bool wereSent);
 
 private:
-    RelayedLink(const BackendCodec&, const ServerEntry&, const std::string& organisation, uint32_t priority, TimePoint giveUpAt,
-        std::shared_ptr<RelayStream>);
+    RelayedLink(const BackendCodec&, const ServerEntry&, const LinkRequest&, std::shared_ptr<RelayStream>);
     void write(std::string_view bytes, size_t statements) override;
     void endChannel();
 
     std::shared_ptr<RelayStream> stream;
     uint32_t channel = 0;
-    uint32_t priority = 0;
-    TimePoint giveUpAt {};
+    LinkRequest request;
     // Whether the open frame has been written, whether the server has replied, and whether the channel has ended.
     bool isChannelOpened = false;
     bool hasServerAnswered = false;
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -35,7 +35,7 @@
         this->queuedStatementCount = count;
         auto self = this->shared_from_this();
         const uint64_t acquireTicket
-            = this->pool->acquire(request.organisation, request.priority, bootNow() + std::chrono::milliseconds(request.maxWaitMs),
+            = this->pool->acquire({ request.organisation, request.priority, bootNow() + std::chrono::milliseconds(request.maxWaitMs) },
                 [self](AcquireOutcome outcome, const std::shared_ptr<BackendLink>& acquired) { self->acquired(outcome, acquired); });
         if (!this->link && !this->hasEnded)
             this->ticket = acquireTicket;
--- a/foxtailtrail/proxy/RelayedPool.cpp
+++ b/foxtailtrail/proxy/RelayedPool.cpp
@@ -123,14 +123,14 @@
 {
 }
 
-uint64_t RelayedPool::acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, AcquireCallback callback)
+uint64_t RelayedPool::acquire(const LinkRequest& request, AcquireCallback callback)
 {
     std::shared_ptr<RelayStream> stream = this->relayStreams.streamFor(this->server(), bootNow());
     if (!stream) {
         callback(AcquireOutcome::Gone, nullptr);
         return 0;
     }
-    const auto link = RelayedLink::create(this->codec, this->server(), organisation, priority, giveUpAt, std::move(stream));
+    const auto link = RelayedLink::create(this->codec, this->server(), request, std::move(stream));
     this->linksInUse.emplace(link.get(), link);
     callback(AcquireOutcome::Acquired, link);
     return 0;
--- a/foxtailtrail/proxy/RelayedPool.h
+++ b/foxtailtrail/proxy/RelayedPool.h
@@ -46,7 +46,7 @@
 public:
     RelayedPool(RelayStreamPool&, const BackendCodec&, const ServerEntry&);
 
-    uint64_t acquire(const std::string& organisation, uint32_t priority, TimePoint giveUpAt, AcquireCallback) override;
+    uint64_t acquire(const LinkRequest&, AcquireCallback) override;
     // Requests wait at the other VM, so there is no request to cancel here.
     void cancel(uint64_t) override { }
     void release(const std::shared_ptr<BackendLink>&) override;
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -166,7 +166,7 @@
     this->phase = Phase::Acquiring;
     this->currentLink.pool = pool;
     auto self = this->shared_from_this();
-    const uint64_t ticket = pool->acquire(this->task.organisation, this->task.route.priority, this->giveUpAt,
+    const uint64_t ticket = pool->acquire({ this->task.organisation, this->task.route.priority, this->giveUpAt, this->task.objectiveAt },
         [self](AcquireOutcome outcome, const std::shared_ptr<BackendLink>& link) {
             self->acquireTicket = 0;
             self->handleAcquireOutcome(outcome, link);
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -38,6 +38,8 @@
     std::string organisation;
     // The end of the route's statement timeout.
     TimePoint deadline {};
+    // When the operation should end by the latency objective of its route.
+    TimePoint objectiveAt = TimePoint::max();
     // The time at which this VM ends the run because it stops. A statement that has not started shortly before is refused.
     TimePoint stopBy = TimePoint::max();
 };
--- a/tests/proxy/FakePool.h
+++ b/tests/proxy/FakePool.h
@@ -34,7 +34,7 @@
         , codec(backendCodec)
     {
     }
-    uint64_t acquire(const std::string&, uint32_t, TimePoint, AcquireCallback callback) override
+    uint64_t acquire(const LinkRequest&, AcquireCallback callback) override
     {
         this->links.push_back(std::make_shared<FakeLink>(this->codec, this->server()));
         callback(AcquireOutcome::Acquired, this->links.back());
