Require no commit of a successor that the last primary rolled back

Change: the record of a primary names the log with which it took over (startPoint): what the server held while it was paused, taken only when it leads in a later term than that of the log. Later records keep it. Samples of that term or an earlier one count no further than the start point (FleetEvidence::highestPossible). What a VM knows to be acknowledged is required as before.

--- a/foxtailtrail/failover/FleetEvidence.cpp
+++ b/foxtailtrail/failover/FleetEvidence.cpp
@@ -51,11 +51,13 @@
     return newest;
 }
 
-std::optional<LogPoint> FleetEvidence::highestPossible() const
+std::optional<LogPoint> FleetEvidence::highestPossible(const std::optional<LogPoint>& startPoint) const
 {
     std::optional<LogPoint> highest = this->highestAcknowledged();
-    for (const auto& [vm, report] : this->reports)
-        highest = std::max(highest, report.sampledLogPoint);
+    for (const auto& [vm, report] : this->reports) {
+        const bool isOfEarlierPrimary = startPoint && report.sampledLogPoint && report.sampledLogPoint->term <= startPoint->term;
+        highest = std::max(highest, isOfEarlierPrimary ? std::min(report.sampledLogPoint, startPoint) : report.sampledLogPoint);
+    }
     return highest;
 }
 
--- a/foxtailtrail/failover/FleetEvidence.h
+++ b/foxtailtrail/failover/FleetEvidence.h
@@ -56,8 +56,9 @@
     // holds commits back, and a position was sampled since the last of them started, which contains what their former processes
     // acknowledged.
     bool isEveryCommitKnown(TimePoint now) const;
-    // Returns the highest position that may contain an acknowledged commit while isEveryCommitKnown() is true.
-    std::optional<LogPoint> highestPossible() const;
+    // Returns the highest position that may contain an acknowledged commit while isEveryCommitKnown() is true. The start point is the log
+    // with which the last known primary took over: samples of earlier primaries hold no acknowledged commit beyond it.
+    std::optional<LogPoint> highestPossible(const std::optional<LogPoint>& startPoint) const;
     // Returns true when another VM has reported, or when there is none.
     bool hasAnswer(const VmId& self) const;
 
--- a/foxtailtrail/failover/PrimaryReplacement.cpp
+++ b/foxtailtrail/failover/PrimaryReplacement.cpp
@@ -286,6 +286,7 @@
     const std::optional<PrimaryView> primary = directory.findPrimary(this->settings.service);
     const PrimaryRecord* known = directory.findPrimaryRecord(this->settings.service);
     PrimaryRecord record { this->settings.service, this->state.term, successor.server, false };
+    record.startPoint = this->knownStartPoint();
     if (primary && primary->isSettled)
         record.predecessor = primary->server;
     else if (known)
@@ -354,6 +355,8 @@
             this->state.formerPrimaries.push_back(record.predecessor);
         record.predecessor = {};
         record.isSettled = true;
+        if (const std::optional<LogPoint> startPoint = this->startPointOf(statuses.front()))
+            record.startPoint = startPoint;
         record.members = this->members();
         this->state.result = ReplacementResult::Replaced;
         return this->settle(record);
@@ -379,7 +382,8 @@
     const std::optional<ProbedStatus>& kept = this->state.plan.primary;
     const std::optional<PrimaryView> known = this->context->directory().findPrimary(this->settings.service);
     if (kept && (!known || !known->isSettled || known->server != kept->server))
-        return this->settle({ this->settings.service, std::max(this->state.term, kept->term), kept->server, true, {}, this->members() });
+        return this->settle({ this->settings.service, std::max(this->state.term, kept->term), kept->server, true, {}, this->members(), 0,
+            this->knownStartPoint() });
     return this->resumeReplicas(now);
 }
 
@@ -513,6 +517,22 @@
     return hasReported ? std::nullopt : std::optional(record->server);
 }
 
+std::optional<LogPoint> PrimaryReplacement::knownStartPoint() const
+{
+    const PrimaryRecord* record = this->context->directory().findPrimaryRecord(this->settings.service);
+    return record ? record->startPoint : std::nullopt;
+}
+
+std::optional<LogPoint> PrimaryReplacement::startPointOf(const ProbedStatus& newPrimary) const
+{
+    const auto paused = std::find_if(this->state.statuses.begin(), this->state.statuses.end(),
+        [&](const ProbedStatus& status) { return status.server == newPrimary.server && isPaused(status); });
+    // A primary whose promotion changed nothing goes on in its own term.
+    if (paused == this->state.statuses.end() || newPrimary.term <= paused->receivedLogPoint.term)
+        return std::nullopt;
+    return paused->receivedLogPoint;
+}
+
 std::vector<BackendServerId> PrimaryReplacement::possiblePrimaries() const
 {
     std::vector<BackendServerId> possible = this->context->directory().possiblePrimaries(this->settings.service);
@@ -546,7 +566,7 @@
         return successor;
     const FleetEvidence& fleet = this->context->fleetEvidence();
     if (fleet.isEveryCommitKnown(now)) {
-        evidence.requiredLogPoint = std::max(evidence.requiredLogPoint, fleet.highestPossible());
+        evidence.requiredLogPoint = std::max(evidence.requiredLogPoint, fleet.highestPossible(this->knownStartPoint()));
         evidence.isEveryCommitKnown = true;
         return selectSuccessor(evidence);
     }
--- a/foxtailtrail/failover/PrimaryReplacement.h
+++ b/foxtailtrail/failover/PrimaryReplacement.h
@@ -164,6 +164,11 @@
     std::vector<BackendServerId> answeringMembersExcept(const BackendServerId&) const;
     ReplacementPlan makePlan() const;
     std::optional<BackendServerId> recordedSuccessor() const;
+    // Returns the start point of the record, or an empty optional.
+    std::optional<LogPoint> knownStartPoint() const;
+    // Returns the log with which a server that leads now took over: what it held while it was paused. Empty when it was not paused, or when
+    // it leads in the term of that log.
+    std::optional<LogPoint> startPointOf(const ProbedStatus& newPrimary) const;
     std::vector<BackendServerId> possiblePrimaries() const;
     std::optional<ProbedStatus> selectFrom(TimePoint now) const;
     SuccessorEvidence makeEvidence(TimePoint now) const;
--- a/foxtailtrail/proxy/FleetRows.cpp
+++ b/foxtailtrail/proxy/FleetRows.cpp
@@ -68,6 +68,12 @@
             }
             BOOST_OUTCOME_TRY(record.memberRevision, unsignedMember(object, "memberRevision"));
         }
+        if (object.contains("startPoint")) {
+            BOOST_OUTCOME_TRY(const json::object startPoint, objectMember(object, "startPoint"));
+            record.startPoint.emplace();
+            BOOST_OUTCOME_TRY(record.startPoint->term.value, unsignedMember(startPoint, "term"));
+            BOOST_OUTCOME_TRY(record.startPoint->position.value, unsignedMember(startPoint, "position"));
+        }
         return record;
     }
 
@@ -111,6 +117,9 @@
         object["members"] = std::move(members);
         object["memberRevision"] = record.memberRevision;
     }
+    if (record.startPoint)
+        object["startPoint"]
+            = json::object { { "term", record.startPoint->term.value }, { "position", record.startPoint->position.value } };
     return json::serialize(object);
 }
 
--- a/foxtailtrail/replication/ServerDirectory.h
+++ b/foxtailtrail/replication/ServerDirectory.h
@@ -46,6 +46,9 @@
     std::vector<BackendServerId> members {};
     // Orders the records of a settled promotion by their members.
     uint64_t memberRevision = 0;
+    // The log with which the last primary that is known to have led took over. What others held beyond it, in its terms, was rolled back.
+    // Empty when it is not known.
+    std::optional<LogPoint> startPoint {};
     bool operator==(const PrimaryRecord&) const = default;
 };
 
--- a/tests/failover/FleetEvidenceTest.cpp
+++ b/tests/failover/FleetEvidenceTest.cpp
@@ -43,7 +43,19 @@
         const FleetEvidence evidence = evidenceOf(reportOf(self, 7), reportOf(other, 9));
         EXPECT_TRUE(evidence.isEveryCommitKnown(now));
         EXPECT_EQ(evidence.highestAcknowledged(), point(9));
-        EXPECT_EQ(evidence.highestPossible(), point(10));
+        EXPECT_EQ(evidence.highestPossible(std::nullopt), point(10));
+    }
+
+    // Guards against a group without a primary: commits that only a former primary held, and that its successor rolled back, would be
+    // required of every candidate.
+    TEST(FleetEvidenceTest, RequiresNoCommitThatALaterPrimaryHasRolledBack)
+    {
+        const FleetEvidence evidence = evidenceOf(reportOf(self, 7), reportOf(other, 9));
+        const LogPoint takenOver { point(10).term, Position { 9 } };
+        EXPECT_EQ(evidence.highestPossible(takenOver), takenOver);
+        // What a VM knows to be acknowledged is required all the same, and so is a sample of a later term.
+        EXPECT_EQ(evidence.highestPossible(point(3)), point(9));
+        EXPECT_EQ(evidence.highestPossible(LogPoint { Term { 0 }, Position { 3 } }), point(10));
     }
 
     // Guards against a replacement that finds no successor at its order: the VMs drop their samples when they learn of the decision.
@@ -57,7 +69,7 @@
         later.vm = self;
         evidence.record(later);
         EXPECT_TRUE(evidence.isEveryCommitKnown(now));
-        EXPECT_EQ(evidence.highestPossible(), point(10));
+        EXPECT_EQ(evidence.highestPossible(std::nullopt), point(10));
         // A VM that was started again has lost what it acknowledged after the sample.
         later.remembersFrom = now;
         evidence.record(later);
--- a/tests/failover/PrimaryReplacementTest.cpp
+++ b/tests/failover/PrimaryReplacementTest.cpp
@@ -121,6 +121,8 @@
         PromotionOrderOutcome orderOutcome = PromotionOrderOutcome::Accepted;
         // Whether the next server to be ordered crashes before its order.
         bool crashesBeforeOrder = false;
+        // The term that a server which leads reports.
+        Term ledTerm { 2 };
         // How many accepted orders have no effect at first.
         int ineffectiveOrders = 0;
 
@@ -145,7 +147,7 @@
                         server.leads = false;
                     status.outcome = ProbeOutcome::Answered;
                     status.isPrimary = server.leads;
-                    status.term = Term { 2 };
+                    status.term = server.leads ? this->ledTerm : Term { 2 };
                     status.pausedForTerm = server.pausedFor;
                     status.receivedLogPoint = { Term { 2 }, Position { server.position } };
                 } else if (server.isReachable) {
@@ -391,6 +393,41 @@
         }
     }
 
+    // Guards against a group that stays without a primary because a VM has sampled commits that only a former primary held, and that its
+    // successor rolled back before it left.
+    TEST(PrimaryReplacementTest, RequiresNoCommitThatTheLastPrimaryRolledBack)
+    {
+        for (const bool isStartRecorded : { true, false }) {
+            FakeGroup group = groupOfThree(9, 9);
+            PrimaryRecord record { service, Term { 3 }, BackendServerId("p"), true };
+            if (isStartRecorded)
+                record.startPoint = LogPoint { Term { 2 }, Position { 9 } };
+            group.servers.recordPrimary(record);
+            group.states["p"].isRunning = group.states["b"].isRunning = false;
+            GroupReport report;
+            report.sampledAt = group.now - std::chrono::seconds(1);
+            report.sampledLogPoint = LogPoint { Term { 2 }, Position { 12 } };
+            report.acknowledged = LogPoint { Term { 2 }, Position { 9 } };
+            group.setReport(report);
+            EXPECT_EQ(group.replacePrimary(), isStartRecorded ? ReplacementResult::Replaced : ReplacementResult::NoSuccessor);
+        }
+    }
+
+    // Guards against a start point in the term of the log itself: a primary that was ordered to lead and led already has rolled nothing
+    // back.
+    TEST(PrimaryReplacementTest, RecordsStartPointOfNewTermOnly)
+    {
+        FakeGroup group = groupOfThree(9, 9);
+        group.states["p"].isRunning = false;
+        group.ledTerm = Term { 3 };
+        EXPECT_EQ(group.replacePrimary(), ReplacementResult::Replaced);
+        EXPECT_EQ(group.servers.findPrimaryRecord(service)->startPoint, (LogPoint { Term { 2 }, Position { 9 } }));
+        FakeGroup unchanged = groupOfThree(9, 9);
+        unchanged.states["p"].isRunning = false;
+        EXPECT_EQ(unchanged.replacePrimary(), ReplacementResult::Replaced);
+        EXPECT_EQ(unchanged.servers.findPrimaryRecord(service)->startPoint, std::nullopt);
+    }
+
     // Guards against an order that is sent after a promise to hold commits back has ended: the VM that made it may have been served by the
     // primary and the replica that do not answer.
     TEST(PrimaryReplacementTest, OrdersNoPromotionOnReportsThatCountNoLonger)
--- a/tests/proxy/FleetTableTest.cpp
+++ b/tests/proxy/FleetTableTest.cpp
@@ -63,6 +63,16 @@
         EXPECT_FALSE(decodePrimary("leader/s", R"({"term":4,"server":"b4","settled":true,"members":["b3"]})"));
     }
 
+    // Guards against a start point that is lost or misread on the way to the next holder of the promotion lock.
+    TEST(FleetRowsTest, KeepsStartPointOfRecord)
+    {
+        PrimaryRecord record = primary("s", 4);
+        record.startPoint = LogPoint { Term { 3 }, Position { 212 } };
+        EXPECT_EQ(decodePrimary("leader/s", encodePrimary(record)), record);
+        EXPECT_FALSE(decodePrimary("leader/s", R"({"term":4,"server":"b4","settled":true,"startPoint":{"term":3}})"));
+        EXPECT_FALSE(decodePrimary("leader/s", R"({"term":4,"server":"b4","settled":true,"startPoint":3})"));
+    }
+
     // Guards against a fleet that shrinks, for quotas and relays, because the store was restored from a copy that lacks some VMs.
     TEST(FleetTableTest, KeepsMembersThatARestoredTableLacksWhileTheyRegisterAgain)
     {
