--- a/foxtailtrail/config/RouteTable.h
+++ b/foxtailtrail/config/RouteTable.h
@@ -35,6 +35,8 @@
     uint32_t priority = 0;
     // True if clients need no key.
     bool isOpenAccess = false;
+    // The regions in which its statements may run, and whose VMs may receive them. Empty without restriction.
+    std::vector<Region> allowedRegions {};
 };
 
 // The settings of a group of replicated backend servers.
@@ -51,6 +53,8 @@
     OrganisationId organisation;
     double ratePerSecond = 0;
     double burst = 0;
+    // Like DatabaseRoute::allowedRegions, for all statements of the organisation.
+    std::vector<Region> allowedRegions {};
     bool operator==(const OrganisationLimit&) const = default;
 };
 
--- a/foxtailtrail/failover/FailoverPlan.cpp
+++ b/foxtailtrail/failover/FailoverPlan.cpp
@@ -37,9 +37,14 @@
     if (found == statuses.end())
         return FailoverCause::PrimaryLost;
     const ProbedStatus& primary = *found;
+    // Without a server elsewhere, a primary in an evacuated data centre stays: nothing is sent to it.
+    const bool isToHandOver = primary.isEvacuated && std::any_of(statuses.begin(), statuses.end(), [](const ProbedStatus& status) {
+        return status.outcome == ProbeOutcome::Answered && !status.isPrimary && !status.isLeaving();
+    });
+    const bool isLeaving = primary.isDraining || primary.isRemoved || isToHandOver;
     // A primary without free capacity still works.
     if (primary.outcome == ProbeOutcome::Full)
-        return primary.isDraining || primary.isRemoved ? FailoverCause::PrimaryLeaving : FailoverCause::None;
+        return isLeaving ? FailoverCause::PrimaryLeaving : FailoverCause::None;
     if (primary.outcome != ProbeOutcome::Answered) {
         const bool hasOtherAnswer = std::any_of(statuses.begin(), statuses.end(),
             [&](const ProbedStatus& status) { return status.server != *primaryId && status.outcome == ProbeOutcome::Answered; });
@@ -48,7 +53,7 @@
     }
     if (!primary.isPrimary)
         return isPrimarySettled ? FailoverCause::PrimaryLost : FailoverCause::Unfinished;
-    if (primary.isDraining || primary.isRemoved)
+    if (isLeaving)
         return FailoverCause::PrimaryLeaving;
     return areCommitsStalled ? FailoverCause::CommitsStalled : FailoverCause::None;
 }
--- a/foxtailtrail/failover/FailoverPlan.h
+++ b/foxtailtrail/failover/FailoverPlan.h
@@ -42,6 +42,11 @@
     TimePoint requestedAt {};
     // When the reply was received. A server that was told to stop receiving has stopped by this time.
     TimePoint answeredAt {};
+    // Whether the server's data centre is evacuated. The server leads only while no other can.
+    bool isEvacuated = false;
+
+    // Returns whether the server is not to lead, if another one can.
+    bool isLeaving() const { return this->isDraining || this->isRemoved || this->isEvacuated; }
 };
 
 // Why a primary has to be replaced, or None.
@@ -49,7 +54,7 @@
     None,
     // This VM gets no answer from the primary, or the server no longer leads.
     PrimaryLost,
-    // The primary is draining or has been removed from the shared list.
+    // The primary is draining, has been removed from the shared list, or is in an evacuated data centre while a server elsewhere answers.
     PrimaryLeaving,
     // The primary answers, but its commits reach no replica.
     CommitsStalled,
--- a/foxtailtrail/failover/ReplacementPlan.cpp
+++ b/foxtailtrail/failover/ReplacementPlan.cpp
@@ -33,7 +33,7 @@
             return plan;
         }
     }
-    plan.action = primary->isDraining || primary->isRemoved ? ReplacementAction::HandOver : ReplacementAction::KeepPrimary;
+    plan.action = primary->isLeaving() ? ReplacementAction::HandOver : ReplacementAction::KeepPrimary;
     return plan;
 }
 
--- a/foxtailtrail/failover/SuccessorSelection.cpp
+++ b/foxtailtrail/failover/SuccessorSelection.cpp
@@ -77,7 +77,7 @@
     std::vector<BackendServerId> found;
     for (const ProbedStatus& status : statuses) {
         const bool receives = isReplica(status) && status.pausedForTerm == Term {} && status.term == earlierPrimaryStatus.term;
-        const bool canLead = !status.isDraining && !status.isRemoved && excluded.count(status.server) == 0;
+        const bool canLead = !status.isLeaving() && excluded.count(status.server) == 0;
         if (receives && canLead && earlierPrimaryStatus.receivedLogPoint <= status.receivedLogPoint)
             found.push_back(status.server);
     }
@@ -94,7 +94,7 @@
             continue;
         if (status.server == evidence.recordedSuccessor)
             recorded = &status;
-        const ProbedStatus*& candidate = status.isDraining || status.isRemoved ? bestLeaving : best;
+        const ProbedStatus*& candidate = status.isLeaving() ? bestLeaving : best;
         if (!candidate || candidate->receivedLogPoint < status.receivedLogPoint)
             candidate = &status;
     }
--- a/foxtailtrail/failover/SuccessorSelection.h
+++ b/foxtailtrail/failover/SuccessorSelection.h
@@ -38,7 +38,7 @@
 bool isDown(const ProbedStatus&);
 
 // Returns the replicas to which a primary that answers can be handed over: they receive, and have received all that the primary held at the
-// time of an earlier status. Servers that leave or are excluded are not among them.
+// time of an earlier status. Servers that leave, are excluded or are in an evacuated data centre are not among them.
 std::vector<BackendServerId> findCaughtUpReplicas(
     const std::vector<ProbedStatus>&, const ProbedStatus& earlierPrimaryStatus, const std::set<BackendServerId>& excluded);
 
@@ -51,7 +51,7 @@
 // left out only if it may be the last primary and every other server has answered, or if it counts as lost together with the last primary.
 // A server that is full still runs and never counts as lost.
 //
-// A leaving server is selected only if no other one can be. It keeps its commits, also those of a demoted primary whose chosen successor
+// A leaving server, or one in an evacuated data centre, is selected only if no other one can be. It keeps its commits, also those of a demoted primary whose chosen successor
 // could not be promoted, until a server that stays has received them and replaces it.
 std::optional<ProbedStatus> selectSuccessor(const SuccessorEvidence&);
 
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -367,6 +367,8 @@
     task.prepared = std::move(prepared);
     task.route = *this->route;
     task.organisation = this->organisation;
+    const OrganisationLimit* limit = this->proxy.routeTable().findOrganisation(this->keyDigest);
+    task.homes = Homes(this->route->allowedRegions, limit ? limit->allowedRegions : std::vector<Region>());
     task.deadline
         = this->requestStartedAt + (this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout);
     if (this->route->latencyObjective > Duration(0))
@@ -474,10 +476,23 @@
     });
 }
 
+bool CallerConnection::isPinnedServerEvacuated() const
+{
+    return this->pinnedLink
+        && this->proxy.placementIn(this->pinnedLink.pool->server().dataCentre, Homes(), bootNow()) == Placement::Evacuated;
+}
+
 void CallerConnection::rollBackPinnedLink()
 {
-    if (this->pinnedLink)
-        LinkRollback::start(std::exchange(this->pinnedLink, PooledLink {}), this->proxy.backendCodec());
+    if (!this->pinnedLink)
+        return;
+    // Nothing is sent to a server of an evacuated data centre, which rolls back when the connection is closed.
+    if (this->isPinnedServerEvacuated()) {
+        const PooledLink dropped = std::exchange(this->pinnedLink, PooledLink {});
+        dropped.pool->drop(dropped.link);
+        return;
+    }
+    LinkRollback::start(std::exchange(this->pinnedLink, PooledLink {}), this->proxy.backendCodec());
 }
 
 void CallerConnection::sweep(TimePoint now)
@@ -487,6 +502,10 @@
         this->run->sweep(now);
         return;
     }
+    if (this->isPinnedServerEvacuated()) {
+        this->abortTransaction();
+        return;
+    }
     const Duration idleTimeout = this->proxy.isConfigured() ? this->proxy.routeTable().transactionIdleTimeout : Duration(0);
     if (!this->isRequestInProgress && this->session.currentTransactionState() == TransactionState::Open && idleTimeout > Duration(0)
         && now >= this->lastActivityAt + idleTimeout)
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -78,6 +78,8 @@
     void finishRequest();
     void sendErrorAndClose(ErrorKind, std::string_view detail);
     void rollBackPinnedLink();
+    // Returns whether the open transaction is on a server whose data centre is evacuated.
+    bool isPinnedServerEvacuated() const;
     // Logs the outcome of the current request and counts it in the metrics.
     void recordOutcome(const std::optional<ErrorKind>&, std::string_view detail);
     SessionStatement& statement() { return this->request.statement; }
--- a/foxtailtrail/proxy/ConfigurationExchange.h
+++ b/foxtailtrail/proxy/ConfigurationExchange.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/base/StoreVersion.h"
 #include "foxtailtrail/net/Http.h"
 #include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/replication/EvacuationTable.h"
 
 #include <cstdint>
 #include <optional>
@@ -19,13 +20,22 @@
     StoreVersion followedStoreVersion;
 };
 
-// The HTTP request with which VMs fetch the operators' configuration from each other. The requester sends the version that it has and its
-// own address.
+// What another VM knows beyond this one.
+struct PeerAnswer {
+    // Empty when that VM has no newer configuration.
+    std::optional<PeerConfiguration> configuration;
+    // Empty when that VM knows the evacuations as of no later version of the store.
+    std::optional<EvacuationState> evacuations;
+};
+
+// The HTTP request with which VMs fetch the operators' configuration and evacuations from each other. The requester sends the versions that
+// it has and its own address.
 class ConfigurationExchange {
 public:
     // The endpoint is the address at which this VM serves the request.
-    explicit ConfigurationExchange(Endpoint own)
+    ConfigurationExchange(Endpoint own, const EvacuationTable& evacuations)
         : ownEndpoint(std::move(own))
+        , evacuations(evacuations)
     {
     }
 
@@ -35,14 +45,14 @@
 
     // Handles the request of another VM and records its address. Responds with status 204 when this VM has no newer configuration.
     HttpResponse handleRequest(const HttpRequest&);
-    // Requests the configuration of another VM. Blocks the calling fiber. Returns an empty optional when that VM has no newer
-    // configuration.
-    Result<std::optional<PeerConfiguration>> fetch(const Endpoint&, Duration timeout) const;
+    // Requests what another VM knows. Blocks the calling fiber.
+    Result<PeerAnswer> fetch(const Endpoint&, Duration timeout) const;
     // Returns the VMs that have sent a request to this one, the most recent last. The store need not list them.
     const std::vector<Endpoint>& recentRequesters() const { return this->requesters; }
 
 private:
     Endpoint ownEndpoint;
+    const EvacuationTable& evacuations;
     std::string document;
     uint64_t documentVersion = 0;
     StoreVersion followedStoreVersion;
--- a/foxtailtrail/proxy/GroupExamination.cpp
+++ b/foxtailtrail/proxy/GroupExamination.cpp
@@ -40,6 +40,7 @@
                 text += " " + describeLogPoint(status.receivedLogPoint);
             text += status.isPrimary ? " leads" : status.pausedForTerm != Term {} ? " paused" : "";
             text += status.isDraining ? " draining" : "";
+            text += status.isEvacuated ? " evacuated" : "";
             text += status.hasLeft ? " left" : status.isRemoved ? " removed" : "";
         }
         return text;
@@ -123,6 +124,7 @@
             for (size_t index = 0; index < statuses.size(); ++index) {
                 ProbedStatus& status = statuses[index];
                 status.isRemoved = this->proxy.directory().isRemoved(status.server);
+                status.isEvacuated = this->proxy.evacuations().isEvacuated(serverCommands[index].server.dataCentre);
                 status.hasLeft = this->proxy.directory().hasLeft(status.server, this->primaryLedAt());
                 if (serverCommands[index].command == ReplicationCommand::Status)
                     continue;
--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -298,13 +298,15 @@
     return required;
 }
 
-std::vector<ReadCandidate> GroupTracker::readCandidates(const std::string& organisation) const
+std::vector<ReadCandidate> GroupTracker::readCandidates(const std::string& organisation, const Homes& homes, TimePoint now) const
 {
     std::vector<ReadCandidate> candidates;
     const ServerDirectory& directory = this->groupContext.directory();
     for (const ServerEntry* entry : directory.members(this->serviceName)) {
         if (entry->isDraining || directory.isRemoved(entry->id))
             continue;
+        if (this->groupContext.placementIn(entry->dataCentre, homes, now) != Placement::Allowed)
+            continue;
         const std::shared_ptr<LinkPool> pool = this->groupContext.pool(entry->id);
         if (!pool)
             continue;
@@ -325,9 +327,28 @@
         return std::nullopt;
     if (this->groupContext.mayStopSoon(this->lastPrimaryView->server, now))
         return std::nullopt;
+    if (this->placementOf(this->lastPrimaryView->server, now) == Placement::Evacuated)
+        return std::nullopt;
     return this->lastPrimaryView->server;
 }
 
+Placement GroupTracker::placementOf(const BackendServerId& server, TimePoint now) const
+{
+    const ServerEntry* entry = this->groupContext.directory().find(server);
+    return entry ? this->groupContext.placementIn(entry->dataCentre, Homes(), now) : Placement::Allowed;
+}
+
+bool GroupTracker::isPrimaryEvacuatedForGood(TimePoint now) const
+{
+    if (!this->hasSettledPrimary() || this->placementOf(this->lastPrimaryView->server, now) != Placement::Evacuated)
+        return false;
+    const ServerDirectory& directory = this->groupContext.directory();
+    const std::vector<const ServerEntry*> members = directory.members(this->serviceName);
+    return std::none_of(members.begin(), members.end(), [&](const ServerEntry* entry) {
+        return !entry->isDraining && !directory.isRemoved(entry->id) && this->placementOf(entry->id, now) == Placement::Allowed;
+    });
+}
+
 uint64_t GroupTracker::whenPrimaryUsable(const std::string& organisation, TimePoint giveUpAt, PrimaryCallback callback)
 {
     const TimePoint now = bootNow();
@@ -336,6 +357,10 @@
         callback(primary);
         return 0;
     }
+    if (this->isPrimaryEvacuatedForGood(now)) {
+        callback(std::nullopt);
+        return 0;
+    }
     if (!this->noPrimarySince)
         this->noPrimarySince = now;
     // When a promotion takes longer than expected or this VM is isolated, another VM may know the new primary, so the caller gets a result
@@ -456,10 +481,11 @@
     std::list<Waiter> expired;
     // Statements get an early result when a primary has been missing for long, so the time without a primary counts, not the time that each
     // statement has waited.
-    const bool isExaminationDue = !this->waiters.empty() && this->noPrimarySince && *this->noPrimarySince + waitExaminationDelay <= now;
+    const bool isWaitingOfNoUse = !this->waiters.empty() && this->isPrimaryEvacuatedForGood(now);
+    const bool isExaminationDue = !this->waiters.empty() && !isWaitingOfNoUse && this->noPrimarySince && *this->noPrimarySince + waitExaminationDelay <= now;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         const auto next = std::next(waiter);
-        if (waiter->giveUpAt <= now)
+        if (waiter->giveUpAt <= now || isWaitingOfNoUse)
             expired.splice(expired.end(), this->waiters, waiter);
         waiter = next;
     }
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/failover/FleetEvidence.h"
 #include "foxtailtrail/proxy/LinkPool.h"
+#include "foxtailtrail/replication/PlacementRule.h"
 #include "foxtailtrail/replication/PrimaryLease.h"
 #include "foxtailtrail/replication/PrimaryPositionHistory.h"
 #include "foxtailtrail/replication/ReadServerSelector.h"
@@ -49,6 +50,8 @@
     virtual bool mayMissServers() const = 0;
     // Returns true when a server that leaves may stop so soon that nothing new is sent to it.
     virtual bool mayStopSoon(const BackendServerId&, TimePoint now) const = 0;
+    // Returns whether a statement with these homes may be sent to a server of the data centre.
+    virtual Placement placementIn(const DataCentre&, const Homes&, TimePoint) const { return Placement::Allowed; }
     // Requests an examination of the group's primary.
     virtual void examineGroup(const ServiceName&, std::string_view reason) = 0;
 };
@@ -99,8 +102,8 @@
     // Returns the required position of a read, or an empty optional when only the primary can serve it.
     std::optional<LogPoint> requiredPositionFor(
         TimePoint now, Duration maxStaleness, const std::optional<AcknowledgedCommit>& commit) const;
-    // Returns the servers that may run reads.
-    std::vector<ReadCandidate> readCandidates(const std::string& organisation) const;
+    // Returns the servers that may run reads with these homes.
+    std::vector<ReadCandidate> readCandidates(const std::string& organisation, const Homes&, TimePoint now) const;
     ReadServerSelector& selector() { return this->readServerSelector; }
 
     // Calls back with the primary once it holds the lease, or with an empty optional at the deadline. Writes need the lease too: the
@@ -143,6 +146,10 @@
     // Returns the primary if it holds the lease at this time.
     std::optional<BackendServerId> usablePrimary(TimePoint now) const;
     void serveWaiters();
+    // Returns true when the primary is in a data centre whose evacuation is in force and no server elsewhere could replace it, so that
+    // waiting is of no use.
+    bool isPrimaryEvacuatedForGood(TimePoint now) const;
+    Placement placementOf(const BackendServerId&, TimePoint now) const;
     // Requests the status of the replicas to check whether they still receive from the primary.
     void renewLease(const std::string& organisation, TimePoint now);
     // Requests the status of the primary to learn its term, which the terms of the replicas are compared with.
--- a/foxtailtrail/proxy/PeerExchange.cpp
+++ b/foxtailtrail/proxy/PeerExchange.cpp
@@ -266,10 +266,26 @@
 
 std::string PeerExchange::heartbeatMessage(bool requestsAnswer)
 {
-    return json::serialize(json::object { { "kind", heartbeatKind }, { "vm", this->proxy.settings().vmId.value },
+    json::object message { { "kind", heartbeatKind }, { "vm", this->proxy.settings().vmId.value },
         { "configuration", this->proxy.configurationVersion() }, { "control", this->proxy.settings().peerEndpoint.port },
         { "stops", this->isStopping }, { "allocates", this->canAllocate(bootNow()) }, { "answer", requestsAnswer },
-        { "ledger", this->quotaAllocatorHint(bootNow()) } });
+        { "ledger", this->quotaAllocatorHint(bootNow()) } };
+    if (const StoreVersion& changedAt = this->proxy.evacuations().changedAt(); changedAt != StoreVersion {})
+        message["evacuations"] = json::array { changedAt.era, changedAt.number };
+    return json::serialize(message);
+}
+
+void PeerExchange::handleEvacuationVersion(const json::object& message, const Endpoint& peer)
+{
+    const json::value* value = message.if_contains("evacuations");
+    const json::array* numbers = value ? value->if_array() : nullptr;
+    if (!numbers || numbers->size() != 2 || !numbers->at(0).is_number() || !numbers->at(1).is_number())
+        return;
+    boost::system::error_code eraCode;
+    boost::system::error_code numberCode;
+    const StoreVersion changedAt { numbers->at(0).to_number<uint64_t>(eraCode), numbers->at(1).to_number<uint64_t>(numberCode) };
+    if (!eraCode && !numberCode && this->onNewerEvacuations && changedAt > this->proxy.evacuations().knownAsOf())
+        this->onNewerEvacuations(peer, changedAt);
 }
 
 void PeerExchange::scheduleHeartbeats()
@@ -385,6 +401,8 @@
         const uint64_t own = this->proxy.configurationVersion();
         // The sender need not be a known peer: a VM that the store has rejected since its start knows no peers.
         const Result<uint64_t> control = unsignedMember(message, "control");
+        if (control)
+            this->handleEvacuationVersion(message, { from.address().to_string(), static_cast<uint16_t>(control.value()) });
         if (version && control && version.value() > own)
             this->onNewerConfiguration(Endpoint { from.address().to_string(), static_cast<uint16_t>(control.value()) }, version.value());
         return;
--- a/foxtailtrail/proxy/PeerExchange.h
+++ b/foxtailtrail/proxy/PeerExchange.h
@@ -2,6 +2,7 @@
 
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Json.h"
+#include "foxtailtrail/base/StoreVersion.h"
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
 #include "foxtailtrail/limits/QuotaAllocatorChoice.h"
@@ -42,6 +43,9 @@
     // Called when a peer has a newer configuration.
     using NewerConfigurationCallback = std::function<void(const Endpoint&, uint64_t version)>;
 
+    // Called when a peer knows of a later change of the evacuations.
+    using NewerEvacuationsCallback = std::function<void(const Endpoint&, const StoreVersion& changedAt)>;
+
     // Sends a datagram to the sender of a message.
     using ReplyFunction = std::function<void(const std::string&)>;
     // Called with a message of a kind that this class does not know.
@@ -65,6 +69,7 @@
     void requestQuotaIfDue();
     // Returns the rank of this VM among the live VMs in the rendezvous order of the key; 0 is the first.
     size_t rendezvousRank(std::string_view key) const;
+    void setNewerEvacuationsCallback(NewerEvacuationsCallback callback) { this->onNewerEvacuations = std::move(callback); }
     void setMessageHandler(MessageHandler handler) { this->messageHandler = std::move(handler); }
     // Returns the other VMs that count as part of the fleet.
     std::set<VmId> fleetMembers(TimePoint now) const;
@@ -111,10 +116,13 @@
     // Returns the next peers in the order of their ids, starting at the current position of this VM's heartbeat rounds.
     std::vector<const Peer*> nextPeers(size_t count);
     void updateFleet(TimePoint now);
+    // Passes on that a peer knows of a later change of the evacuations than this VM.
+    void handleEvacuationVersion(const json::object& message, const Endpoint& peer);
 
     boost::asio::io_context& context;
     SessionProxy& proxy;
     NewerConfigurationCallback onNewerConfiguration;
+    NewerEvacuationsCallback onNewerEvacuations;
     MessageHandler messageHandler;
     boost::asio::ip::udp::socket socket;
     boost::asio::steady_timer heartbeatTimer;
--- a/foxtailtrail/proxy/ProxyMetrics.cpp
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -72,6 +72,7 @@
     setGauge("configuration_version", static_cast<double>(gauges.configurationVersion));
     setGauge("store_reachable", gauges.storeReachable ? 1 : 0);
     setGauge("ready", gauges.ready ? 1 : 0);
+    setGauge("evacuated_data_centres", static_cast<double>(gauges.evacuatedDataCentres));
     return prometheus::TextSerializer().Serialize(this->implementation->registry.Collect());
 }
 
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -19,6 +19,7 @@
     uint64_t configurationVersion = 0;
     bool storeReachable = false;
     bool ready = false;
+    size_t evacuatedDataCentres = 0;
 };
 
 // Counters and histograms of the session path in the Prometheus text format. Label values come from fixed sets, which bounds the
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -3,6 +3,7 @@
 #include "foxtailtrail/membership/FeedSchedule.h"
 #include "foxtailtrail/server/Log.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <yaml-cpp/yaml.h>
 
@@ -73,6 +74,16 @@
         YAML::Node root;
     };
 
+    // Used for the settling period when the platform gives no bound.
+    constexpr Duration defaultEvacuationBound = std::chrono::milliseconds(5000);
+    // The part of the bound in which primaries hand over and open transactions end. A hand-over takes about 1200 ms.
+    constexpr int settlingPeriodsPerBound = 4;
+    // The time that is left for a statement that was sent just before.
+    constexpr Duration evacuationMargin = std::chrono::milliseconds(250);
+
+    // The least bound with which the feed has FeedSchedule::minBound beside the settling period and the margin.
+    constexpr int leastEvacuationBoundMs = 2334;
+
     Duration milliseconds(double value) { return Duration(static_cast<Duration::rep>(value * 1000)); }
 
     // Replaces the default bound when the document has the member.
@@ -86,6 +97,18 @@
             reader.addError("bounds", name, "must be at least " + std::to_string(toMilliseconds(FeedSchedule::minBound)));
     }
 
+    // Reads the bound if the document has it. The feed needs its least time beside the settling period.
+    void readEvacuationBound(SettingsReader& reader, ChangeBounds& bounds)
+    {
+        constexpr std::string_view name = "evacuationMilliseconds";
+        const YAML::Node node = reader.find("bounds", name);
+        if (!node || node.IsNull())
+            return;
+        bounds.evacuation = milliseconds(reader.read<double>("bounds", name, "a number of milliseconds"));
+        if (!FeedSchedule::create(bounds.declarations(), 0))
+            reader.addError("bounds", name, "must be at least " + std::to_string(leastEvacuationBoundMs));
+    }
+
     ProxySettings readSettings(SettingsReader& reader)
     {
         ProxySettings settings;
@@ -116,11 +139,25 @@
         readChangeBound(reader, "configurationMilliseconds", settings.changeBounds.configuration);
         readChangeBound(reader, "keyWithdrawalMilliseconds", settings.changeBounds.keyWithdrawal);
         readChangeBound(reader, "serverDrainMilliseconds", settings.changeBounds.serverDrain);
+        readEvacuationBound(reader, settings.changeBounds);
         return settings;
     }
 
 }
 
+Duration ChangeBounds::evacuationSettlingPeriod() const
+{
+    return this->evacuation.value_or(defaultEvacuationBound) / settlingPeriodsPerBound;
+}
+
+Duration ChangeBounds::declarations() const
+{
+    const Duration shortest = std::min(this->configuration, this->keyWithdrawal);
+    if (!this->evacuation)
+        return shortest;
+    return std::min(shortest, *this->evacuation - this->evacuationSettlingPeriod() - evacuationMargin);
+}
+
 bool isProxySettingsFile(const std::string& file)
 {
     try {
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -7,6 +7,7 @@
 
 #include <boost/outcome/result.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,13 @@
     Duration configuration = std::chrono::milliseconds(3000);
     Duration keyWithdrawal = std::chrono::milliseconds(5000);
     Duration serverDrain = std::chrono::milliseconds(7000);
+    // The evacuation of a data centre. Empty when the platform gives no bound; the default is then used for what it takes.
+    std::optional<Duration> evacuation {};
+
+    // Returns how long the primaries and the open transactions of an evacuated data centre have from when the evacuation is known.
+    Duration evacuationSettlingPeriod() const;
+    // Returns the time within which changes of the declarations must be known.
+    Duration declarations() const;
 };
 
 // The settings of a VM that runs on the platform, read from a YAML file. docs/settings.md lists the names.
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -36,7 +36,9 @@
     , proxy(thread.ioContext(), settings, platform.callerCodec, platform.backendCodec)
     , peers(thread.ioContext(), proxy,
           [this](const Endpoint& peer, uint64_t version) { this->storeFollower.handleNewerConfiguration(peer, version); })
-    , relayServer(thread.ioContext(), platform.backendCodec, [this](const BackendServerId& id) { return this->proxy.poolForPeer(id); })
+    , relayServer(
+          thread.ioContext(), platform.backendCodec, [this](const BackendServerId& id) { return this->proxy.poolForPeer(id); },
+          [this](const BackendServerId& id) { return this->proxy.isEvacuated(id); })
     , storeFollower(proxy, *store, platform.declarationDecoder, peers)
     , fleetInquiry(proxy, peers)
     , promotionCoordinator(
@@ -52,6 +54,8 @@
         [this](const ServiceName& service, std::string_view reason) { this->promotionCoordinator.examine(service, reason); });
     this->storeFollower.setEraCallback([this](uint64_t era) { this->promotionCoordinator.createLockOfEra(era); });
     this->proxy.setStoreUnavailableCheck([this] { return this->storeFollower.mayMissServers(); });
+    this->peers.setNewerEvacuationsCallback(
+        [this](const Endpoint& peer, const StoreVersion& version) { this->storeFollower.handleNewerEvacuations(peer, version); });
     this->proxy.setIsolationCheck([this] { return this->isIsolated(); });
     this->proxy.setGrantRequester([this] { this->peers.requestQuotaIfDue(); });
     BOOST_OUTCOME_TRY(this->peers.start());
@@ -151,7 +155,8 @@
     if (request.target != "/metrics")
         return HttpResponse { 404, "text/plain", {}, {} };
     const ProxyGauges gauges { this->proxy.sessionCount(), this->proxy.backendConnectionCount(), this->proxy.fleetSize(),
-        this->proxy.configurationVersion(), !this->storeFollower.isStoreUnavailable(), this->isReady() };
+        this->proxy.configurationVersion(), !this->storeFollower.isStoreUnavailable(), this->isReady(),
+        this->proxy.evacuations().state().dataCentres.size() };
     return HttpResponse { 200, "text/plain; version=0.0.4", {}, this->proxy.metrics().exposition(gauges) };
 }
 
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -19,11 +19,12 @@
     // Called when the channel ends by itself, that is, without a frame from the other VM.
     using EndedCallback = std::function<void(uint32_t)>;
 
-    RelayChannel(
-        uint32_t number, std::shared_ptr<LinkPool> pool, const BackendCodec& codec, FrameSender frameSender, EndedCallback endedCallback)
+    RelayChannel(uint32_t number, std::shared_ptr<LinkPool> pool, const BackendCodec& codec, RelayServer::EvacuationCheck evacuationCheck,
+        FrameSender frameSender, EndedCallback endedCallback)
         : channelNumber(number)
         , pool(std::move(pool))
         , codec(codec)
+        , isEvacuated(std::move(evacuationCheck))
         , sendFrame(std::move(frameSender))
         , onEnded(std::move(endedCallback))
     {
@@ -44,7 +45,10 @@
     void forwardStatements(size_t count, std::string_view bytes)
     {
         if (this->link && !this->isResetting) {
-            this->link->sendStatements(bytes, count);
+            if (this->mayForward(bytes))
+                this->link->sendStatements(bytes, count);
+            else
+                this->loseLink();
         } else {
             this->queuedStatements += bytes;
             this->queuedStatementCount += count;
@@ -83,6 +87,11 @@
             this->deny(outcome);
             return;
         }
+        if (!this->mayForward(this->queuedStatements)) {
+            this->pool->release(acquired);
+            this->deny(AcquireOutcome::Gone);
+            return;
+        }
         this->link = acquired;
         this->link->setListener(this);
         if (this->link->state().isPristine()) {
@@ -96,6 +105,17 @@
         this->link->sendStatements(reset, 1);
     }
 
+    // Returns whether the statements may be sent to the server. While its data centre is evacuated, only a question for its status may: the
+    // VMs use it to find out which server leads. The VM that sent the statements may not know of the evacuation.
+    bool mayForward(std::string_view bytes) const
+    {
+        if (!this->isEvacuated(this->pool->server().id))
+            return true;
+        std::string statusQuestion;
+        this->codec.writeCommand(statusQuestion, BackendCommand::Status, Term {}, std::nullopt);
+        return bytes == statusQuestion;
+    }
+
     void sendQueuedStatements()
     {
         this->link->sendStatements(std::exchange(this->queuedStatements, {}), std::exchange(this->queuedStatementCount, 0));
@@ -147,11 +167,19 @@
     void linkLost() override
     {
         const auto self = this->shared_from_this();
-        this->pool->drop(std::exchange(this->link, nullptr));
         if (this->isResetting) {
+            this->pool->drop(std::exchange(this->link, nullptr));
             this->deny(AcquireOutcome::Unreachable);
             return;
         }
+        this->loseLink();
+    }
+
+    // Closes the connection, so that the server rolls back, and tells the other VM.
+    void loseLink()
+    {
+        const auto self = this->shared_from_this();
+        this->pool->drop(std::exchange(this->link, nullptr));
         std::string frame;
         writeRelaySignal(frame, RelayFrameKind::Lost, this->channelNumber);
         this->end(frame);
@@ -160,6 +188,7 @@
     uint32_t channelNumber;
     std::shared_ptr<LinkPool> pool;
     const BackendCodec& codec;
+    RelayServer::EvacuationCheck isEvacuated;
     FrameSender sendFrame;
     EndedCallback onEnded;
     std::shared_ptr<BackendLink> link;
@@ -266,7 +295,7 @@
         }
         auto self = std::static_pointer_cast<Connection>(this->shared_from_this());
         const auto channel = std::make_shared<RelayChannel>(
-            frame.channel, pool, this->server.codec, [self](const std::string& bytes) { self->send(bytes); },
+            frame.channel, pool, this->server.codec, this->server.isEvacuated, [self](const std::string& bytes) { self->send(bytes); },
             [self](uint32_t number) { self->channels.erase(number); });
         this->channels.emplace(frame.channel, channel);
         channel->open(frame.request, frame.statementCount, frame.bytes);
@@ -285,10 +314,11 @@
     std::map<uint32_t, std::shared_ptr<RelayChannel>> channels;
 };
 
-RelayServer::RelayServer(boost::asio::io_context& context, const BackendCodec& codec, FindPool findPool)
+RelayServer::RelayServer(boost::asio::io_context& context, const BackendCodec& codec, FindPool findPool, EvacuationCheck evacuationCheck)
     : context(context)
     , codec(codec)
     , findPool(std::move(findPool))
+    , isEvacuated(std::move(evacuationCheck))
     , acceptor(context)
 {
 }
--- a/foxtailtrail/proxy/RelayServer.h
+++ b/foxtailtrail/proxy/RelayServer.h
@@ -20,7 +20,10 @@
     // Returns this VM's own pool of a server, or null when the server is not known.
     using FindPool = std::function<std::shared_ptr<LinkPool>(const BackendServerId&)>;
 
-    RelayServer(boost::asio::io_context&, const BackendCodec&, FindPool);
+    // Returns true while nothing but questions for its status may be sent to a server.
+    using EvacuationCheck = std::function<bool(const BackendServerId&)>;
+
+    RelayServer(boost::asio::io_context&, const BackendCodec&, FindPool, EvacuationCheck);
     ~RelayServer();
 
     // Starts to accept connections from other VMs. Fails with Internal when the address cannot be bound.
@@ -39,6 +42,7 @@
     boost::asio::io_context& context;
     const BackendCodec& codec;
     FindPool findPool;
+    EvacuationCheck isEvacuated;
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<Connection>> connections;
     bool isStopping = false;
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -62,6 +62,8 @@
     , acceptor(context)
     , sweepTimer(context)
     , relays(context, RelayPlacement(proxySettings.regions))
+    , evacuationTable(proxySettings.changeBounds.evacuationSettlingPeriod())
+    , placementRule(proxySettings.regions)
     , localQuota(proxySettings.quota)
 {
 }
@@ -169,9 +171,70 @@
         const ServerEntry* entry = primary ? this->servers.find(primary->server) : nullptr;
         if (entry && primary->isSettled && (entry->isDraining || this->servers.isRemoved(entry->id)))
             this->examineGroup(settings.service, "the primary is draining or has been removed");
+        else if (entry && primary->isSettled && this->hasToHandOverForEvacuation(*entry))
+            this->examineGroup(settings.service, "the primary's data centre is evacuated");
     }
 }
 
+bool SessionProxy::hasToHandOverForEvacuation(const ServerEntry& primary) const
+{
+    if (!this->evacuationTable.isEvacuated(primary.dataCentre))
+        return false;
+    const std::vector<const ServerEntry*> members = this->servers.members(primary.service);
+    return std::any_of(members.begin(), members.end(), [&](const ServerEntry* entry) {
+        return !entry->isDraining && !this->servers.isRemoved(entry->id) && !this->evacuationTable.isEvacuated(entry->dataCentre);
+    });
+}
+
+bool SessionProxy::isEvacuated(const BackendServerId& id) const
+{
+    const ServerEntry* entry = this->servers.find(id);
+    return entry && this->evacuationTable.isInForce(entry->dataCentre, bootNow());
+}
+
+void SessionProxy::updateEvacuations(const std::function<void(EvacuationTable&)>& change, std::string_view source)
+{
+    const std::vector<DataCentre> before = this->evacuationTable.state().dataCentres;
+    change(this->evacuationTable);
+    const std::vector<DataCentre> after = this->evacuationTable.state().dataCentres;
+    if (before == after)
+        return;
+    const auto logMissing = [&](const std::vector<DataCentre>& from, const std::vector<DataCentre>& in, const char* event) {
+        for (const DataCentre& dataCentre : from) {
+            if (std::find(in.begin(), in.end(), dataCentre) == in.end())
+                logEvent(LogLevel::Info, event,
+                    { { "dataCentre", dataCentre.value }, { "source", source }, { "version", this->evacuationTable.knownAsOf().number },
+                        { "era", this->evacuationTable.knownAsOf().era } });
+        }
+    };
+    logMissing(after, before, "evacuation known");
+    logMissing(before, after, "evacuation taken back");
+    this->examineLeavingPrimaries();
+}
+
+void SessionProxy::logEvacuations(TimePoint now)
+{
+    std::map<DataCentre, std::string> inForce;
+    for (const DataCentre& dataCentre : this->evacuationTable.state().dataCentres) {
+        if (this->evacuationTable.isInForce(dataCentre, now))
+            inForce[dataCentre];
+    }
+    if (!inForce.empty() && this->table) {
+        for (const auto& [name, settings] : this->table->groups) {
+            const std::optional<PrimaryView> primary = this->servers.findPrimary(settings.service);
+            const ServerEntry* entry = primary ? this->servers.find(primary->server) : nullptr;
+            if (const auto found = entry ? inForce.find(entry->dataCentre) : inForce.end(); found != inForce.end())
+                found->second += (found->second.empty() ? "" : ", ") + name;
+        }
+    }
+    for (const auto& [dataCentre, groups] : inForce) {
+        const auto logged = this->loggedEvacuations.find(dataCentre);
+        if (logged == this->loggedEvacuations.end() || logged->second != groups)
+            logEvent(LogLevel::Info, "evacuation in force", { { "dataCentre", dataCentre.value }, { "groupsWithPrimaryThere", groups } });
+    }
+    this->loggedEvacuations = std::move(inForce);
+}
+
 void SessionProxy::retireRemovedServerPools()
 {
     std::erase_if(this->relayedPools, [&](const auto& pool) { return this->servers.find(pool.first) == nullptr; });
@@ -472,6 +535,7 @@
         this->serveQuotaWaiters();
     this->logQuotaRefusals(now);
     this->examineLeavingPrimaries();
+    this->logEvacuations(now);
     std::list<ConfigurationWaiter> expiredWaiters;
     while (!this->configurationWaiters.empty() && this->configurationWaiters.front().giveUpAt <= now)
         expiredWaiters.splice(expiredWaiters.end(), this->configurationWaiters, this->configurationWaiters.begin());
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -10,6 +10,7 @@
 #include "foxtailtrail/proxy/ProxyMetrics.h"
 #include "foxtailtrail/proxy/ProxySettings.h"
 #include "foxtailtrail/proxy/RelayedPool.h"
+#include "foxtailtrail/replication/EvacuationTable.h"
 #include "foxtailtrail/session/StopSchedule.h"
 
 #include <array>
@@ -128,6 +129,16 @@
     bool mayStopSoon(const BackendServerId&, TimePoint now) const override;
     bool mayMissServers() const override { return !this->storeUnavailableCheck || this->storeUnavailableCheck(); }
     void examineGroup(const ServiceName&, std::string_view reason) override;
+    Placement placementIn(const DataCentre& dataCentre, const Homes& homes, TimePoint now) const override
+    {
+        return this->placementRule.serverIn(dataCentre, homes, this->evacuationTable, now);
+    }
+
+    const EvacuationTable& evacuations() const { return this->evacuationTable; }
+    // Applies a change to the evacuations and logs what it changed. The source, where it came from, is logged.
+    void updateEvacuations(const std::function<void(EvacuationTable&)>&, std::string_view source);
+    // Returns true while nothing but questions for its status may be sent to the server, because its data centre is evacuated.
+    bool isEvacuated(const BackendServerId&) const;
 
 private:
     struct ConfigurationWaiter {
@@ -156,6 +167,10 @@
     void retireRemovedServerPools();
     // Requests an examination of groups whose primary is draining or has been removed from the server directory.
     void examineLeavingPrimaries();
+    // Returns whether the primary is in an evacuated data centre and a server elsewhere could replace it.
+    bool hasToHandOverForEvacuation(const ServerEntry& primary) const;
+    // Logs which evacuations have come into force, and which groups still have their primary there.
+    void logEvacuations(TimePoint now);
 
     boost::asio::io_context& context;
     ProxySettings proxySettings;
@@ -177,6 +192,10 @@
     // The time until which this VM acts as the relay of a server because peers have used its connections.
     std::map<BackendServerId, TimePoint> usedByPeersUntil;
     std::map<BackendServerId, std::shared_ptr<RelayedPool>> relayedPools;
+    EvacuationTable evacuationTable;
+    PlacementRule placementRule;
+    // The evacuations that were logged as in force, with the groups that had their primary there.
+    std::map<DataCentre, std::string> loggedEvacuations;
     LocalQuota localQuota;
     std::list<QuotaWaiter> quotaWaiters;
     // The refused operations by cause since the last log line, and when the next line is due.
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -121,7 +121,7 @@
         this->choosePrimary();
         return;
     }
-    const auto candidates = this->group->readCandidates(this->task.organisation);
+    const auto candidates = this->group->readCandidates(this->task.organisation, this->task.homes, now);
     std::optional<BackendServerId> server = this->group->selector().choose(candidates, this->excludedServers, now);
     if (!server && !candidates.empty()) {
         this->excludedServers.clear();
@@ -163,6 +163,12 @@
         this->retryAfter(unreachableRetryDelay);
         return;
     }
+    // Only the primary can be outside: the other candidates were chosen inside.
+    const Placement placement = this->groupContext.placementIn(pool->server().dataCentre, this->task.homes, bootNow());
+    if (placement == Placement::OutsideHomes) {
+        this->finishWithError(ErrorKind::NoPrimary, std::string(placementDetail(placement)));
+        return;
+    }
     this->phase = Phase::Acquiring;
     this->currentLink.pool = pool;
     auto self = this->shared_from_this();
@@ -196,8 +202,30 @@
     this->retryAfter(this->needsPrimary() ? unreachableRetryDelay : Duration(0));
 }
 
+bool StatementRun::endAttemptIfPlacementForbids()
+{
+    const Placement placement = this->groupContext.placementIn(this->currentLink.pool->server().dataCentre, Homes(), bootNow());
+    if (placement != Placement::Evacuated)
+        return false;
+    const bool isEstablished = this->isTransactionEstablished();
+    // The server rolls back the transaction of a closed connection.
+    if (this->inTransaction())
+        this->dropLink();
+    else
+        this->releaseLink();
+    if (isEstablished) {
+        this->finishWithError(ErrorKind::TransactionAborted, std::string(placementDetail(placement)));
+        return true;
+    }
+    this->lastAttemptError = ErrorKind::NoPrimary;
+    this->retryAfter(Duration(0));
+    return true;
+}
+
 void StatementRun::prepareLink()
 {
+    if (this->endAttemptIfPlacementForbids())
+        return;
     const PreparedStatement* executed = this->task.prepared ? &*this->task.prepared : nullptr;
     std::string messages;
     this->restoresOutstanding = 0;
@@ -225,6 +253,8 @@
 
 void StatementRun::sendStatement()
 {
+    if (this->endAttemptIfPlacementForbids())
+        return;
     // The primary lease may have expired while the run waited for the connection and its preparation.
     const bool runsAtPrimary = !this->requiredPosition && !this->pinnedLink;
     if (runsAtPrimary && !this->group->isUsablePrimary(this->target, bootNow())) {
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -40,6 +40,8 @@
     TimePoint deadline {};
     // When the operation should end by the latency objective of its route.
     TimePoint objectiveAt = TimePoint::max();
+    // The regions in which the statement may run.
+    Homes homes {};
     // The time at which this VM ends the run because it stops. A statement that has not started shortly before is refused.
     TimePoint stopBy = TimePoint::max();
 };
@@ -104,6 +106,8 @@
     void acquireLink(const BackendServerId&);
     void handleAcquireOutcome(AcquireOutcome, const std::shared_ptr<BackendLink>&);
     void prepareLink();
+    // Ends the attempt when nothing may be sent to the server of the connection any more. Returns whether it did.
+    bool endAttemptIfPlacementForbids();
     void sendStatement();
     void linkReplied(LinkReply&&) override;
     void linkLost() override;
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -66,7 +66,7 @@
     , store(store)
     , decoder(decoder)
     , peers(peers)
-    , configurationExchange(proxy.settings().peerEndpoint)
+    , configurationExchange(proxy.settings().peerEndpoint, proxy.evacuations())
     , startedAt(bootNow())
     , storeReaders(proxy.settings().vmId)
     , recordWriter(proxy, store, peers, fleetTable,
@@ -84,9 +84,8 @@
 void StoreFollower::start()
 {
     startFiber([this] {
-        const ChangeBounds& bounds = this->proxy.settings().changeBounds;
-        this->follow(StoreTable::Declarations, "configuration", std::min(bounds.configuration, bounds.keyWithdrawal),
-            [this](const RowSet& rows, bool) { this->applyDeclarations(rows); });
+        this->follow(StoreTable::Declarations, "configuration", this->proxy.settings().changeBounds.declarations(),
+            [this](const RowSet& rows, bool isWhole) { this->applyDeclarations(rows, isWhole); });
     });
     startFiber([this] {
         this->follow(StoreTable::Servers, "servers", this->proxy.settings().changeBounds.serverDrain,
@@ -261,12 +260,24 @@
     this->tableRestored.wait_for(lock, tableRestoredTimeout);
 }
 
-void StoreFollower::applyDeclarations(const RowSet& rows)
+void StoreFollower::applyDeclarations(const RowSet& rows, bool isWhole)
 {
+    std::vector<EvacuationRow> evacuations;
     for (const TableRow& row : rows.rows) {
+        // The key alone asks for the evacuation, whatever the value.
+        if (const std::optional<DataCentre> evacuated = this->decoder.evacuatedDataCentre(row.key))
+            evacuations.push_back({ *evacuated, row.version, row.isDeleted });
         if (row.key == this->decoder.configurationKey() && !row.isDeleted)
             this->installDocument(row.value, "store");
     }
+    this->proxy.updateEvacuations(
+        [&](EvacuationTable& table) {
+            if (isWhole)
+                table.applyList(evacuations, rows.version, bootNow());
+            else
+                table.applyChanges(evacuations, rows.version, bootNow());
+        },
+        "store");
 }
 
 void StoreFollower::installDocument(const std::string& newDocument, std::string_view source)
@@ -464,13 +475,15 @@
 
 bool StoreFollower::fetchInitialConfigurationFrom(const Endpoint& source, std::optional<StoreVersion>& followedVersion)
 {
-    const Result<std::optional<PeerConfiguration>> fetched = this->configurationExchange.fetch(source, initialFetchRequestTimeout);
+    const Result<PeerAnswer> fetched = this->configurationExchange.fetch(source, initialFetchRequestTimeout);
     if (!fetched)
         return false;
-    if (fetched.value()) {
-        this->installDocument(fetched.value()->document, "peer " + source.address);
-        if (this->proxy.isConfigured())
-            followedVersion = fetched.value()->followedStoreVersion;
+    this->applyPeerEvacuations(fetched.value().evacuations, source);
+    if (const std::optional<PeerConfiguration>& configuration = fetched.value().configuration) {
+        this->installDocument(configuration->document, "peer " + source.address);
+        // Changes are followed only from a version as of which the evacuations are known too.
+        if (this->proxy.isConfigured() && this->proxy.evacuations().knownAsOf() >= configuration->followedStoreVersion)
+            followedVersion = configuration->followedStoreVersion;
     }
     return true;
 }
@@ -513,22 +526,42 @@
         this->fetchFromPeer(peer);
 }
 
+void StoreFollower::handleNewerEvacuations(const Endpoint& peer, const StoreVersion& changedAt)
+{
+    if (changedAt > this->newestReportedEvacuations) {
+        this->newestReportedEvacuations = changedAt;
+        this->evacuationsReportedAt = bootNow();
+    }
+    if (this->areDeclarationsUnavailable || bootNow() >= this->evacuationsReportedAt + maxFeedDelay)
+        this->fetchFromPeer(peer);
+}
+
+bool StoreFollower::applyPeerEvacuations(const std::optional<EvacuationState>& state, const Endpoint& peer)
+{
+    const StoreVersion changedBefore = this->proxy.evacuations().changedAt();
+    if (state)
+        this->proxy.updateEvacuations([&](EvacuationTable& table) { table.applyState(*state, bootNow()); }, "peer " + peer.address);
+    return this->proxy.evacuations().changedAt() != changedBefore;
+}
+
 void StoreFollower::fetchFromPeer(const Endpoint& peer)
 {
     if (this->isFetching || this->isStarting)
         return;
     this->isFetching = true;
     startFiber([this, peer] {
-        const Result<std::optional<PeerConfiguration>> fetched = this->configurationExchange.fetch(peer, peerFetchTimeout);
+        const Result<PeerAnswer> fetched = this->configurationExchange.fetch(peer, peerFetchTimeout);
         if (!fetched)
             logEvent(LogLevel::Warning, "fetching the configuration from a peer failed",
                 { { "peer", peer.address }, { "detail", fetched.error().detail } });
-        else if (fetched.value()) {
+        else {
             const uint64_t versionBefore = this->proxy.configurationVersion();
-            this->installDocument(fetched.value()->document, "peer " + peer.address);
-            // The store has confirmed this version, and the held call should have delivered it.
-            if (versionBefore < this->proxy.configurationVersion() && !this->areDeclarationsUnavailable)
-                this->renewHeldCalls("peer " + peer.address + " has a newer configuration");
+            const bool haveEvacuationsChanged = this->applyPeerEvacuations(fetched.value().evacuations, peer);
+            if (const std::optional<PeerConfiguration>& configuration = fetched.value().configuration)
+                this->installDocument(configuration->document, "peer " + peer.address);
+            // The store has confirmed this, and the held call should have delivered it.
+            if ((versionBefore < this->proxy.configurationVersion() || haveEvacuationsChanged) && !this->areDeclarationsUnavailable)
+                this->renewHeldCalls("peer " + peer.address + " has newer declarations");
         }
         this->isFetching = false;
     });
--- a/foxtailtrail/proxy/StoreFollower.h
+++ b/foxtailtrail/proxy/StoreFollower.h
@@ -43,6 +43,8 @@
     // Handles the report of a peer that it has a newer configuration: fetches it from that peer unless the store is expected to deliver it
     // first.
     void handleNewerConfiguration(const Endpoint& peer, uint64_t version);
+    // Handles the report of a peer that it knows of a later change of the evacuations.
+    void handleNewerEvacuations(const Endpoint& peer, const StoreVersion& changedAt);
     // Handles the request of another VM, for a newer configuration or for the changes of a table.
     HttpResponse handlePeerRequest(const HttpRequest&);
 
@@ -62,7 +64,9 @@
     // Waits before the next attempt to read a table. When all tables are unavailable, and the VM is not starting up, only the
     // declarations table is retried; the other fibers wait until a table can be read again.
     void waitBeforeRetry(StoreTable, Duration delay);
-    void applyDeclarations(const RowSet&);
+    void applyDeclarations(const RowSet&, bool isWhole);
+    // Applies the evacuations that a peer knows. Returns whether the set has changed.
+    bool applyPeerEvacuations(const std::optional<EvacuationState>&, const Endpoint& peer);
     void applyServers(const RowSet&, bool isWhole);
     void applyFleet(const RowSet&, bool isWhole);
     // Passes the members of the fleet table on to those who use them.
@@ -108,6 +112,9 @@
     // The newest configuration version that a peer has reported, and when it was first reported.
     uint64_t newestReportedVersion = 0;
     TimePoint newestReportedAt {};
+    // The same for the last change of the evacuations.
+    StoreVersion newestReportedEvacuations;
+    TimePoint evacuationsReportedAt {};
     FleetTable fleetTable;
     std::function<void(uint64_t era)> eraCallback;
     // The era of the server list, and the time until which it may hold entries of an older copy.
--- a/tests/failover/PrimaryReplacementTest.cpp
+++ b/tests/failover/PrimaryReplacementTest.cpp
@@ -21,6 +21,7 @@
         uint64_t position = 0;
         Term pausedFor {};
         bool isDraining = false;
+        bool isEvacuated = false;
     };
 
     // A group of servers and one VM that holds the promotion lock.
@@ -133,6 +134,7 @@
                 ProbedStatus status;
                 status.server = order.server;
                 status.isDraining = server.isDraining;
+                status.isEvacuated = server.isEvacuated;
                 status.isRemoved = this->servers.isRemoved(order.server);
                 status.hasLeft = this->servers.hasLeft(order.server, this->ledAt);
                 status.requestedAt = status.answeredAt = this->now;
@@ -376,6 +378,21 @@
         EXPECT_EQ(group.replacePrimary(FailoverCause::PrimaryLeaving), ReplacementResult::Replaced);
     }
 
+    // Guards against EVAC at a primary: it hands over to a replica in another data centre, also if one in its own is the first in order, and
+    // with a commit that only the replica there holds nothing is lost.
+    TEST(PrimaryReplacementTest, HandsOverOutOfEvacuatedDataCentre)
+    {
+        for (const uint64_t positionElsewhere : { 9, 7 }) {
+            FakeGroup group = groupOfThree(9, 9);
+            group.states["b"].position = positionElsewhere;
+            group.states["p"].isEvacuated = group.states["a"].isEvacuated = true;
+            const ReplacementResult result = group.replacePrimary(FailoverCause::PrimaryLeaving);
+            EXPECT_EQ(result, positionElsewhere == 9 ? ReplacementResult::Replaced : ReplacementResult::NoSuccessor) << positionElsewhere;
+            EXPECT_EQ(group.ordered, positionElsewhere == 9 ? std::vector<std::string> { "b" } : std::vector<std::string> {});
+            EXPECT_EQ(group.states["p"].leads, positionElsewhere != 9);
+        }
+    }
+
     // Guards against a group that stays without a primary although every VM reports that the replica that answers holds all it knows.
     TEST(PrimaryReplacementTest, PromotesReplicaThatHoldsEveryCommitOfTheFleet)
     {
--- a/tests/failover/SuccessorSelectionTest.cpp
+++ b/tests/failover/SuccessorSelectionTest.cpp
@@ -268,6 +268,36 @@
         EXPECT_FALSE(find(unanswered("b", ProbeOutcome::Silent)));
     }
 
+    ProbedStatus evacuated(ProbedStatus status)
+    {
+        status.isEvacuated = true;
+        return status;
+    }
+
+    // Guards against a hand-over into another evacuated data centre, and against a commit that is lost because only servers there hold it.
+    TEST(SuccessorSelectionTest, SelectsServerOfEvacuatedDataCentreOnlyIfNoOtherCanLead)
+    {
+        EXPECT_EQ(selectFrom({ silentPrimary, evacuated(paused("a", 9)), paused("b", 9) }), "b");
+        EXPECT_EQ(selectFrom({ silentPrimary, evacuated(paused("a", 9)), paused("b", 7) }), "a");
+        const ProbedStatus primaryStatus = leading("p", 9);
+        EXPECT_EQ(findCaughtUpReplicas({ primaryStatus, evacuated(paused("a", 9)), paused("b", 9) }, primaryStatus, {}),
+            std::vector { BackendServerId("b") });
+    }
+
+    // Guards against turns of the promotion lock that cannot succeed: a primary of an evacuated data centre is replaced only while a server
+    // elsewhere answers.
+    TEST(SuccessorSelectionTest, EvacuatedPrimaryIsToHandOverOnlyToAServerElsewhere)
+    {
+        const auto causeFrom = [](const std::vector<ProbedStatus>& statuses) {
+            return evaluateFailoverCause(statuses, primary, true, false, true);
+        };
+        EXPECT_EQ(causeFrom({ evacuated(leading("p", 9)), paused("a", 9) }), FailoverCause::PrimaryLeaving);
+        EXPECT_EQ(causeFrom({ evacuated(leading("p", 9)), evacuated(paused("a", 9)) }), FailoverCause::None);
+        EXPECT_EQ(causeFrom({ evacuated(leading("p", 9)), draining(paused("a", 9)) }), FailoverCause::None);
+        EXPECT_EQ(causeFrom({ evacuated(leading("p", 9)), unanswered("a", ProbeOutcome::Silent) }), FailoverCause::None);
+        EXPECT_EQ(causeFrom({ leading("p", 9), evacuated(paused("a", 9)) }), FailoverCause::None);
+    }
+
 }
 
 }
--- a/tests/platform/LineProtocolTest.cpp
+++ b/tests/platform/LineProtocolTest.cpp
@@ -144,6 +144,27 @@
         EXPECT_FALSE(decoder.decodeServer("b1", "\xff\x00"));
     }
 
+    // Guards against homes and evacuations that are not known, and against rows of other kinds that are taken for evacuations.
+    TEST(JsonDeclarationDecoderTest, DecodesHomesAndEvacuations)
+    {
+        const JsonDeclarationDecoder decoder;
+        EXPECT_EQ(decoder.evacuatedDataCentre("evacuate/north-1"), DataCentre("north-1"));
+        for (const char* key : { "config", "evacuate", "evacuate/", "", "evacuated/north-1" })
+            EXPECT_FALSE(decoder.evacuatedDataCentre(key)) << key;
+        const Result<RouteTable> table = decoder.decodeConfiguration(
+            R"({"version":3,"routes":[{"host":"d1","service":"s","type":"primary","allowed_regions":["upper","lower"]},)"
+            R"({"host":"d2","service":"s","type":"primary","allowed_regions":[]},{"host":"d3","service":"s","type":"primary"},)"
+            R"({"host":"d4","service":"s","type":"primary","allowed_regions":[7]}],)"
+            R"("tenants":[{"name":"o","api_keys":[],"allowed_regions":["upper"]}]})");
+        ASSERT_TRUE(table);
+        EXPECT_EQ(table.value().findRoute("d1")->allowedRegions, (std::vector { Region("upper"), Region("lower") }));
+        EXPECT_TRUE(table.value().findRoute("d2")->allowedRegions.empty());
+        EXPECT_TRUE(table.value().findRoute("d3")->allowedRegions.empty());
+        // A name that cannot be read does not lift the restriction.
+        EXPECT_EQ(table.value().findRoute("d4")->allowedRegions.size(), 1U);
+        EXPECT_EQ(table.value().organisations.front().allowedRegions, std::vector { Region("upper") });
+    }
+
     TEST(JsonDeclarationDecoderTest, DecodesRoutesGroupsAndKeys)
     {
         const Result<RouteTable> table = JsonDeclarationDecoder().decodeConfiguration(
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -2,6 +2,7 @@
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/proxy/GroupUpdateCodec.h"
 #include "foxtailtrail/proxy/PeerExchange.h"
+#include "foxtailtrail/replication/EvacuationTable.h"
 #include "platform/LineProtocol.h"
 #include "tests/proxy/FakePool.h"
 
@@ -41,6 +42,18 @@
         bool mayMissServers() const override { return this->canMissServers; }
         bool mayStopSoon(const BackendServerId& id, TimePoint time) const override { return this->servers.isLeavingSince(id, time); }
         void examineGroup(const ServiceName&, std::string_view) override { ++this->examinationCount; }
+        Placement placementIn(const DataCentre& dataCentre, const Homes& homes, TimePoint time) const override
+        {
+            return PlacementRule({ { "north", "upper" }, { "south", "lower" } }).serverIn(dataCentre, homes, this->evacuations, time);
+        }
+        void moveTo(const BackendServerId& id, const std::string& dataCentre)
+        {
+            ServerEntry entry = *this->servers.find(id);
+            entry.dataCentre = DataCentre(dataCentre);
+            this->servers.put(entry);
+        }
+
+        EvacuationTable evacuations { milliseconds(1250) };
 
         ServerDirectory servers;
         std::shared_ptr<LinkPool> replicaPool;
@@ -467,6 +480,43 @@
         EXPECT_TRUE(decodeGroupUpdates(json::array { 1, json::array { "s" } }, this->now).empty());
     }
 
+    // Guards against EVAC: a primary in an evacuated data centre is used until the evacuation is in force, and waited for only while a server
+    // elsewhere can replace it.
+    TEST_F(GroupTrackerTest, StopsUsingPrimaryOfEvacuatedDataCentre)
+    {
+        this->context.moveTo(oldPrimary, "north");
+        this->context.moveTo(replica, "south");
+        this->commitAt(this->now, 6);
+        this->context.evacuations.applyChanges({ { DataCentre("north"), { 1, 5 } } }, { 1, 5 }, this->now - milliseconds(1250));
+        EXPECT_TRUE(this->isUsable(this->now - milliseconds(1)));
+        EXPECT_FALSE(this->isUsable(this->now));
+        std::vector<std::optional<BackendServerId>> answers;
+        const auto record = [&](const std::optional<BackendServerId>& primary) { answers.push_back(primary); };
+        EXPECT_NE(this->group->whenPrimaryUsable("o", this->now + milliseconds(500), record), 0U);
+        EXPECT_TRUE(answers.empty());
+        // The replica's data centre is evacuated too: waiting is of no use.
+        this->context.evacuations.applyChanges({ { DataCentre("south"), { 1, 6 } } }, { 1, 6 }, this->now);
+        this->group->sweep(this->now);
+        EXPECT_EQ(this->group->whenPrimaryUsable("o", this->now + milliseconds(500), record), 0U);
+        EXPECT_EQ(answers, (std::vector<std::optional<BackendServerId>> { std::nullopt, std::nullopt }));
+        // Taken back.
+        this->context.evacuations.applyChanges({ { DataCentre("north"), { 1, 7 }, true } }, { 1, 7 }, this->now);
+        EXPECT_TRUE(this->isUsable(this->now));
+    }
+
+    // Guards against reads in an evacuated data centre, from the moment at which the evacuation is known, and outside the homes.
+    TEST_F(GroupTrackerTest, OffersOnlyServersThatPlacementAllows)
+    {
+        this->context.moveTo(replica, "south");
+        this->context.replicaPool = std::make_shared<FakePool>(this->context.codec, *this->context.servers.find(replica));
+        const auto candidates = [&](const Homes& homes) { return this->group->readCandidates("o", homes, this->now).size(); };
+        EXPECT_EQ(candidates(Homes()), 1U);
+        EXPECT_EQ(candidates(Homes({ Region("lower") }, {})), 1U);
+        EXPECT_EQ(candidates(Homes({}, { Region("upper") })), 0U);
+        this->context.evacuations.applyChanges({ { DataCentre("south"), { 1, 5 } } }, { 1, 5 }, this->now);
+        EXPECT_EQ(candidates(Homes()), 0U);
+    }
+
 }
 
 }
--- a/tests/proxy/ServerChangesTest.cpp
+++ b/tests/proxy/ServerChangesTest.cpp
@@ -15,6 +15,7 @@
     class FakeDecoder : public DeclarationDecoder {
     public:
         std::string_view configurationKey() const override { return "config"; }
+        std::optional<DataCentre> evacuatedDataCentre(std::string_view) const override { return std::nullopt; }
         Result<RouteTable> decodeConfiguration(std::string_view) const override
         {
             return fail(ErrorKind::MalformedRequest, "not a configuration");
--- a/tests/server/ProxySettingsTest.cpp
+++ b/tests/server/ProxySettingsTest.cpp
@@ -59,6 +59,24 @@
         EXPECT_FALSE(readProxySettings(this->file + ".none"));
     }
 
+    // Guards against evacuations that are known so late that hand-overs and open transactions have no time left within the bound.
+    TEST_F(ProxySettingsTest, LeavesTimeForAnEvacuationWithinItsBound)
+    {
+        this->writeFile(validSettings);
+        ChangeBounds bounds = readProxySettings(this->file).value().changeBounds;
+        EXPECT_FALSE(bounds.evacuation);
+        EXPECT_EQ(bounds.declarations(), bounds.configuration);
+        const std::string text = std::string(validSettings).substr(0, std::string(validSettings).rfind('}'));
+        this->writeFile(text + ", configurationMilliseconds: 5000, evacuationMilliseconds: 4000}\n");
+        bounds = readProxySettings(this->file).value().changeBounds;
+        EXPECT_EQ(bounds.evacuation, std::chrono::milliseconds(4000));
+        EXPECT_LT(bounds.declarations() + bounds.evacuationSettlingPeriod(), std::chrono::milliseconds(4000));
+        this->writeFile(text + ", evacuationMilliseconds: 2334}\n");
+        EXPECT_TRUE(readProxySettings(this->file));
+        this->writeFile(text + ", evacuationMilliseconds: 2333}\n");
+        EXPECT_FALSE(readProxySettings(this->file));
+    }
+
 }
 
 }
