Serve urgent operations of one organisation first, fill static shares from the start

Cause: a VM requests tokens every 120 ms, so an urgent operation found the level used up by others that were asked for earlier; the VM's static share of an organisation that it saw for the first time counted from that moment.

Change: the allocator keeps as many tokens for priorities above a claim as they took in the last 0.2 s, at most a quarter of the burst. A static share fills since the last reply of an allocator, or since the first request of the process, and an operation waits for its next token if that is within its time limit.

The tests of priorities have no counterpart in the old code, which knows none. StaticShareFillsFromTheStart fails on the old code: the first operation 2 s after the start is refused.

--- a/foxtailtrail/limits/LocalQuota.cpp
+++ b/foxtailtrail/limits/LocalQuota.cpp
@@ -50,8 +50,9 @@
 {
     const double vmCount = static_cast<double>(std::max<size_t>(1, fleetSize));
     const double maxLevel = std::max(1.0, staticBurstShareOfExcess * permittedExcess(limit, this->bounds) / vmCount);
+    // The VM has not lent its share since it last heard from an allocator, also that of an organisation that it sees for the first time.
     if (quota.staticShareFilledAt == TimePoint {})
-        quota.staticShareFilledAt = now;
+        quota.staticShareFilledAt = std::max(this->lastGrantAt, this->firstRequestAt);
     quota.staticShareLevel += std::chrono::duration<double>(now - quota.staticShareFilledAt).count() * limit.ratePerSecond / vmCount;
     quota.staticShareLevel = std::min(quota.staticShareLevel, maxLevel);
     quota.staticShareFilledAt = now;
@@ -103,8 +104,12 @@
         if (place.priority <= operation.priority)
             delay = place.delay;
     }
-    const double own = static_cast<double>(quota.unclaimedCount) / std::max(minRatePerSecond, quota.expectedRate);
-    return std::max(now, quota.grantedAt + delay) + secondsToDuration(own);
+    // Operations of this VM that the allocator does not know yet show how many of all VMs come before this one; one alone shows little.
+    size_t unclaimed = 0;
+    for (auto other = quota.waiting.begin(); other != quota.waiting.end() && *other < operation; ++other)
+        unclaimed += other->arrivedAt >= quota.requestedAt ? 1 : 0;
+    const double behind = unclaimed > 1 ? static_cast<double>(unclaimed - 1) : 0;
+    return std::max(now, quota.grantedAt + delay) + secondsToDuration(behind / std::max(minRatePerSecond, quota.expectedRate));
 }
 
 QuotaDecision LocalQuota::admit(
@@ -130,7 +135,6 @@
     // An operation that waits keeps its place; one that arrives waits only if a token can be there in time.
     if (!hasWaited && this->tokenTime(quota, limit, fleetSize, operation, now) > operation.giveUpAt)
         return QuotaDecision::Refused;
-    quota.unclaimedCount += hasWaited ? 0 : 1;
     quota.waiting.insert(operation);
     return QuotaDecision::Wait;
 }
@@ -212,7 +216,6 @@
         // The request returns these tokens, so they must not be used while it is in flight.
         quota.grantedTokens = 0;
         quota.oldestFirst = 0;
-        quota.unclaimedCount = 0;
         quota.needsMore = false;
         quota.requestedAt = now;
     }
--- a/foxtailtrail/limits/LocalQuota.h
+++ b/foxtailtrail/limits/LocalQuota.h
@@ -100,8 +100,6 @@
         std::vector<QuotaLinePlace> line;
         // The tokens per second that this VM can expect while they are short.
         double expectedRate = 0;
-        // Operations that began to wait after the last request.
-        size_t unclaimedCount = 0;
         // The last time that was given to a refused operation.
         TimePoint lastReturnAt {};
         double lastWanted = 0;
--- a/foxtailtrail/limits/QuotaAllocator.cpp
+++ b/foxtailtrail/limits/QuotaAllocator.cpp
@@ -23,6 +23,9 @@
     constexpr Duration claimLifetime = std::chrono::milliseconds(300);
     // After this many tokens granted by priority, one goes to the operation that has waited longest.
     constexpr size_t tokensByPriority = 7;
+    // The time over which the recent grants of a priority are counted, and the fraction of the burst that is kept for such operations.
+    constexpr double recentGrantsSeconds = 0.2;
+    constexpr double maxKeptShareOfBurst = 0.25;
     // Compensates for rounding errors in sums that should be whole.
     constexpr double rounding = 1e-9;
     // Used where a rate is 0, so that a delay stays finite.
@@ -78,7 +81,13 @@
     }
 }
 
-void QuotaAllocator::serveClaims(Account& account, std::vector<Claim>& own, QuotaGrant& grant)
+double QuotaAllocator::Account::RecentGrants::at(TimePoint now) const
+{
+    return this->tokens * std::exp(-std::chrono::duration<double>(now - this->countedAt).count() / recentGrantsSeconds);
+}
+
+void QuotaAllocator::serveClaims(
+    Account& account, std::vector<Claim>& own, const OrganisationLimit& limit, QuotaGrant& grant, TimePoint now)
 {
     size_t available = wholeTokens(account.level);
     const auto serve = [&](Claim& claim, size_t count) {
@@ -86,6 +95,8 @@
         available -= count;
         grant.tokens += static_cast<double>(count);
         account.level -= static_cast<double>(count);
+        Account::RecentGrants& recent = account.recentGrants[claim.priority];
+        recent = { recent.at(now) + static_cast<double>(count), now };
     };
     // The operation that has waited longest has its turn: it is served, or a token is kept for it.
     const Claim* keptFor = nullptr;
@@ -110,8 +121,13 @@
             for (const Claim& other : open.claims)
                 kept += other.isBefore(claim) ? other.count : 0;
         }
+        double expectedBefore = 0;
+        for (const auto& [priority, recent] : account.recentGrants)
+            expectedBefore += priority < claim.priority ? recent.at(now) : 0;
+        kept += wholeTokens(std::min(expectedBefore, maxKeptShareOfBurst * limit.burst));
         const size_t count = std::min(claim.count, available > kept ? available - kept : 0);
-        serve(claim, count);
+        if (count > 0)
+            serve(claim, count);
         account.grantedByPriority = std::min(account.grantedByPriority + count, tokensByPriority);
         if (claim.count > 0)
             break;
@@ -174,7 +190,7 @@
         for (const QuotaClaim& claim : request.waiting)
             own.push_back({ claim.priority, now + claim.timeLeft, now - claim.waited, claim.count });
         std::sort(own.begin(), own.end(), [](const Claim& left, const Claim& right) { return left.isBefore(right); });
-        serveClaims(account, own, grant);
+        serveClaims(account, own, *limit, grant, now);
         if (!own.empty())
             account.openClaims[vm] = { std::move(own), now + claimLifetime };
 
--- a/foxtailtrail/limits/QuotaAllocator.h
+++ b/foxtailtrail/limits/QuotaAllocator.h
@@ -76,7 +76,9 @@
 //
 // The load that it answers: organisations whose demand exceeds their rate, spread unevenly over many VMs that each have less than one
 // operation per request. While an organisation is short of tokens, it lends whole tokens to waiting operations only, over all VMs by
-// priority and then by the time left. Every eighth token goes to the operation that has waited longest, so that no priority starves.
+// priority and then by the time left. As a VM requests only now and then, some tokens are kept for operations of higher priority that
+// arrive meanwhile, as many as such operations took before. Every eighth token goes to the operation that has waited longest, so that no
+// priority starves.
 class QuotaAllocator {
 public:
     explicit QuotaAllocator(QuotaBounds bounds)
@@ -120,6 +122,13 @@
         double totalDemand = 0;
         // Claims that tokens are kept for until their VMs request them again.
         std::map<VmId, OpenClaims> openClaims;
+        // The tokens granted to each priority in about the last request interval of the VMs; older ones count less.
+        struct RecentGrants {
+            double tokens = 0;
+            TimePoint countedAt {};
+            double at(TimePoint now) const;
+        };
+        std::map<uint32_t, RecentGrants> recentGrants;
         // The tokens granted by priority since the last one that went to the longest waiting operation.
         size_t grantedByPriority = 0;
     };
@@ -127,7 +136,7 @@
     // Removes the claims of VMs that have not repeated them, and of operations that no longer wait.
     static void removeOldClaims(Account&, TimePoint now);
     // Takes tokens for the claims of one VM out of the level, and removes the served ones from the list.
-    static void serveClaims(Account&, std::vector<Claim>& own, QuotaGrant&);
+    static void serveClaims(Account&, std::vector<Claim>& own, const OrganisationLimit&, QuotaGrant&, TimePoint now);
     // Returns when operations that begin to wait now would get a token.
     static std::vector<QuotaLinePlace> line(const Account&, double rate);
 
--- a/tests/limits/QuotaTest.cpp
+++ b/tests/limits/QuotaTest.cpp
@@ -2,6 +2,7 @@
 #include "foxtailtrail/limits/QuotaAllocator.h"
 #include "foxtailtrail/limits/QuotaRequestLog.h"
 
+#include <array>
 #include <deque>
 #include <gtest/gtest.h>
 #include <optional>
@@ -44,8 +45,11 @@
             size_t allocatorIndex = 0;
             QuotaRequestLog requestLog;
             std::deque<Reply> inbox;
-            // The times at which operations that wait for a grant are refused.
-            std::deque<int64_t> waitingUntil;
+            struct Waiter {
+                int64_t giveUpAt = 0;
+                QuotaOperation operation;
+            };
+            std::deque<Waiter> waiters;
         };
 
         double uniform() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
@@ -96,27 +100,42 @@
                 vm.inbox.push_back({ now + 1 + static_cast<int64_t>(this->random() % 30), number, grants });
         }
 
-        void admit(Vm& vm, int64_t now, int64_t giveUpAt, bool hasWaited)
+        void admit(Vm& vm, int64_t now, const Vm::Waiter& waiter, bool hasWaited)
         {
             const TimePoint time { milliseconds(now) };
-            const TimePoint waitingSince { milliseconds(giveUpAt - grantTimeout) };
-            const QuotaDecision decision = vm.quota.admit(this->limit, this->vms.size(), time, hasWaited);
+            const TimePoint waitingSince { milliseconds(waiter.giveUpAt - grantTimeout) };
+            const QuotaDecision decision = vm.quota.admit(this->limit, this->vms.size(), time, hasWaited, waiter.operation);
             if (decision == QuotaDecision::Admitted)
                 this->admitted.push_back(now);
-            else if (decision == QuotaDecision::Wait && now < giveUpAt)
-                vm.waitingUntil.push_back(giveUpAt);
+            else if (decision == QuotaDecision::Wait && now < waiter.giveUpAt)
+                vm.waiters.push_back(waiter);
             else {
                 if (decision == QuotaDecision::Wait)
-                    vm.quota.stopWaiting(this->limit.organisation, waitingSince);
+                    vm.quota.stopWaiting(this->limit.organisation, waitingSince, waiter.operation);
                 ++this->refusedCount;
+                ++this->refusedByPriority[waiter.operation.priority];
             }
         }
 
         // Evaluates the operations that wait for a grant again, as a VM does after each grant and in each sweep.
         void serveWaiting(Vm& vm, int64_t now)
         {
-            for (const int64_t giveUpAt : std::exchange(vm.waitingUntil, {}))
-                this->admit(vm, now, giveUpAt, true);
+            for (const Vm::Waiter& waiter : std::exchange(vm.waiters, {}))
+                this->admit(vm, now, waiter, true);
+        }
+
+        // Returns an operation that arrives now.
+        Vm::Waiter arrival(int64_t now)
+        {
+            Vm::Waiter waiter { now + grantTimeout, {} };
+            if (this->urgentShare > 0) {
+                waiter.operation.priority = this->uniform() < this->urgentShare ? 0 : 1;
+                waiter.giveUpAt = now + (waiter.operation.priority == 0 ? grantTimeout : 3 * grantTimeout);
+                waiter.operation.giveUpAt = TimePoint(milliseconds(waiter.giveUpAt));
+                waiter.operation.arrivedAt = TimePoint(milliseconds(now));
+            }
+            ++this->arrivedByPriority[waiter.operation.priority];
+            return waiter;
         }
 
         void step(int64_t now, bool hasFaults)
@@ -141,7 +160,7 @@
                     this->serveWaiting(vm, now);
                 if (this->uniform() < this->arrivalsPerMillisecond * this->weightOf(index)) {
                     ++this->operationCount;
-                    this->admit(vm, now, now + grantTimeout, false);
+                    this->admit(vm, now, this->arrival(now), false);
                 }
                 this->requestGrants(index, now);
             }
@@ -170,6 +189,10 @@
         std::vector<int64_t> admitted;
         size_t operationCount = 0;
         size_t refusedCount = 0;
+        // If above 0, operations have a time limit, and this share of them the highest of two priorities.
+        double urgentShare = 0;
+        std::array<size_t, 2> arrivedByPriority {};
+        std::array<size_t, 2> refusedByPriority {};
     };
 
     double permittedOperations(const OrganisationLimit& limit) { return (limit.ratePerSecond * 5 + limit.burst) * 1.1 + 20; }
@@ -187,6 +210,151 @@
         }
     }
 
+    // Guards against windows over the quota with operations that wait in line by priority.
+    TEST(QuotaTest, NoWindowExceedsBoundUnderFaultsWithPriorities)
+    {
+        for (uint32_t seed = 0; seed < 200; ++seed) {
+            const double rate = 5 + (seed * 37 % 150);
+            const OrganisationLimit limit { OrganisationId("o"), rate, rate };
+            QuotaFleet fleet(seed, 3 + seed % 10, limit, 1 + seed % 7);
+            fleet.urgentShare = 0.5;
+            for (int64_t now = 0; now < 20'000; now += 1)
+                fleet.step(now, true);
+            ASSERT_LE(static_cast<double>(fleet.maxAdmittedInWindow()), permittedOperations(limit)) << "seed " << seed << " rate " << rate;
+        }
+    }
+
+    // Guards against scarce tokens that go to the VM that is asked, and not to the highest priority over all VMs; and against a priority
+    // that gets none. The urgent operations are 0.6 of the rate, all of them three times the rate.
+    TEST(QuotaTest, ServesHighPriorityFirstAndStarvesNone)
+    {
+        for (const double rate : { 30.0, 150.0 }) {
+            const OrganisationLimit limit { OrganisationId("o"), rate, rate };
+            QuotaFleet fleet(1, 75, limit, 3);
+            fleet.isUneven = true;
+            fleet.lossProbability = 0;
+            fleet.urgentShare = 0.2;
+            for (int64_t now = 0; now < 20'000; now += 1) {
+                fleet.step(now, false);
+                if (now == 5000) {
+                    fleet.arrivedByPriority = {};
+                    fleet.refusedByPriority = {};
+                }
+            }
+            const double refusedUrgent = static_cast<double>(fleet.refusedByPriority[0]) / static_cast<double>(fleet.arrivedByPriority[0]);
+            const auto servedOthers = static_cast<double>(fleet.arrivedByPriority[1] - fleet.refusedByPriority[1]);
+            EXPECT_LT(refusedUrgent, 0.05) << "rate " << rate;
+            EXPECT_GT(servedOthers, 15 * rate / 8) << "rate " << rate;
+            // Demand far above the rate in one priority leaves the other one its eighth.
+            QuotaFleet urgent(2, 75, limit, 4);
+            urgent.lossProbability = 0;
+            urgent.urgentShare = 0.9;
+            for (int64_t now = 0; now < 20'000; now += 1) {
+                urgent.step(now, false);
+                if (now == 5000) {
+                    urgent.arrivedByPriority = {};
+                    urgent.refusedByPriority = {};
+                }
+            }
+            EXPECT_GT(static_cast<double>(urgent.arrivedByPriority[1] - urgent.refusedByPriority[1]), 0.05 * 15 * rate) << "rate " << rate;
+        }
+    }
+
+    // Guards against a token that goes to the operation that happens to be evaluated first.
+    TEST(QuotaTest, ServesWaitingOperationsByPriorityThenTimeLeft)
+    {
+        const auto at = [](int64_t time) { return TimePoint(milliseconds(time)); };
+        const OrganisationLimit limit { OrganisationId("o"), 90, 90 };
+        LocalQuota localQuota(bounds);
+        const QuotaOperation relaxed { 1, at(1500), at(1000) };
+        const QuotaOperation late { 0, at(1900), at(1000) };
+        const QuotaOperation urgent { 0, at(1400), at(1010) };
+        for (const QuotaOperation& operation : { relaxed, late, urgent })
+            ASSERT_EQ(localQuota.admit(limit, 9, at(1010), false, operation), QuotaDecision::Wait);
+        const std::vector<QuotaRequest> requests = localQuota.collectRequests(at(1020));
+        ASSERT_EQ(requests.size(), 1U);
+        ASSERT_EQ(requests[0].waiting.size(), 3U);
+        EXPECT_EQ(requests[0].waiting[0].timeLeft, milliseconds(380));
+        EXPECT_EQ(requests[0].waiting[2].priority, 1U);
+        // Of three tokens one goes to the operation that has waited longest.
+        localQuota.applyGrants({ { limit.organisation, 1, 0, {}, 10 } }, at(1020), at(1040));
+        EXPECT_EQ(localQuota.admit(limit, 9, at(1040), true, late), QuotaDecision::Wait);
+        EXPECT_EQ(localQuota.admit(limit, 9, at(1040), false, { 1, at(1600), at(1040) }), QuotaDecision::Wait);
+        EXPECT_EQ(localQuota.admit(limit, 9, at(1040), true, urgent), QuotaDecision::Admitted);
+        localQuota.collectRequests(at(1050));
+        localQuota.applyGrants({ { limit.organisation, 1, 1, {}, 10 } }, at(1050), at(1060));
+        const QuotaOperation newest { 0, at(1300), at(1060) };
+        EXPECT_EQ(localQuota.admit(limit, 9, at(1060), false, newest), QuotaDecision::Wait);
+        EXPECT_EQ(localQuota.admit(limit, 9, at(1060), true, relaxed), QuotaDecision::Admitted);
+    }
+
+    // Guards against waits without hope, and against callers that all return at the same time.
+    TEST(QuotaTest, TellsEachRefusedOperationItsOwnTimeToReturn)
+    {
+        const auto at = [](int64_t time) { return TimePoint(milliseconds(time)); };
+        const OrganisationLimit limit { OrganisationId("o"), 100, 100 };
+        LocalQuota localQuota(bounds);
+        localQuota.recordRequestSent(at(1000));
+        // An operation of priority 0 gets a token in 100 ms, one of priority 2 or lower in 600 ms.
+        localQuota.applyGrants(
+            { { limit.organisation, 0, 0, { { 0, milliseconds(100) }, { 2, milliseconds(600) } }, 20 } }, at(1000), at(1010));
+        EXPECT_EQ(localQuota.admit(limit, 9, at(1020), false, { 0, at(1220), at(1020) }), QuotaDecision::Wait);
+        const QuotaOperation refused { 3, at(1220), at(1020) };
+        ASSERT_EQ(localQuota.admit(limit, 9, at(1020), false, refused), QuotaDecision::Refused);
+        TimePoint last = localQuota.takeReturnTime(limit, 9, at(1020), refused);
+        EXPECT_GE(last, at(1610));
+        for (int place = 0; place < 20; ++place) {
+            const TimePoint next = localQuota.takeReturnTime(limit, 9, at(1020), refused);
+            // The VM gets 20 tokens per second.
+            EXPECT_EQ(next - last, milliseconds(50));
+            last = next;
+        }
+        EXPECT_EQ(localQuota.admit(limit, 9, at(1020), false, { 3, at(2220), at(1020) }), QuotaDecision::Wait);
+    }
+
+    // Guards against a token that one VM takes although an operation of higher priority waits on another VM.
+    TEST(QuotaTest, AllocatorKeepsTokenForHigherPriority)
+    {
+        const auto at = [](int64_t time) { return TimePoint(milliseconds(time)); };
+        const OrganisationLimit limit { OrganisationId("o"), 10, 10 };
+        QuotaAllocator allocator(bounds);
+        const auto request = [&](const char* vm, uint32_t priority, int64_t waited, size_t count, int64_t now) {
+            const QuotaClaim claim { priority, milliseconds(500), milliseconds(waited), count };
+            return allocator.grant(VmId(vm), { { limit.organisation, { claim }, 0, 0, 5 } }, { limit }, 2, at(now)).at(0);
+        };
+        request("low", 1, 0, 100, 1000);
+        request("high", 0, 0, 100, 1000);
+        // The level is below one token now, and it is the turn of the operation that has waited longest.
+        EXPECT_EQ(request("low", 1, 0, 1, 1010).tokens, 0);
+        EXPECT_FALSE(request("high", 0, 50, 1, 1020).line.empty());
+        const QuotaGrant turn = request("high", 0, 170, 1, 1140);
+        EXPECT_EQ(turn.tokens, 1);
+        EXPECT_EQ(turn.oldestFirst, 1U);
+        EXPECT_EQ(request("high", 0, 0, 1, 1150).tokens, 0);
+        EXPECT_EQ(request("low", 1, 300, 1, 1250).tokens, 0);
+        EXPECT_EQ(request("high", 0, 110, 1, 1260).tokens, 1);
+        // Claims that their VM does not repeat, and what is kept for expected ones, keep no token for long.
+        request("high", 0, 0, 1, 1270);
+        EXPECT_EQ(request("low", 1, 400, 1, 1360).tokens, 0);
+        EXPECT_EQ(request("low", 1, 900, 1, 1860).tokens, 1);
+    }
+
+    // Guards against a VM whose static share of an organisation starts empty when it sees the organisation for the first time, and against
+    // a refusal while a token is about to be there (FleetTest.AnswersAllRequestsOfPipeliningCaller).
+    TEST(QuotaTest, StaticShareFillsFromTheStart)
+    {
+        const auto at = [](int64_t time) { return TimePoint(milliseconds(time)); };
+        LocalQuota localQuota(bounds);
+        localQuota.recordRequestSent(at(1));
+        EXPECT_EQ(localQuota.admit({ OrganisationId("o"), 90, 90 }, 9, at(2000)), QuotaDecision::Admitted);
+        // One token in 3 s.
+        const OrganisationLimit small { OrganisationId("small"), 3, 3 };
+        EXPECT_EQ(localQuota.admit(small, 9, at(2001), false, { 0, at(2201), at(2001) }), QuotaDecision::Refused);
+        EXPECT_EQ(localQuota.refusalCause(small.organisation, at(2001)), QuotaRefusalCause::StaticShareUsed);
+        EXPECT_EQ(localQuota.admit(small, 9, at(2001), false, { 0, at(3201), at(2001) }), QuotaDecision::Wait);
+        EXPECT_EQ(localQuota.admit(small, 9, at(3050), true, { 0, at(3201), at(2001) }), QuotaDecision::Admitted);
+    }
+
     // The operations that one bucket for the whole fleet admits, against which a fleet is compared.
     struct CommonBucket {
         double level = 0;
