--- a/foxtailtrail/limits/LocalQuota.cpp
+++ b/foxtailtrail/limits/LocalQuota.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace foxtail {
 
@@ -122,14 +123,17 @@
         quota.waiting.erase(found);
     if (now < quota.usableUntil && quota.grantedTokens >= 1 && !areAllClaimedBefore(quota, operation, quota.grantedTokens, now)) {
         quota.grantedTokens -= 1;
+        quota.usage.used += 1;
         quota.oldestFirst = quota.oldestFirst > 0 ? quota.oldestFirst - 1 : 0;
         quota.needsMore = quota.grantedTokens < quota.lastWanted * lowTokenShare || !quota.waiting.empty();
         return QuotaDecision::Admitted;
     }
     quota.needsMore = true;
     if (!this->isAllocatorAvailable(now) && now >= quota.usableUntil) {
-        if (this->takeFromStaticShare(quota, limit, fleetSize, now))
+        if (this->takeFromStaticShare(quota, limit, fleetSize, now)) {
+            quota.usage.used += 1;
             return QuotaDecision::Admitted;
+        }
     } else
         quota.staticShareFilledAt = now;
     // An operation that waits keeps its place; one that arrives waits only if a token can be there in time.
@@ -203,8 +207,10 @@
         quota.demandPerSecond += weight * (observed - quota.demandPerSecond);
         quota.recentArrivals = quota.recentArrivals * std::exp(-elapsed / recentPeriodSeconds) + quota.arrivals;
         quota.arrivals = 0;
+        if (now >= quota.usableUntil)
+            quota.usage.expired += std::exchange(quota.grantedTokens, 0);
         // Tokens for expected operations return early when other VMs lack them.
-        const bool returnsTokens = quota.grantedTokens >= 1 && now < quota.usableUntil && !quota.line.empty();
+        const bool returnsTokens = quota.grantedTokens >= 1 && !quota.line.empty();
         if (!quota.needsMore && !returnsTokens)
             continue;
         // An organisation with rare operations on this VM gets one token for each, so that few tokens are idle in a large fleet.
@@ -212,9 +218,9 @@
         const double coverage = std::clamp((quota.recentArrivals - 1) / (recentArrivalsForFullCoverage - 1), 0.0, 1.0);
         const double expected = coverage * (demand * grantCoverageSeconds + std::min(grantReserveTokens, demand));
         quota.lastWanted = static_cast<double>(quota.waiting.size()) + expected;
-        requests.push_back({ organisation, claimsOf(quota, now), expected, now < quota.usableUntil ? quota.grantedTokens : 0, demand });
+        requests.push_back({ organisation, claimsOf(quota, now), expected, quota.grantedTokens, demand });
         // The request returns these tokens, so they must not be used while it is in flight.
-        quota.grantedTokens = 0;
+        quota.usage.returned += std::exchange(quota.grantedTokens, 0);
         quota.oldestFirst = 0;
         quota.needsMore = false;
         quota.requestedAt = now;
@@ -227,6 +233,9 @@
     this->lastGrantAt = now;
     for (const QuotaGrant& grant : grants) {
         OrganisationQuota& quota = this->quotas[grant.organisation];
+        // A late reply replaces what is left of the one before it.
+        quota.usage.expired += quota.grantedTokens;
+        quota.usage.granted += grant.tokens;
         quota.grantedTokens = grant.tokens;
         quota.oldestFirst = grant.oldestFirst;
         quota.line = grant.line;
@@ -236,6 +245,16 @@
     }
 }
 
+std::map<OrganisationId, QuotaUsage> LocalQuota::takeUsage()
+{
+    std::map<OrganisationId, QuotaUsage> usages;
+    for (auto& [organisation, quota] : this->quotas) {
+        if (!quota.usage.isEmpty())
+            usages.emplace(organisation, std::exchange(quota.usage, {}));
+    }
+    return usages;
+}
+
 bool LocalQuota::isRequestDue(size_t fleetSize, TimePoint now) const
 {
     if (now < this->lastRequestAt + (fleetSize < largeFleetSize ? minRequestInterval : minRequestIntervalLargeFleet))
--- a/foxtailtrail/limits/LocalQuota.h
+++ b/foxtailtrail/limits/LocalQuota.h
@@ -37,6 +37,17 @@
 constexpr std::array<std::string_view, 5> quotaRefusalCauseNames { "OrganisationExhausted", "GrantTooSmall", "NoReply", "NotRequested",
     "StaticShareUsed" };
 
+// What became of the tokens of one organisation on this VM.
+struct QuotaUsage {
+    double granted = 0;
+    // Of grants and of the static share.
+    double used = 0;
+    // Returned to the allocator unused, and lost at the end of the grant's lifetime.
+    double returned = 0;
+    double expired = 0;
+    bool isEmpty() const { return this->granted + this->used + this->returned + this->expired == 0; }
+};
+
 // An operation that asks for a token.
 struct QuotaOperation {
     // 0 is the highest priority.
@@ -80,6 +91,9 @@
     // Applies the grants of a request that was sent at the given time.
     void applyGrants(const std::vector<QuotaGrant>&, TimePoint requestSentAt, TimePoint now);
 
+    // Returns what became of the tokens since the last call, for the log and the metrics.
+    std::map<OrganisationId, QuotaUsage> takeUsage();
+
     // Returns whether a new request is due: an organisation needs tokens, or the last request was long ago.
     bool isRequestDue(size_t fleetSize, TimePoint now) const;
     // Records that a request was sent, which delays the next one.
@@ -111,6 +125,7 @@
         std::multiset<QuotaOperation> waiting;
         // The tokens of the static share, used without an allocator.
         double staticShareLevel = 0;
+        QuotaUsage usage {};
         TimePoint staticShareFilledAt {};
     };
     static bool isLineKnown(const OrganisationQuota&, TimePoint now);
--- a/foxtailtrail/proxy/ProxyMetrics.cpp
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -30,6 +30,8 @@
                                                                  .Name("foxtail_quota_refusals_total")
                                                                  .Help("Operations that the quotas have refused, by cause")
                                                                  .Register(registry);
+    prometheus::Family<prometheus::Counter>& quotaTokens
+        = prometheus::BuildCounter().Name("foxtail_quota_tokens_total").Help("Tokens of quotas on this VM, by event").Register(registry);
     prometheus::Family<prometheus::Counter>& promotions
         = prometheus::BuildCounter().Name("foxtail_session_promotions_total").Help("Promotions carried out by this VM").Register(registry);
     prometheus::Family<prometheus::Gauge>& state
@@ -61,6 +63,11 @@
     this->implementation->quotaRefusals.Add({ { "cause", std::string(cause) } }).Increment();
 }
 
+void ProxyMetrics::countQuotaTokens(std::string_view event, double count)
+{
+    this->implementation->quotaTokens.Add({ { "event", std::string(event) } }).Increment(count);
+}
+
 void ProxyMetrics::countPromotion() { this->implementation->promotions.Add({}).Increment(); }
 
 std::string ProxyMetrics::exposition(const ProxyGauges& gauges)
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -37,6 +37,8 @@
     void countOpening(std::string_view outcome);
     // Counts an operation that the quotas have refused, by its cause.
     void countQuotaRefusal(std::string_view cause);
+    // Counts tokens of quotas by what became of them: granted, used, returned or expired.
+    void countQuotaTokens(std::string_view event, double count);
     // Counts a promotion that this VM has performed.
     void countPromotion();
 
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -20,6 +20,8 @@
     // Shorter than the two seconds after which callers close a session that has no reply to its start message.
     constexpr Duration configurationTimeout = std::chrono::milliseconds(1500);
     constexpr Duration quotaRefusalLogInterval = std::chrono::milliseconds(500);
+    // The organisations with the most operations that one log line lists.
+    constexpr size_t maxReportedOrganisations = 10;
     // The fraction of a server's maximum number of connections that traffic may use; the rest is reserved for promotions and VMs
     // that start.
     constexpr double trafficConnectionFraction = 0.9;
@@ -387,8 +389,39 @@
         if (const size_t count = std::exchange(this->quotaRefusals[index], 0))
             fields[quotaRefusalCauseNames[index]] = count;
     }
-    if (!fields.empty())
+    const bool hasRefused = !fields.empty();
+    if (hasRefused)
         logEvent(LogLevel::Info, "operations refused by quota", std::move(fields));
+    this->reportQuotaUsage(hasRefused);
+}
+
+void SessionProxy::reportQuotaUsage(bool hasRefused)
+{
+    QuotaUsage total;
+    std::vector<std::pair<double, json::array>> organisations;
+    for (const auto& [organisation, usage] : this->localQuota.takeUsage()) {
+        total.granted += usage.granted;
+        total.used += usage.used;
+        total.returned += usage.returned;
+        total.expired += usage.expired;
+        organisations.emplace_back(
+            usage.used, json::array { organisation.value, usage.granted, usage.used, usage.returned, usage.expired });
+    }
+    this->proxyMetrics.countQuotaTokens("granted", total.granted);
+    this->proxyMetrics.countQuotaTokens("used", total.used);
+    this->proxyMetrics.countQuotaTokens("returned", total.returned);
+    this->proxyMetrics.countQuotaTokens("expired", total.expired);
+    if (!hasRefused || organisations.empty())
+        return;
+    const size_t count = std::min(organisations.size(), maxReportedOrganisations);
+    std::partial_sort(organisations.begin(), organisations.begin() + static_cast<std::ptrdiff_t>(count), organisations.end(),
+        [](const auto& left, const auto& right) { return left.first > right.first; });
+    json::array list;
+    for (size_t index = 0; index < count; ++index)
+        list.push_back(std::move(organisations[index].second));
+    logEvent(LogLevel::Info, "quota usage",
+        { { "granted", total.granted }, { "used", total.used }, { "returned", total.returned }, { "expired", total.expired },
+            { "organisations", std::move(list) } });
 }
 
 void SessionProxy::removeConnection(CallerConnection& connection)
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -145,6 +145,8 @@
     void refuseByQuota(const OrganisationLimit&, const QuotaOperation&, QuotaRefusalCause, const AdmissionCallback&, TimePoint now);
     // Logs the operations that the quotas have refused since the last call.
     void logQuotaRefusals(TimePoint now);
+    // Counts what became of the tokens, and logs it by organisation if operations were refused.
+    void reportQuotaUsage(bool hasRefused);
     void acceptNext();
     void addConnection(boost::asio::ip::tcp::socket);
     void scheduleSweep();
--- a/tests/limits/QuotaTest.cpp
+++ b/tests/limits/QuotaTest.cpp
@@ -339,6 +339,25 @@
         EXPECT_EQ(request("low", 1, 900, 1, 1860).tokens, 1);
     }
 
+    // Guards against tokens that no counter explains: each one granted is used, returned or expired.
+    TEST(QuotaTest, AccountsForEachToken)
+    {
+        const auto at = [](int64_t time) { return TimePoint(milliseconds(time)); };
+        const OrganisationLimit limit { OrganisationId("o"), 90, 90 };
+        LocalQuota localQuota(bounds);
+        localQuota.applyGrants({ { limit.organisation, 5, 0, {}, 0 } }, at(1000), at(1010));
+        ASSERT_EQ(localQuota.admit(limit, 9, at(1020)), QuotaDecision::Admitted);
+        localQuota.collectRequests(at(2300));
+        localQuota.applyGrants({ { limit.organisation, 3, 0, { { 0, milliseconds(10) } }, 10 } }, at(2300), at(2310));
+        EXPECT_EQ(localQuota.collectRequests(at(2400)).at(0).unused, 3);
+        const QuotaUsage usage = localQuota.takeUsage().at(limit.organisation);
+        EXPECT_EQ(usage.granted, 8);
+        EXPECT_EQ(usage.used, 1);
+        EXPECT_EQ(usage.expired, 4);
+        EXPECT_EQ(usage.returned, 3);
+        EXPECT_TRUE(localQuota.takeUsage().empty());
+    }
+
     // Guards against a VM whose static share of an organisation starts empty when it sees the organisation for the first time, and against
     // a refusal while a token is about to be there (FleetTest.AnswersAllRequestsOfPipeliningCaller).
     TEST(QuotaTest, StaticShareFillsFromTheStart)
