Decide the order of statements before a server by objective, priority and use

Cause: DirectPool sorted by strict priority and arrival, and its window started at 16 and grew although a server has 2 to 6 slots, so the order was made inside the server, where neither objective nor priority counts. What could not start waited until its time was over.

Change: StatementQueue plans the order; ServerThroughput bounds the statements at a server by its slots and the time of travel; OpeningPolicy weighs an opening against the wait for a connection that the organisation uses; statements without hope are refused at once, with a time to return (RunResult::retryAt, over the relay in Denied); the relay learns the objective.

--- a/foxtailtrail/proxy/BackendLink.h
+++ b/foxtailtrail/proxy/BackendLink.h
@@ -6,6 +6,7 @@
 #include "foxtailtrail/session/LinkState.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,8 @@
     void sendStatements(std::string_view bytes, size_t count);
     // Returns the number of statements without a reply.
     size_t outstandingStatements() const { return this->sentTimes.size(); }
+    // Returns when the oldest statement without a reply was sent. There must be one.
+    TimePoint oldestSentAt() const { return this->sentTimes.front(); }
     // Returns whether the link is usable, every statement has a reply and the last one left the connection outside of a
     // transaction.
     bool isReusable() const { return this->sentTimes.empty() && this->lastTransactionState == TransactionState::None && this->isUsable(); }
@@ -80,6 +83,8 @@
     // Returns the time until which the statements may wait for a connection before they are sent; a time in the past when the
     // connection is already open.
     virtual TimePoint startsBy() const { return TimePoint {}; }
+    // Returns when a request that was denied as exhausted may return, if that is known.
+    virtual std::optional<TimePoint> returnAt() const { return std::nullopt; }
 
     // The time at which the link was last returned to its pool.
     TimePoint becameIdleAt {};
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -415,6 +415,8 @@
         else
             this->session.failTransaction();
     }
+    if (result.retryAt)
+        result.detail = retryAfterDetail(std::max(Duration(0), *result.retryAt - bootNow()));
     this->sendErrorReply(result.error, result.detail);
 }
 
--- a/foxtailtrail/proxy/DirectPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -5,7 +5,10 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <cassert>
+#include <set>
+#include <string_view>
 #include <utility>
+#include <vector>
 
 namespace foxtail {
 
@@ -14,9 +17,8 @@
     // Connecting across regions takes about 30 ms. An attempt exceeds this timeout when the accept queue is full or the host does
     // not respond.
     constexpr Duration openTimeout = std::chrono::milliseconds(500);
-    // Time for which a statement waits for a connection that its organisation already uses before another one is opened. An opening
-    // occupies a slot of the server for 12 ms.
-    constexpr Duration linkReuseTimeout = std::chrono::milliseconds(30);
+    // Interval after which it is decided again whether a waiter needs a connection of its own.
+    constexpr Duration openingReviewInterval = std::chrono::milliseconds(30);
     // Idle timeout of connections beyond the core size.
     constexpr Duration surplusIdleTimeout = std::chrono::milliseconds(1500);
     // Idle timeout of all other connections. Backend servers close idle connections after a minute; this VM closes them first.
@@ -31,6 +33,7 @@
     , openListener(std::move(listener))
     , random(static_cast<std::minstd_rand::result_type>(bootNow().time_since_epoch().count()))
 {
+    this->window.setCeiling(this->throughput.statementsToKeepBusy(entry.slots));
 }
 
 void DirectPool::recordBusy()
@@ -57,24 +60,49 @@
     // Waiting requests have precedence over the new one.
     if (this->waiters.empty() && this->maySendStatement(now)) {
         if (std::shared_ptr<DirectLink> freeLink = this->takeFreeLink(request.organisation)) {
+            if (!request.isControl)
+                this->queue.recordStart(request.organisation, now);
             callback(AcquireOutcome::Acquired, freeLink);
             return 0;
         }
     }
     const uint64_t ticket = this->nextTicket++;
-    // A lower number is a higher priority. Requests of equal priority are served in the order of arrival.
-    const auto insertionPoint = std::find_if(
-        this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.request.priority > request.priority; });
-    this->waiters.insert(insertionPoint, Waiter { ticket, request, now, std::move(callback) });
+    this->queue.push({ ticket, request.organisation, request.priority, now, request.objectiveAt, request.giveUpAt, request.isControl });
+    if (this->queue.isHopeless(ticket, now, this->pace(now))) {
+        this->queue.remove(ticket);
+        callback(AcquireOutcome::Exhausted, nullptr);
+        return 0;
+    }
+    this->waiters.emplace(ticket, Waiter { request, now, std::move(callback) });
     if (this->inUseByOrganisation.count(request.organisation) > 0)
-        this->serveWaitersAt(now + linkReuseTimeout);
+        this->serveWaitersAt(now + openingReviewInterval);
     this->serveWaiters();
     return ticket;
 }
 
-void DirectPool::cancel(uint64_t ticket)
+ServerPace DirectPool::pace(TimePoint now) const
+{
+    TimePoint oldestSentAt = now;
+    for (const auto& [link, inUseLink] : this->inUse) {
+        if (link->outstandingStatements() > 0)
+            oldestSentAt = std::min(oldestSentAt, link->oldestSentAt());
+    }
+    return this->throughput.pace(this->window.size(), this->slotsInUse() >= this->window.size(), oldestSentAt, now);
+}
+
+std::optional<TimePoint> DirectPool::nextReturnAt()
+{
+    const TimePoint now = bootNow();
+    return this->queue.nextReturnAt(now, this->pace(now));
+}
+
+void DirectPool::cancel(uint64_t ticket) { this->removeWaiter(ticket); }
+
+LinkPool::AcquireCallback DirectPool::removeWaiter(uint64_t ticket)
 {
-    this->waiters.remove_if([&](const Waiter& waiter) { return waiter.ticket == ticket; });
+    this->queue.remove(ticket);
+    const auto waiter = this->waiters.extract(ticket);
+    return waiter ? std::move(waiter.mapped().callback) : nullptr;
 }
 
 std::shared_ptr<DirectLink> DirectPool::takeFreeLink(const std::string& organisation)
@@ -86,7 +114,7 @@
         this->idle.erase(std::next(link).base());
         if (!freeLink->isReusable())
             return this->takeFreeLink(organisation);
-        this->inUse.emplace(freeLink.get(), freeLink);
+        this->inUse.emplace(freeLink.get(), InUseLink { freeLink, bootNow() });
         ++this->inUseByOrganisation[organisation];
         return freeLink;
     }
@@ -99,39 +127,6 @@
         [&](const std::shared_ptr<DirectLink>& link) { return link->organisation() == organisation; });
 }
 
-std::list<DirectPool::Waiter>::iterator DirectPool::nextWaiter()
-{
-    // Within a priority, selects the organisation with the fewest connections in use; connections that are being opened count as in
-    // use.
-    const TimePoint now = bootNow();
-    std::map<std::string, size_t> usedByOrganisation = this->inUseByOrganisation;
-    for (const PendingOpening& pendingOpening : this->pendingOpenings)
-        ++usedByOrganisation[pendingOpening.link->organisation()];
-    auto selected = this->waiters.end();
-    std::map<std::string, size_t> pendingByOrganisation;
-    for (const PendingOpening& pendingOpening : this->pendingOpenings)
-        ++pendingByOrganisation[pendingOpening.link->organisation()];
-    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end(); ++waiter) {
-        if (selected != this->waiters.end() && waiter->request.priority > selected->request.priority)
-            break;
-        // An organisation's connection that is in use usually becomes free before a new one could be opened.
-        const bool canWaitForReuse
-            = now<waiter->queuedAt + linkReuseTimeout&& this->inUseByOrganisation.count(waiter->request.organisation)> 0;
-        if (canWaitForReuse && !this->hasFreeLink(waiter->request.organisation))
-            continue;
-        // A connection that is being opened serves the first waiter of its organisation.
-        size_t& pendingCount = pendingByOrganisation[waiter->request.organisation];
-        if (pendingCount > 0 && !this->hasFreeLink(waiter->request.organisation)) {
-            --pendingCount;
-            continue;
-        }
-        if (selected == this->waiters.end()
-            || usedByOrganisation[waiter->request.organisation] < usedByOrganisation[selected->request.organisation])
-            selected = waiter;
-    }
-    return selected;
-}
-
 void DirectPool::serveWaiters()
 {
     // A callback that releases its connection at once calls this function again; the running loop then serves the next waiter.
@@ -139,34 +134,59 @@
         return;
     const auto self = this->shared_from_this();
     this->isServingWaiters = true;
-    this->serveEligibleWaiters();
+    for (TimePoint now = bootNow(); !this->waiters.empty() && !this->isRetired && this->maySendStatement(now); now = bootNow()) {
+        if (!this->serveNextWaiter(now))
+            break;
+    }
     this->isServingWaiters = false;
 }
 
-void DirectPool::serveEligibleWaiters()
+bool DirectPool::serveNextWaiter(TimePoint now)
 {
-    while (!this->isRetired && this->maySendStatement(bootNow())) {
-        const auto waiter = this->nextWaiter();
-        if (waiter == this->waiters.end())
-            return;
-        if (std::shared_ptr<DirectLink> freeLink = this->takeFreeLink(waiter->request.organisation)) {
-            const AcquireCallback callback = std::move(waiter->callback);
-            this->waiters.erase(waiter);
+    std::set<std::string_view> idleOrganisations;
+    for (const auto& link : this->idle)
+        idleOrganisations.insert(link->organisation());
+    std::map<std::string_view, size_t> waitersBefore;
+    const size_t occupiedSlots = this->slotsInUse();
+    for (const PlannedStart& start : this->queue.startOrder(now, this->pace(now))) {
+        const Waiter& waiter = this->waiters.at(start.ticket);
+        const bool mayHaveFreeLink = idleOrganisations.count(waiter.request.organisation) > 0;
+        if (const auto freeLink = mayHaveFreeLink ? this->takeFreeLink(waiter.request.organisation) : nullptr) {
+            this->queue.recordStart(start, now);
+            const AcquireCallback callback = this->removeWaiter(start.ticket);
             callback(AcquireOutcome::Acquired, freeLink);
-            continue;
+            return true;
         }
         // An opening occupies a slot of the server, like a statement.
-        const TimePoint now = bootNow();
-        if (now < this->limit.pausedUntil() || this->slotsInUse() + this->pendingOpenings.size() >= this->window.size())
+        const size_t occupied = occupiedSlots + this->pendingOpenings.size();
+        if (now >= this->limit.pausedUntil() && occupied < this->window.size())
+            this->considerOpening(waiter, waitersBefore[waiter.request.organisation]++, now);
+    }
+    return false;
+}
+
+void DirectPool::considerOpening(const Waiter& waiter, size_t waitersBefore, TimePoint now)
+{
+    // A connection that is being opened serves the first waiter of its organisation.
+    const std::string& organisation = waiter.request.organisation;
+    const auto pendingCount = static_cast<size_t>(std::count_if(this->pendingOpenings.begin(), this->pendingOpenings.end(),
+        [&](const PendingOpening& pendingOpening) { return pendingOpening.link->organisation() == organisation; }));
+    if (waitersBefore < pendingCount)
+        return;
+    // A connection whose transaction is idle between statements may stay in use for long.
+    const auto busyCount = static_cast<size_t>(std::count_if(this->inUse.begin(), this->inUse.end(), [&](const auto& inUseLink) {
+        return inUseLink.second.link->organisation() == organisation && inUseLink.first->outstandingStatements() > 0;
+    }));
+    const bool mustReplace = this->limit.mustReplace(this->size(), now);
+    if (!this->openingPolicy.shouldOpen(busyCount, waitersBefore - pendingCount, now - waiter.queuedAt, mustReplace))
+        return;
+    // Closes an idle connection, possibly of another organisation, to make room.
+    if (mustReplace) {
+        if (this->idle.empty())
             return;
-        // Closes an idle connection, possibly of another organisation, to make room.
-        if (this->limit.mustReplace(this->size(), now)) {
-            if (this->idle.empty())
-                return;
-            this->closeLongestIdle();
-        }
-        this->openFor(waiter->request.organisation);
+        this->closeLongestIdle();
     }
+    this->openFor(organisation, now);
 }
 
 void DirectPool::closeLongestIdle()
@@ -179,24 +199,29 @@
 bool DirectPool::hasWaiter(const std::string& organisation) const
 {
     return std::any_of(
-        this->waiters.begin(), this->waiters.end(), [&](const Waiter& waiter) { return waiter.request.organisation == organisation; });
+        this->waiters.begin(), this->waiters.end(), [&](const auto& waiter) { return waiter.second.request.organisation == organisation; });
 }
 
-void DirectPool::openFor(const std::string& organisation)
+void DirectPool::openFor(const std::string& organisation, TimePoint now)
 {
     auto self = this->shared_from_this();
     auto link = DirectLink::open(this->context, this->codec, this->server(), organisation,
         [self](LinkOpenOutcome openOutcome, const std::shared_ptr<DirectLink>& openedLink) {
             self->handleOpenOutcome(openOutcome, openedLink);
         });
-    const TimePoint now = bootNow();
     this->limit.recordAttempt(this->size(), now);
-    this->pendingOpenings.push_back({ std::move(link), now + openTimeout });
+    this->pendingOpenings.push_back({ std::move(link), now, now + openTimeout });
 }
 
 void DirectPool::handleOpenOutcome(LinkOpenOutcome openOutcome, const std::shared_ptr<DirectLink>& link)
 {
-    this->pendingOpenings.remove_if([&](const PendingOpening& pendingOpening) { return pendingOpening.link == link; });
+    const auto pendingOpening = std::find_if(
+        this->pendingOpenings.begin(), this->pendingOpenings.end(), [&](const PendingOpening& each) { return each.link == link; });
+    if (pendingOpening != this->pendingOpenings.end()) {
+        if (openOutcome == LinkOpenOutcome::Opened)
+            this->openingPolicy.recordOpening(bootNow() - pendingOpening->startedAt);
+        this->pendingOpenings.erase(pendingOpening);
+    }
     this->openListener(this->server().id, openOutcome);
     if (openOutcome == LinkOpenOutcome::Opened) {
         link->becameIdleAt = bootNow();
@@ -219,9 +244,10 @@
 
 void DirectPool::failWaiters(AcquireOutcome outcome)
 {
-    std::list<Waiter> failedWaiters;
-    failedWaiters.swap(this->waiters);
-    for (Waiter& waiter : failedWaiters)
+    const auto failedWaiters = std::exchange(this->waiters, {});
+    for (const auto& [ticket, waiter] : failedWaiters)
+        this->queue.remove(ticket);
+    for (const auto& [ticket, waiter] : failedWaiters)
         waiter.callback(outcome, nullptr);
 }
 
@@ -231,9 +257,11 @@
         this->inUse.begin(), this->inUse.end(), [](const auto& inUseLink) { return inUseLink.first->outstandingStatements() > 0; }));
 }
 
-void DirectPool::recordReply()
+void DirectPool::recordReply(TimePoint sentAt)
 {
+    this->throughput.recordReply(sentAt, bootNow());
     this->window.recordReply();
+    this->window.setCeiling(this->throughput.statementsToKeepBusy(this->server().slots));
     // The reply frees a slot of the server, even when a transaction keeps the connection.
     if (!this->waiters.empty())
         this->serveWaiters();
@@ -243,7 +271,8 @@
 {
     const auto inUseLink = this->inUse.find(link.get());
     assert(inUseLink != this->inUse.end());
-    std::shared_ptr<DirectLink> removedLink = std::move(inUseLink->second);
+    std::shared_ptr<DirectLink> removedLink = std::move(inUseLink->second.link);
+    this->openingPolicy.recordUse(bootNow() - inUseLink->second.takenAt);
     this->inUse.erase(inUseLink);
     removedLink->setListener(nullptr);
     const auto count = this->inUseByOrganisation.find(removedLink->organisation());
@@ -290,15 +319,7 @@
     for (const auto& link : expiredOpenings)
         link->cancelOpening();
 
-    std::list<Waiter> expiredWaiters;
-    for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
-        auto next = std::next(waiter);
-        if (waiter->request.giveUpAt <= now)
-            expiredWaiters.splice(expiredWaiters.end(), this->waiters, waiter);
-        waiter = next;
-    }
-    for (Waiter& waiter : expiredWaiters)
-        waiter.callback(AcquireOutcome::Exhausted, nullptr);
+    this->rejectHopelessWaiters(now);
 
     this->idle.remove_if([&](const std::shared_ptr<DirectLink>& link) { return !link->isReusable(); });
     while (!this->idle.empty()) {
@@ -312,6 +333,22 @@
         this->serveWaiters();
 }
 
+void DirectPool::rejectHopelessWaiters(TimePoint now)
+{
+    if (this->waiters.empty())
+        return;
+    std::vector<uint64_t> rejected = this->queue.hopeless(now, this->pace(now));
+    for (const auto& [ticket, waiter] : this->waiters) {
+        if (waiter.request.giveUpAt <= now)
+            rejected.push_back(ticket);
+    }
+    for (const uint64_t ticket : rejected) {
+        // The callback of another one may have cancelled it, and a ticket may be rejected for both reasons.
+        if (const AcquireCallback callback = this->removeWaiter(ticket))
+            callback(AcquireOutcome::Exhausted, nullptr);
+    }
+}
+
 void DirectPool::retire()
 {
     this->isRetired = true;
--- a/foxtailtrail/proxy/DirectPool.h
+++ b/foxtailtrail/proxy/DirectPool.h
@@ -5,6 +5,9 @@
 #include "foxtailtrail/proxy/LinkPool.h"
 #include "foxtailtrail/scheduling/ConcurrencyWindow.h"
 #include "foxtailtrail/scheduling/ConnectionLimit.h"
+#include "foxtailtrail/scheduling/OpeningPolicy.h"
+#include "foxtailtrail/scheduling/ServerThroughput.h"
+#include "foxtailtrail/scheduling/StatementQueue.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,7 +33,8 @@
     void release(const std::shared_ptr<BackendLink>&) override;
     void drop(const std::shared_ptr<BackendLink>&) override;
     void recordBusy() override;
-    void recordReply() override;
+    void recordReply(TimePoint sentAt) override;
+    std::optional<TimePoint> nextReturnAt() override;
     bool hasFreeLink(const std::string& organisation) const override;
     uint32_t outstandingRequests() const override { return static_cast<uint32_t>(this->inUse.size() + this->waiters.size()); }
 
@@ -45,29 +49,39 @@
 
 private:
     struct Waiter {
-        uint64_t ticket = 0;
         LinkRequest request;
         TimePoint queuedAt {};
         AcquireCallback callback;
     };
     struct PendingOpening {
         std::shared_ptr<DirectLink> link;
+        TimePoint startedAt {};
         TimePoint deadline {};
     };
+    struct InUseLink {
+        std::shared_ptr<DirectLink> link;
+        TimePoint takenAt {};
+    };
     std::shared_ptr<DirectLink> takeFreeLink(const std::string& organisation);
     // Returns the number of connections that occupy a slot of the server. A connection whose transaction is idle between statements
     // occupies none.
     size_t slotsInUse() const;
     // Returns whether another statement may be sent to the server now.
     bool maySendStatement(TimePoint now) const { return now >= this->busyUntil && this->slotsInUse() < this->window.size(); }
+    ServerPace pace(TimePoint now) const;
     // Schedules serveWaiters() for the given time.
     void serveWaitersAt(TimePoint);
-    void openFor(const std::string& organisation);
+    void openFor(const std::string& organisation, TimePoint now);
     void handleOpenOutcome(LinkOpenOutcome, const std::shared_ptr<DirectLink>&);
     void serveWaiters();
-    void serveEligibleWaiters();
-    // Returns the waiter to serve next, or the end iterator.
-    std::list<Waiter>::iterator nextWaiter();
+    // Serves the first waiter in the queue's order for which there is a connection, and opens connections for those before it. Returns
+    // whether a waiter was served.
+    bool serveNextWaiter(TimePoint now);
+    // Opens a connection for a waiter if that is the shorter way for it. The organisation has this many waiters before it.
+    void considerOpening(const Waiter&, size_t waitersBefore, TimePoint now);
+    AcquireCallback removeWaiter(uint64_t ticket);
+    // Rejects waiters that cannot be served in time.
+    void rejectHopelessWaiters(TimePoint now);
     std::shared_ptr<DirectLink> removeFromInUse(const std::shared_ptr<BackendLink>&);
     void failWaiters(AcquireOutcome);
     void closeLongestIdle();
@@ -77,11 +91,15 @@
     boost::asio::io_context& context;
     const BackendCodec& codec;
     OpenListener openListener;
-    std::list<Waiter> waiters;
+    // The waiters by ticket. The queue holds the same tickets.
+    std::map<uint64_t, Waiter> waiters;
+    StatementQueue queue;
+    ServerThroughput throughput;
+    OpeningPolicy openingPolicy;
     // Ordered by last use; the most recently used connection is at the back.
     std::list<std::shared_ptr<DirectLink>> idle;
     std::list<PendingOpening> pendingOpenings;
-    std::map<BackendLink*, std::shared_ptr<DirectLink>> inUse;
+    std::map<BackendLink*, InUseLink> inUse;
     std::map<std::string, size_t> inUseByOrganisation;
     ConnectionLimit limit;
     size_t coreSize = 1;
--- a/foxtailtrail/proxy/LinkPool.h
+++ b/foxtailtrail/proxy/LinkPool.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace foxtail {
@@ -20,6 +21,8 @@
     TimePoint giveUpAt {};
     // When the operation should end by the latency objective of its route.
     TimePoint objectiveAt = TimePoint::max();
+    // Whether the request serves the proxy's own work, such as the renewal of a lease. It goes before all others.
+    bool isControl = false;
 };
 
 // A pool of connections to one backend server, either this VM's own or those of a relay. Each connection belongs to one
@@ -48,8 +51,10 @@
 
     // Records a Busy error; this VM sends fewer statements to the server for a while.
     virtual void recordBusy() = 0;
-    // Records a reply to a statement.
-    virtual void recordReply() = 0;
+    // Records a reply to a statement that was sent at the given time.
+    virtual void recordReply(TimePoint sentAt) = 0;
+    // Returns when a request that has just failed with Exhausted may return, if the pool knows. Each call gives out a later time.
+    virtual std::optional<TimePoint> nextReturnAt() { return std::nullopt; }
 
     // Returns whether a connection for the organisation is available without opening one.
     virtual bool hasFreeLink(const std::string& organisation) const = 0;
--- a/foxtailtrail/proxy/RelayClient.cpp
+++ b/foxtailtrail/proxy/RelayClient.cpp
@@ -171,7 +171,7 @@
     if (frame.kind == RelayFrameKind::Answer)
         link->handleAnswer(frame.bytes);
     else if (frame.kind == RelayFrameKind::Denied)
-        link->handleDenial(frame.denial);
+        link->handleDenial(frame.denial, frame.returnAfterMs);
     else if (frame.kind == RelayFrameKind::Lost)
         link->handleServerLoss();
 }
@@ -200,8 +200,12 @@
     if (std::exchange(this->isChannelOpened, true)) {
         writeRelayStatements(frame, this->channel, static_cast<uint8_t>(statements), bytes);
     } else {
-        const RelayRequest relayRequest { this->entry.id, this->organisation(), this->request.priority,
-            toMilliseconds(this->request.giveUpAt - bootNow()) };
+        const TimePoint now = bootNow();
+        RelayRequest relayRequest { this->entry.id, this->organisation(), this->request.priority,
+            toMilliseconds(this->request.giveUpAt - now) };
+        if (this->request.objectiveAt != TimePoint::max())
+            relayRequest.objectiveInMs = toMilliseconds(this->request.objectiveAt - now);
+        relayRequest.isControl = this->request.isControl;
         writeRelayOpen(frame, this->channel, relayRequest, static_cast<uint8_t>(statements), bytes);
     }
     this->stream->sendFrame(frame);
@@ -249,9 +253,11 @@
     this->notifyLost();
 }
 
-void RelayedLink::handleDenial(AcquireOutcome denial)
+void RelayedLink::handleDenial(AcquireOutcome denial, std::optional<uint32_t> returnAfterMs)
 {
     const auto self = this->shared_from_this();
+    if (returnAfterMs)
+        this->denialReturnAt = bootNow() + std::chrono::milliseconds(*returnAfterMs);
     this->endChannel();
     this->isServerUnreachable = denial == AcquireOutcome::Unreachable;
     this->isServerLost = this->isServerUnreachable || denial == AcquireOutcome::Refused;
--- a/foxtailtrail/proxy/RelayClient.h
+++ b/foxtailtrail/proxy/RelayClient.h
@@ -75,6 +75,7 @@
     void abort() override;
     bool lossIndicatesServerFailure() const override { return this->isServerLost; }
     TimePoint startsBy() const override { return this->hasServerAnswered ? TimePoint {} : this->request.giveUpAt; }
+    std::optional<TimePoint> returnAt() const override { return this->denialReturnAt; }
 
     // Returns the connection to the VM that holds this link's server connection.
     const std::shared_ptr<RelayStream>& relayStream() const { return this->stream; }
@@ -83,7 +84,7 @@
 
     // Handlers of frames from the other VM.
     void handleAnswer(std::string_view bytes);
-    void handleDenial(AcquireOutcome);
+    void handleDenial(AcquireOutcome, std::optional<uint32_t> returnAfterMs);
     void handleServerLoss();
     // Handles the loss of the connection to the other VM. Statements that had not been sent have not run.
     void handleStreamLoss(bool wereSent);
@@ -102,6 +103,8 @@
     bool hasChannelEnded = false;
     bool isServerLost = false;
     bool isServerUnreachable = false;
+    // When the request may return, from the denial.
+    std::optional<TimePoint> denialReturnAt;
 };
 
 }
--- a/foxtailtrail/proxy/RelayFrame.cpp
+++ b/foxtailtrail/proxy/RelayFrame.cpp
@@ -10,6 +10,8 @@
 
     // The largest message of callers and servers is 1 MiB; an answer may contain several messages.
     constexpr size_t maxFrameBytes = size_t { 4 } << 20;
+    constexpr int32_t noObjective = INT32_MAX;
+    constexpr uint32_t noReturnTime = UINT32_MAX;
     constexpr auto lastFrameKind = static_cast<uint8_t>(RelayFrameKind::Leaving);
     constexpr auto lastAcquireOutcome = static_cast<uint8_t>(AcquireOutcome::Gone);
 
@@ -71,6 +73,10 @@
         frame.statementCount = reader.number<uint8_t>();
         frame.request.priority = reader.number<uint32_t>();
         frame.request.maxWaitMs = reader.number<uint32_t>();
+        const auto objectiveInMs = reader.number<int32_t>();
+        if (objectiveInMs != noObjective)
+            frame.request.objectiveInMs = objectiveInMs;
+        frame.request.isControl = reader.number<uint8_t>() != 0;
         frame.request.server = BackendServerId(std::string(reader.text(reader.number<uint16_t>())));
         frame.request.organisation = reader.text(reader.number<uint16_t>());
         frame.bytes = reader.remaining();
@@ -84,6 +90,9 @@
         append<uint8_t>(out, statements);
         append<uint32_t>(out, request.priority);
         append<uint32_t>(out, static_cast<uint32_t>(std::clamp<int64_t>(request.maxWaitMs, 0, UINT32_MAX)));
+        append<int32_t>(
+            out, static_cast<int32_t>(std::clamp<int64_t>(request.objectiveInMs.value_or(noObjective), INT32_MIN, noObjective)));
+        append<uint8_t>(out, request.isControl ? 1 : 0);
         append<uint16_t>(out, static_cast<uint16_t>(request.server.value.size()));
         out += request.server.value;
         append<uint16_t>(out, static_cast<uint16_t>(request.organisation.size()));
@@ -105,9 +114,12 @@
     writeFrame(out, RelayFrameKind::Release, channel, [&] { append<uint8_t>(out, leavesState ? 1 : 0); });
 }
 
-void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome denial)
+void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome denial, std::optional<uint32_t> returnAfterMs)
 {
-    writeFrame(out, RelayFrameKind::Denied, channel, [&] { append<uint8_t>(out, static_cast<uint8_t>(denial)); });
+    writeFrame(out, RelayFrameKind::Denied, channel, [&] {
+        append<uint8_t>(out, static_cast<uint8_t>(denial));
+        append<uint32_t>(out, returnAfterMs.value_or(noReturnTime));
+    });
 }
 
 void writeRelayAnswer(std::string& out, uint32_t channel, std::string_view bytes)
@@ -155,6 +167,9 @@
         if (denial > lastAcquireOutcome || denial == static_cast<uint8_t>(AcquireOutcome::Acquired))
             return RelayReadResult::Malformed;
         frame.denial = static_cast<AcquireOutcome>(denial);
+        const auto returnAfterMs = reader.number<uint32_t>();
+        if (returnAfterMs != noReturnTime)
+            frame.returnAfterMs = returnAfterMs;
         break;
     }
     case RelayFrameKind::Answer:
--- a/foxtailtrail/proxy/RelayFrame.h
+++ b/foxtailtrail/proxy/RelayFrame.h
@@ -42,6 +42,10 @@
     uint32_t priority = 0;
     // How long the request may wait for a connection, in milliseconds.
     int64_t maxWaitMs = 0;
+    // The time that is left until the objective, in milliseconds; negative when it has passed. Empty without an objective. The relay counts
+    // it from the arrival of the frame, so it is late by the time of travel.
+    std::optional<int64_t> objectiveInMs {};
+    bool isControl = false;
 };
 
 // One frame. Its bytes point into the buffer that it was read from.
@@ -53,6 +57,8 @@
     // For Release: whether session variables or prepared statements remain on the connection.
     bool leavesState = false;
     AcquireOutcome denial = AcquireOutcome::Exhausted;
+    // For Denied: after how many milliseconds the request may return, if the relay knows.
+    std::optional<uint32_t> returnAfterMs;
     RelayRequest request;
     std::string_view bytes;
 };
@@ -60,7 +66,7 @@
 void writeRelayOpen(std::string& out, uint32_t channel, const RelayRequest&, uint8_t statements, std::string_view bytes);
 void writeRelayStatements(std::string& out, uint32_t channel, uint8_t statements, std::string_view bytes);
 void writeRelayRelease(std::string& out, uint32_t channel, bool leavesState);
-void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome);
+void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome, std::optional<uint32_t> returnAfterMs);
 void writeRelayAnswer(std::string& out, uint32_t channel, std::string_view bytes);
 // Writes a frame without content: Drop, Lost, Ping, Pong or Leaving.
 void writeRelaySignal(std::string& out, RelayFrameKind, uint32_t channel);
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -4,6 +4,7 @@
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/server/Log.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -34,9 +35,11 @@
         this->queuedStatements = bytes;
         this->queuedStatementCount = count;
         auto self = this->shared_from_this();
-        const uint64_t acquireTicket
-            = this->pool->acquire({ request.organisation, request.priority, bootNow() + std::chrono::milliseconds(request.maxWaitMs) },
-                [self](AcquireOutcome outcome, const std::shared_ptr<BackendLink>& acquired) { self->acquired(outcome, acquired); });
+        const TimePoint now = bootNow();
+        const TimePoint objectiveAt = request.objectiveInMs ? now + std::chrono::milliseconds(*request.objectiveInMs) : TimePoint::max();
+        const uint64_t acquireTicket = this->pool->acquire(
+            { request.organisation, request.priority, now + std::chrono::milliseconds(request.maxWaitMs), objectiveAt, request.isControl },
+            [self](AcquireOutcome outcome, const std::shared_ptr<BackendLink>& acquired) { self->acquired(outcome, acquired); });
         if (!this->link && !this->hasEnded)
             this->ticket = acquireTicket;
     }
@@ -104,7 +107,10 @@
     void deny(AcquireOutcome outcome)
     {
         std::string frame;
-        writeRelayDenied(frame, this->channelNumber, outcome);
+        std::optional<uint32_t> returnAfterMs;
+        if (const auto returnAt = outcome == AcquireOutcome::Exhausted ? this->pool->nextReturnAt() : std::nullopt)
+            returnAfterMs = static_cast<uint32_t>(std::clamp<int64_t>(toMilliseconds(*returnAt - bootNow()), 0, UINT32_MAX - 1));
+        writeRelayDenied(frame, this->channelNumber, outcome, returnAfterMs);
         this->end(frame);
     }
 
@@ -141,7 +147,7 @@
         if (linkReply.errorCode == BackendErrorCode::Busy)
             this->pool->recordBusy();
         else
-            this->pool->recordReply();
+            this->pool->recordReply(linkReply.sentAt);
     }
 
     void linkLost() override
@@ -260,7 +266,7 @@
         const std::shared_ptr<LinkPool> pool = this->server.findPool(frame.request.server);
         if (!pool) {
             std::string denied;
-            writeRelayDenied(denied, frame.channel, AcquireOutcome::Gone);
+            writeRelayDenied(denied, frame.channel, AcquireOutcome::Gone, std::nullopt);
             this->send(denied);
             return;
         }
--- a/foxtailtrail/proxy/RelayedPool.h
+++ b/foxtailtrail/proxy/RelayedPool.h
@@ -53,7 +53,7 @@
     void drop(const std::shared_ptr<BackendLink>&) override;
     // The other VM sees the replies and limits what it sends.
     void recordBusy() override { }
-    void recordReply() override { }
+    void recordReply(TimePoint) override { }
     bool hasFreeLink(const std::string&) const override { return true; }
     uint32_t outstandingRequests() const override { return static_cast<uint32_t>(this->linksInUse.size()); }
 
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -188,10 +188,13 @@
         this->prepareLink();
         return;
     }
-    this->currentLink = PooledLink {};
-    this->lastAttemptError = outcome == AcquireOutcome::Exhausted ? ErrorKind::Overloaded : ErrorKind::NoPrimary;
-    if (outcome != AcquireOutcome::Exhausted)
-        this->group->recordFailure(this->target, bootNow());
+    const std::shared_ptr<LinkPool> pool = std::exchange(this->currentLink, PooledLink {}).pool;
+    if (outcome == AcquireOutcome::Exhausted) {
+        this->handleExhausted(pool->nextReturnAt());
+        return;
+    }
+    this->lastAttemptError = ErrorKind::NoPrimary;
+    this->group->recordFailure(this->target, bootNow());
     this->excludedServers.push_back(this->target);
     this->retryAfter(this->needsPrimary() ? unreachableRetryDelay : Duration(0));
 }
@@ -372,7 +375,7 @@
 {
     const TimePoint now = bootNow();
     const bool hasSucceeded = reply.succeeded();
-    this->currentLink.pool->recordReply();
+    this->currentLink.pool->recordReply(reply.sentAt);
     this->group->recordReply(this->target, reply.position, reply.sentAt, hasSucceeded && this->commitsWrite());
     if (hasSucceeded && !this->task.writes)
         this->group->selector().recordReply(this->target, now - reply.sentAt, now);
@@ -414,14 +417,41 @@
 {
     const auto self = this->shared_from_this();
     const bool isServerFailure = this->currentLink.link->lossIndicatesServerFailure();
+    const std::optional<TimePoint> returnAt = this->currentLink.link->returnAt();
     this->dropLink();
-    this->lastAttemptError = outcome == AcquireOutcome::Exhausted ? ErrorKind::Overloaded : ErrorKind::NoPrimary;
+    if (outcome == AcquireOutcome::Exhausted) {
+        this->handleExhausted(returnAt);
+        return;
+    }
+    this->lastAttemptError = ErrorKind::NoPrimary;
     this->recordServerFailure(isServerFailure);
-    if (isServerFailure || outcome == AcquireOutcome::Exhausted)
+    if (isServerFailure)
         this->excludedServers.push_back(this->target);
     this->retryAfter(this->needsPrimary() ? unreachableRetryDelay : Duration(0));
 }
 
+void StatementRun::handleExhausted(std::optional<TimePoint> returnAt)
+{
+    this->lastAttemptError = ErrorKind::Overloaded;
+    this->excludedServers.push_back(this->target);
+    const bool isFirstTime = this->exhaustedServers.insert(this->target).second;
+    if (returnAt)
+        this->roomAt = std::min(*returnAt, this->roomAt.value_or(*returnAt));
+    const auto candidates = this->needsPrimary() ? std::vector<ReadCandidate> {} : this->group->readCandidates(this->task.organisation);
+    const bool canRunElsewhere = isFirstTime && std::any_of(candidates.begin(), candidates.end(), [&](const ReadCandidate& candidate) {
+        return this->exhaustedServers.count(candidate.server) == 0;
+    });
+    if (canRunElsewhere) {
+        this->retryAfter(Duration(0));
+        return;
+    }
+    RunResult result;
+    result.error = ErrorKind::Overloaded;
+    result.retryAt = this->roomAt;
+    result.detail = "the statements before it leave no time";
+    this->finish(std::move(result));
+}
+
 void StatementRun::recordServerFailure(bool isServerFailure)
 {
     if (isServerFailure)
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +51,8 @@
     std::optional<LinkReply> reply;
     ErrorKind error = ErrorKind::Internal;
     std::string detail;
+    // For a refusal: when the caller may return, if that is known.
+    std::optional<TimePoint> retryAt;
     BackendServerId server;
     uint32_t attempts = 0;
 };
@@ -108,6 +111,8 @@
     void linkReplied(LinkReply&&) override;
     void linkLost() override;
     void linkDenied(AcquireOutcome) override;
+    // Handles that the queue of the target has no room for the statement in time: another server may run a read, otherwise the run ends.
+    void handleExhausted(std::optional<TimePoint> returnAt);
     void handleRestoreReply(const LinkReply&);
     void handleStatementReply(LinkReply&&);
     // Handles an error that proves that the statement did not run.
@@ -148,6 +153,9 @@
     bool beginsTransaction = false;
     std::optional<LogPoint> requiredPosition;
     std::vector<BackendServerId> excludedServers;
+    // The servers whose queues have no room for the statement in time, and the earliest time at which one of them has room.
+    std::set<BackendServerId> exhaustedServers;
+    std::optional<TimePoint> roomAt;
     BackendServerId target;
     uint64_t acquireTicket = 0;
     uint64_t primaryTicket = 0;
--- a/foxtailtrail/proxy/StatusQuery.cpp
+++ b/foxtailtrail/proxy/StatusQuery.cpp
@@ -16,7 +16,7 @@
 {
     std::shared_ptr<StatusQuery> query(new StatusQuery(pool, codec, std::move(callback)));
     // Priority 0 puts the query ahead of all statements, because those that wait depend on its result.
-    pool->acquire({ organisation, 0, deadline },
+    pool->acquire({ organisation, 0, deadline, TimePoint::max(), true },
         [query](AcquireOutcome outcome, const std::shared_ptr<BackendLink>& link) { query->acquired(outcome, link); });
     return query;
 }
--- a/foxtailtrail/scheduling/ConcurrencyWindow.cpp
+++ b/foxtailtrail/scheduling/ConcurrencyWindow.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr double maxWindow = 32;
     constexpr double minWindow = 1;
     // Refusals within this time belong to the same overload and shrink the window once.
     constexpr Duration shrinkInterval = std::chrono::milliseconds(50);
@@ -20,6 +19,7 @@
 {
     if (now >= this->shrunkAt + shrinkInterval) {
         this->window = std::max(minWindow, this->window / 2);
+        this->isReduced = true;
         this->shrunkAt = now;
     }
     const Duration delay = initialDelay * (1 << std::min(this->consecutiveRefusals, maxDoublings));
@@ -30,7 +30,14 @@
 void ConcurrencyWindow::recordReply()
 {
     this->consecutiveRefusals = 0;
-    this->window = std::min(maxWindow, this->window + 1 / this->window);
+    this->window = std::min(this->ceiling, this->window + 1 / this->window);
+    this->isReduced = this->isReduced && this->window < this->ceiling;
+}
+
+void ConcurrencyWindow::setCeiling(size_t newCeiling)
+{
+    this->ceiling = std::max(minWindow, static_cast<double>(newCeiling));
+    this->window = this->isReduced ? std::min(this->window, this->ceiling) : this->ceiling;
 }
 
 }
--- a/tests/fuzzing/DecoderFuzzTest.cpp
+++ b/tests/fuzzing/DecoderFuzzTest.cpp
@@ -168,11 +168,11 @@
     TEST_F(DecoderFuzzTest, RelayFrames)
     {
         std::vector<std::string> frames(6);
-        const RelayRequest request { BackendServerId("b1"), "organisation", 1, 400 };
+        const RelayRequest request { BackendServerId("b1"), "organisation", 1, 400, 250, true };
         writeRelayOpen(frames[0], 7, request, 2, "QUERY 1 READ a\r\nQUERY 2 READ b\r\n");
         writeRelayStatements(frames[1], 7, 1, "QUERY 1 COMMIT\r\n");
         writeRelayRelease(frames[2], 7, true);
-        writeRelayDenied(frames[3], 7, AcquireOutcome::Exhausted);
+        writeRelayDenied(frames[3], 7, AcquireOutcome::Exhausted, 35);
         writeRelayAnswer(frames[4], 7, "DONE -\r\nREADY I 3.4\r\n");
         writeRelaySignal(frames[5], RelayFrameKind::Ping, 0);
         frames.push_back(frames[0] + frames[1] + frames[2]);
