Refuse statements that a promotion cannot serve in time, and keep the connections of the most use

Cause: without a primary, statements waited 0.64 s for a promotion that takes longer, and the refusal named no time. Where connections are scarce, the one closed was the longest idle, whichever organisation needs it next.

FakePool and RelayFrameTest follow the changed signatures; RelayFrameTest checks the new fields as well.

--- a/foxtailtrail/proxy/DirectPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -26,11 +26,11 @@
 
 }
 
-DirectPool::DirectPool(boost::asio::io_context& context, const BackendCodec& codec, const ServerEntry& entry, OpenListener listener)
+DirectPool::DirectPool(boost::asio::io_context& context, const BackendCodec& codec, const ServerEntry& entry, PoolListener listener)
     : LinkPool(entry)
     , context(context)
     , codec(codec)
-    , openListener(std::move(listener))
+    , listener(std::move(listener))
     , random(static_cast<std::minstd_rand::result_type>(bootNow().time_since_epoch().count()))
 {
     this->window.setCeiling(this->throughput.statementsToKeepBusy(entry.slots));
@@ -70,6 +70,7 @@
     this->queue.push({ ticket, request.organisation, request.priority, now, request.objectiveAt, request.giveUpAt, request.isControl });
     if (this->queue.isHopeless(ticket, now, this->pace(now))) {
         this->queue.remove(ticket);
+        this->listener.onRefusal("no hope");
         callback(AcquireOutcome::Exhausted, nullptr);
         return 0;
     }
@@ -114,7 +115,9 @@
         this->idle.erase(std::next(link).base());
         if (!freeLink->isReusable())
             return this->takeFreeLink(organisation);
-        this->inUse.emplace(freeLink.get(), InUseLink { freeLink, bootNow() });
+        const TimePoint now = bootNow();
+        this->inUse.emplace(freeLink.get(), InUseLink { freeLink, now });
+        this->connectionValue.recordUse(organisation, now);
         ++this->inUseByOrganisation[organisation];
         return freeLink;
     }
@@ -153,6 +156,7 @@
         const bool mayHaveFreeLink = idleOrganisations.count(waiter.request.organisation) > 0;
         if (const auto freeLink = mayHaveFreeLink ? this->takeFreeLink(waiter.request.organisation) : nullptr) {
             this->queue.recordStart(start, now);
+            this->listener.onWaited(now - waiter.queuedAt);
             const AcquireCallback callback = this->removeWaiter(start.ticket);
             callback(AcquireOutcome::Acquired, freeLink);
             return true;
@@ -184,16 +188,36 @@
     if (mustReplace) {
         if (this->idle.empty())
             return;
-        this->closeLongestIdle();
+        this->closeLeastValuableIdle();
     }
     this->openFor(organisation, now);
 }
 
-void DirectPool::closeLongestIdle()
+void DirectPool::closeLeastValuableIdle()
 {
-    const std::shared_ptr<DirectLink> longestIdle = this->idle.front();
-    this->idle.pop_front();
-    longestIdle->closeGracefully();
+    const TimePoint now = bootNow();
+    std::map<std::string_view, size_t> countByOrganisation;
+    for (const auto& link : this->idle)
+        ++countByOrganisation[link->organisation()];
+    const auto valueOf = [&](const std::shared_ptr<DirectLink>& link) {
+        const auto inUseCount = this->inUseByOrganisation.find(link->organisation());
+        const size_t held
+            = countByOrganisation[link->organisation()] + (inUseCount == this->inUseByOrganisation.end() ? 0 : inUseCount->second);
+        return this->connectionValue.valueOf(link->organisation(), held, now);
+    };
+    // Of equal ones, the first has been idle for longest.
+    auto leastValuable = this->idle.begin();
+    double leastValue = valueOf(*leastValuable);
+    for (auto link = std::next(leastValuable); link != this->idle.end(); ++link) {
+        const double value = valueOf(*link);
+        if (value < leastValue) {
+            leastValuable = link;
+            leastValue = value;
+        }
+    }
+    const std::shared_ptr<DirectLink> closed = *leastValuable;
+    this->idle.erase(leastValuable);
+    closed->closeGracefully();
 }
 
 bool DirectPool::hasWaiter(const std::string& organisation) const
@@ -222,7 +246,7 @@
             this->openingPolicy.recordOpening(bootNow() - pendingOpening->startedAt);
         this->pendingOpenings.erase(pendingOpening);
     }
-    this->openListener(this->server().id, openOutcome);
+    this->listener.onOpening(this->server().id, openOutcome);
     if (openOutcome == LinkOpenOutcome::Opened) {
         link->becameIdleAt = bootNow();
         this->idle.push_back(link);
@@ -286,13 +310,13 @@
     const std::shared_ptr<DirectLink> link = this->removeFromInUse(releasedLink);
     // Surplus connections are closed, because other VMs cannot use what this VM holds beyond its own share of the server's maximum.
     const bool isSurplus = this->size() >= this->coreSize && !this->hasWaiter(link->organisation());
-    if (!link->isReusable() || this->isRetired || (isSurplus && this->idle.empty())) {
+    if (!link->isReusable() || this->isRetired) {
         link->close();
     } else {
-        if (isSurplus)
-            this->closeLongestIdle();
         link->becameIdleAt = bootNow();
         this->idle.push_back(link);
+        if (isSurplus)
+            this->closeLeastValuableIdle();
     }
     this->serveWaiters();
 }
@@ -337,15 +361,20 @@
 {
     if (this->waiters.empty())
         return;
-    std::vector<uint64_t> rejected = this->queue.hopeless(now, this->pace(now));
+    std::vector<std::pair<uint64_t, std::string_view>> rejected;
     for (const auto& [ticket, waiter] : this->waiters) {
         if (waiter.request.giveUpAt <= now)
-            rejected.push_back(ticket);
+            rejected.emplace_back(ticket, "expired");
     }
-    for (const uint64_t ticket : rejected) {
+    for (const uint64_t ticket : this->queue.hopeless(now, this->pace(now)))
+        rejected.emplace_back(ticket, "no hope");
+    for (const auto& [ticket, reason] : rejected) {
         // The callback of another one may have cancelled it, and a ticket may be rejected for both reasons.
-        if (const AcquireCallback callback = this->removeWaiter(ticket))
-            callback(AcquireOutcome::Exhausted, nullptr);
+        const AcquireCallback callback = this->removeWaiter(ticket);
+        if (!callback)
+            continue;
+        this->listener.onRefusal(reason);
+        callback(AcquireOutcome::Exhausted, nullptr);
     }
 }
 
--- a/foxtailtrail/proxy/DirectPool.h
+++ b/foxtailtrail/proxy/DirectPool.h
@@ -5,6 +5,7 @@
 #include "foxtailtrail/proxy/LinkPool.h"
 #include "foxtailtrail/scheduling/ConcurrencyWindow.h"
 #include "foxtailtrail/scheduling/ConnectionLimit.h"
+#include "foxtailtrail/scheduling/ConnectionValue.h"
 #include "foxtailtrail/scheduling/OpeningPolicy.h"
 #include "foxtailtrail/scheduling/ServerThroughput.h"
 #include "foxtailtrail/scheduling/StatementQueue.h"
@@ -16,17 +17,25 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace foxtail {
 
-// A pool of this VM's own connections to one backend server. Each connection belongs to one organisation. When the pool has reached
-// its maximum size, it closes an idle connection of another organisation to make room.
-class DirectPool final : public LinkPool, public std::enable_shared_from_this<DirectPool> {
-public:
+// Handlers for what happens in a pool.
+struct PoolListener {
     // Called with the outcome of each opening, for failure detection.
-    using OpenListener = std::function<void(const BackendServerId&, LinkOpenOutcome)>;
+    std::function<void(const BackendServerId&, LinkOpenOutcome)> onOpening;
+    // Called when a request that has waited gets a connection.
+    std::function<void(Duration waited)> onWaited;
+    // Called when a request is refused, with the reason: "no hope" or "expired".
+    std::function<void(std::string_view reason)> onRefusal;
+};
 
-    DirectPool(boost::asio::io_context&, const BackendCodec&, const ServerEntry&, OpenListener);
+// A pool of this VM's own connections to one backend server, and the queue of the statements for this server. Each connection belongs to
+// one organisation. When the pool has reached its maximum size, it closes an idle connection of another organisation to make room.
+class DirectPool final : public LinkPool, public std::enable_shared_from_this<DirectPool> {
+public:
+    DirectPool(boost::asio::io_context&, const BackendCodec&, const ServerEntry&, PoolListener);
 
     uint64_t acquire(const LinkRequest&, AcquireCallback) override;
     void cancel(uint64_t ticket) override;
@@ -38,6 +47,7 @@
     bool hasFreeLink(const std::string& organisation) const override;
     uint32_t outstandingRequests() const override { return static_cast<uint32_t>(this->inUse.size() + this->waiters.size()); }
 
+    size_t waitingCount() const { return this->waiters.size(); }
     // Returns the number of connections, open or being opened.
     size_t size() const { return this->inUse.size() + this->idle.size() + this->pendingOpenings.size(); }
     // Sets the maximum number of connections, and the number up to which idle connections are kept.
@@ -84,18 +94,20 @@
     void rejectHopelessWaiters(TimePoint now);
     std::shared_ptr<DirectLink> removeFromInUse(const std::shared_ptr<BackendLink>&);
     void failWaiters(AcquireOutcome);
-    void closeLongestIdle();
+    // Closes the idle connection of the organisation that has the least use for it.
+    void closeLeastValuableIdle();
     // Returns whether a request for the organisation is waiting.
     bool hasWaiter(const std::string& organisation) const;
 
     boost::asio::io_context& context;
     const BackendCodec& codec;
-    OpenListener openListener;
+    PoolListener listener;
     // The waiters by ticket. The queue holds the same tickets.
     std::map<uint64_t, Waiter> waiters;
     StatementQueue queue;
     ServerThroughput throughput;
     OpeningPolicy openingPolicy;
+    ConnectionValue connectionValue;
     // Ordered by last use; the most recently used connection is at the back.
     std::list<std::shared_ptr<DirectLink>> idle;
     std::list<PendingOpening> pendingOpenings;
--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -18,10 +18,6 @@
     constexpr Duration commitStallTimeout = std::chrono::milliseconds(600);
     // A group is examined when statements have waited this long for its primary.
     constexpr Duration waitExaminationDelay = std::chrono::milliseconds(300);
-    // Time from the loss of a primary to the first statement at its successor.
-    constexpr Duration expectedPromotionDuration = std::chrono::milliseconds(1600);
-    // Limits the wait for a primary when none is expected soon. A lease renewal takes one round trip, about 20 ms across regions.
-    constexpr Duration shortWaitTimeout = std::chrono::milliseconds(80);
     constexpr Duration renewalTimeout = std::chrono::milliseconds(250);
     constexpr Duration renewalInterval = std::chrono::milliseconds(60);
     // A server that works on long statements answers a status request within this time. Connections that go silent for good do not.
@@ -332,16 +328,18 @@
 {
     const TimePoint now = bootNow();
     if (const auto primary = this->usablePrimary(now)) {
-        this->noPrimarySince.reset();
+        this->absence.recordUsable(now);
         callback(primary);
         return 0;
     }
-    if (!this->noPrimarySince)
-        this->noPrimarySince = now;
-    // When a promotion takes longer than expected or this VM is isolated, another VM may know the new primary, so the caller gets a result
-    // early.
-    const bool isPrimaryUnlikely = now >= *this->noPrimarySince + expectedPromotionDuration || this->groupContext.isIsolated();
-    const TimePoint waitUntil = isPrimaryUnlikely ? std::min(giveUpAt, now + shortWaitTimeout) : giveUpAt;
+    this->absence.recordMissing(now);
+    const TimePoint waitUntil = this->absence.waitUntil(now, giveUpAt, this->groupContext.isIsolated());
+    if (waitUntil <= now) {
+        this->hasRefusedStatement = true;
+        this->renewLease(organisation, now);
+        callback(std::nullopt);
+        return 0;
+    }
     const uint64_t ticket = this->nextTicket++;
     this->waiters.push_back({ ticket, organisation, now, waitUntil, std::move(callback) });
     this->renewLease(organisation, now);
@@ -357,7 +355,7 @@
 {
     const TimePoint now = bootNow();
     if (this->usablePrimary(now))
-        this->noPrimarySince.reset();
+        this->absence.recordUsable(now);
     std::list<Waiter> ready;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         const auto next = std::next(waiter);
@@ -456,10 +454,12 @@
     std::list<Waiter> expired;
     // Statements get an early result when a primary has been missing for long, so the time without a primary counts, not the time that each
     // statement has waited.
-    const bool isExaminationDue = !this->waiters.empty() && this->noPrimarySince && *this->noPrimarySince + waitExaminationDelay <= now;
+    const bool isPrimaryNeeded = !this->waiters.empty() || std::exchange(this->hasRefusedStatement, false);
+    const bool isExaminationDue = isPrimaryNeeded && this->absence.since() && *this->absence.since() + waitExaminationDelay <= now;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         const auto next = std::next(waiter);
-        if (waiter->giveUpAt <= now)
+        // A wait that began like one for a lease may turn out to be one for a promotion.
+        if (this->absence.waitUntil(now, waiter->giveUpAt, this->groupContext.isIsolated()) <= now)
             expired.splice(expired.end(), this->waiters, waiter);
         waiter = next;
     }
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -3,6 +3,7 @@
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/failover/FleetEvidence.h"
+#include "foxtailtrail/failover/PrimaryAbsence.h"
 #include "foxtailtrail/proxy/LinkPool.h"
 #include "foxtailtrail/replication/PrimaryLease.h"
 #include "foxtailtrail/replication/PrimaryPositionHistory.h"
@@ -108,6 +109,8 @@
     // cancel(), or 0.
     uint64_t whenPrimaryUsable(const std::string& organisation, TimePoint giveUpAt, PrimaryCallback);
     void cancel(uint64_t ticket);
+    // Returns when a statement should return that is refused now because there is no usable primary.
+    TimePoint primaryReturnAt(TimePoint now) const { return this->absence.returnAt(now); }
     // Returns true when the server may be used as the primary at this time.
     bool isUsablePrimary(const BackendServerId& server, TimePoint now) const { return this->usablePrimary(now) == server; }
     void sweep(TimePoint now);
@@ -160,7 +163,9 @@
     // When this VM began to follow the group.
     TimePoint followedFrom {};
     // When statements began to wait for a usable primary, or empty while there is one.
-    std::optional<TimePoint> noPrimarySince;
+    PrimaryAbsence absence;
+    // Whether a statement was refused for lack of a primary since the last sweep.
+    bool hasRefusedStatement = false;
     std::list<Waiter> waiters;
     uint64_t nextTicket = 1;
     // The server that reported that it is not the primary although the directory names it.
--- a/foxtailtrail/proxy/ProxyMetrics.cpp
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -30,6 +30,14 @@
                                                                  .Name("foxtail_quota_refusals_total")
                                                                  .Help("Operations that the quotas have refused, by cause")
                                                                  .Register(registry);
+    prometheus::Family<prometheus::Counter>& queueRefusals = prometheus::BuildCounter()
+                                                                 .Name("foxtail_queue_refusals_total")
+                                                                 .Help("Statements refused before a backend server, by reason")
+                                                                 .Register(registry);
+    prometheus::Family<prometheus::Histogram>& queueWaits = prometheus::BuildHistogram()
+                                                                .Name("foxtail_queue_wait_seconds")
+                                                                .Help("Time that statements have waited before a backend server")
+                                                                .Register(registry);
     prometheus::Family<prometheus::Counter>& promotions
         = prometheus::BuildCounter().Name("foxtail_session_promotions_total").Help("Promotions carried out by this VM").Register(registry);
     prometheus::Family<prometheus::Gauge>& state
@@ -61,6 +69,16 @@
     this->implementation->quotaRefusals.Add({ { "cause", std::string(cause) } }).Increment();
 }
 
+void ProxyMetrics::countQueueRefusal(std::string_view reason)
+{
+    this->implementation->queueRefusals.Add({ { "reason", std::string(reason) } }).Increment();
+}
+
+void ProxyMetrics::observeQueueWait(Duration waited)
+{
+    this->implementation->queueWaits.Add({}, durationBucketBoundsSeconds).Observe(std::chrono::duration<double>(waited).count());
+}
+
 void ProxyMetrics::countPromotion() { this->implementation->promotions.Add({}).Increment(); }
 
 std::string ProxyMetrics::exposition(const ProxyGauges& gauges)
@@ -68,6 +86,7 @@
     const auto setGauge = [&](const char* name, double value) { this->implementation->state.Add({ { "name", name } }).Set(value); };
     setGauge("sessions", static_cast<double>(gauges.sessions));
     setGauge("backend_connections", static_cast<double>(gauges.backendConnections));
+    setGauge("waiting_statements", static_cast<double>(gauges.waitingStatements));
     setGauge("fleet_size", static_cast<double>(gauges.fleetSize));
     setGauge("configuration_version", static_cast<double>(gauges.configurationVersion));
     setGauge("store_reachable", gauges.storeReachable ? 1 : 0);
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -15,6 +15,7 @@
 struct ProxyGauges {
     size_t sessions = 0;
     size_t backendConnections = 0;
+    size_t waitingStatements = 0;
     size_t fleetSize = 0;
     uint64_t configurationVersion = 0;
     bool storeReachable = false;
@@ -37,6 +38,10 @@
     void countOpening(std::string_view outcome);
     // Counts an operation that the quotas have refused, by its cause.
     void countQuotaRefusal(std::string_view cause);
+    // Counts a statement that the queue before a backend server has refused, by the reason.
+    void countQueueRefusal(std::string_view reason);
+    // Records how long a statement that had to wait before a backend server has waited.
+    void observeQueueWait(Duration);
     // Counts a promotion that this VM has performed.
     void countPromotion();
 
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -150,8 +150,8 @@
 {
     if (request.target != "/metrics")
         return HttpResponse { 404, "text/plain", {}, {} };
-    const ProxyGauges gauges { this->proxy.sessionCount(), this->proxy.backendConnectionCount(), this->proxy.fleetSize(),
-        this->proxy.configurationVersion(), !this->storeFollower.isStoreUnavailable(), this->isReady() };
+    const ProxyGauges gauges { this->proxy.sessionCount(), this->proxy.backendConnectionCount(), this->proxy.waitingStatementCount(),
+        this->proxy.fleetSize(), this->proxy.configurationVersion(), !this->storeFollower.isStoreUnavailable(), this->isReady() };
     return HttpResponse { 200, "text/plain; version=0.0.4", {}, this->proxy.metrics().exposition(gauges) };
 }
 
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -304,7 +304,10 @@
     const ServerEntry* entry = this->servers.find(id);
     if (!entry)
         return nullptr;
-    auto openListener = [this](const BackendServerId& server, LinkOpenOutcome openOutcome) {
+    PoolListener listener;
+    listener.onWaited = [this](Duration waited) { this->proxyMetrics.observeQueueWait(waited); };
+    listener.onRefusal = [this](std::string_view reason) { this->proxyMetrics.countQueueRefusal(reason); };
+    listener.onOpening = [this](const BackendServerId& server, LinkOpenOutcome openOutcome) {
         constexpr std::array<std::string_view, 5> names { "opened", "refused", "unreachable", "full", "misrouted" };
         this->proxyMetrics.countOpening(names[static_cast<size_t>(openOutcome)]);
         if (openOutcome == LinkOpenOutcome::Opened || openOutcome == LinkOpenOutcome::TooManyConnections)
@@ -313,7 +316,7 @@
         if (entryOfServer)
             this->group(entryOfServer->service)->recordFailure(server, bootNow());
     };
-    auto pool = std::make_shared<DirectPool>(this->context, this->codecForBackends, *entry, std::move(openListener));
+    auto pool = std::make_shared<DirectPool>(this->context, this->codecForBackends, *entry, std::move(listener));
     this->directPools.emplace(id, pool);
     this->updatePoolSizes();
     return pool;
@@ -423,6 +426,14 @@
     return count;
 }
 
+size_t SessionProxy::waitingStatementCount() const
+{
+    size_t count = 0;
+    for (const auto& [id, pool] : this->directPools)
+        count += pool->waitingCount();
+    return count;
+}
+
 void SessionProxy::post(std::function<void()> task) { boost::asio::post(this->context, std::move(task)); }
 
 size_t SessionProxy::logUnansweredRequests() const
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -117,6 +117,8 @@
     ProxyMetrics& metrics() { return this->proxyMetrics; }
     // Returns the number of connections to backend servers, open or being opened.
     size_t backendConnectionCount() const;
+    // Returns the number of statements that wait before the backend servers whose connections this VM holds.
+    size_t waitingStatementCount() const;
     const ProxySettings& settings() const { return this->proxySettings; }
 
     // Overrides of GroupContext.
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -146,7 +146,11 @@
               if (self->hasFinished)
                   return;
               if (!primary) {
-                  self->finishWithError(ErrorKind::NoPrimary, "the group has no usable primary");
+                  RunResult result;
+                  result.error = ErrorKind::NoPrimary;
+                  result.detail = "the group has no usable primary";
+                  result.retryAt = self->group->primaryReturnAt(bootNow());
+                  self->finish(std::move(result));
                   return;
               }
               self->acquireLink(*primary);
--- a/tests/proxy/FakePool.h
+++ b/tests/proxy/FakePool.h
@@ -48,7 +48,7 @@
         link->abort();
     }
     void recordBusy() override { }
-    void recordReply() override { }
+    void recordReply(TimePoint) override { }
     bool hasFreeLink(const std::string&) const override { return false; }
     uint32_t outstandingRequests() const override { return 0; }
 
--- a/tests/proxy/RelayFrameTest.cpp
+++ b/tests/proxy/RelayFrameTest.cpp
@@ -11,10 +11,11 @@
     TEST(RelayFrameTest, ReadsEveryKindAsWritten)
     {
         std::string bytes;
-        writeRelayOpen(bytes, 7, { BackendServerId("b1"), "org", 3, 450 }, 2, "RESET\r\nREAD\r\n");
+        writeRelayOpen(bytes, 7, { BackendServerId("b1"), "org", 3, 450, -20, true }, 2, "RESET\r\nREAD\r\n");
         writeRelayStatements(bytes, 8, 1, "COMMIT\r\n");
         writeRelayRelease(bytes, 9, true);
-        writeRelayDenied(bytes, 10, AcquireOutcome::Unreachable);
+        writeRelayDenied(bytes, 10, AcquireOutcome::Unreachable, std::nullopt);
+        writeRelayDenied(bytes, 10, AcquireOutcome::Exhausted, 35);
         writeRelayAnswer(bytes, 11, std::string("DONE \0 x\r\n", 10));
         writeRelaySignal(bytes, RelayFrameKind::Lost, 12);
         std::string_view rest = bytes;
@@ -26,6 +27,8 @@
         EXPECT_EQ(frame.request.organisation, "org");
         EXPECT_EQ(frame.request.priority, 3U);
         EXPECT_EQ(frame.request.maxWaitMs, 450);
+        EXPECT_EQ(frame.request.objectiveInMs, -20);
+        EXPECT_TRUE(frame.request.isControl);
         EXPECT_EQ(frame.statementCount, 2);
         EXPECT_EQ(frame.bytes, "RESET\r\nREAD\r\n");
         ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
@@ -36,6 +39,10 @@
         EXPECT_TRUE(frame.leavesState);
         ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
         EXPECT_EQ(frame.denial, AcquireOutcome::Unreachable);
+        EXPECT_EQ(frame.returnAfterMs, std::nullopt);
+        ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
+        EXPECT_EQ(frame.denial, AcquireOutcome::Exhausted);
+        EXPECT_EQ(frame.returnAfterMs, 35U);
         ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
         EXPECT_EQ(frame.bytes, std::string_view("DONE \0 x\r\n", 10));
         ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
@@ -65,7 +72,7 @@
         for (int round = 0; round < 20000; ++round) {
             std::string bytes;
             writeRelayOpen(bytes, 7, { BackendServerId("b1"), "org", 3, 450 }, 2, "READ\r\n");
-            writeRelayDenied(bytes, 7, AcquireOutcome::Exhausted);
+            writeRelayDenied(bytes, 7, AcquireOutcome::Exhausted, 35);
             for (int change = 0; change < 3; ++change)
                 bytes[random() % bytes.size()] = static_cast<char>(random());
             std::string_view rest = bytes;
