--- a/foxtailtrail/proxy/DirectPool.h
+++ b/foxtailtrail/proxy/DirectPool.h
@@ -5,6 +5,10 @@
 #include "foxtailtrail/proxy/LinkPool.h"
 #include "foxtailtrail/scheduling/ConcurrencyWindow.h"
 #include "foxtailtrail/scheduling/ConnectionLimit.h"
+#include "foxtailtrail/scheduling/ConnectionValue.h"
+#include "foxtailtrail/scheduling/OpeningPolicy.h"
+#include "foxtailtrail/scheduling/ServerThroughput.h"
+#include "foxtailtrail/scheduling/StatementQueue.h"
 
 #include <cstdint>
 #include <functional>
@@ -13,27 +17,37 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace foxtail {
 
-// A pool of this VM's own connections to one backend server. Each connection belongs to one organisation. When the pool has reached
-// its maximum size, it closes an idle connection of another organisation to make room.
-class DirectPool final : public LinkPool, public std::enable_shared_from_this<DirectPool> {
-public:
+// Handlers for what happens in a pool.
+struct PoolListener {
     // Called with the outcome of each opening, for failure detection.
-    using OpenListener = std::function<void(const BackendServerId&, LinkOpenOutcome)>;
+    std::function<void(const BackendServerId&, LinkOpenOutcome)> onOpening;
+    // Called when a request that has waited gets a connection.
+    std::function<void(Duration waited)> onWaited;
+    // Called when a request is refused, with the reason: "no hope" or "expired".
+    std::function<void(std::string_view reason)> onRefusal;
+};
 
-    DirectPool(boost::asio::io_context&, const BackendCodec&, const ServerEntry&, OpenListener);
+// A pool of this VM's own connections to one backend server, and the queue of the statements for this server. Each connection belongs to
+// one organisation. When the pool has reached its maximum size, it closes an idle connection of another organisation to make room.
+class DirectPool final : public LinkPool, public std::enable_shared_from_this<DirectPool> {
+public:
+    DirectPool(boost::asio::io_context&, const BackendCodec&, const ServerEntry&, PoolListener);
 
     uint64_t acquire(const LinkRequest&, AcquireCallback) override;
     void cancel(uint64_t ticket) override;
     void release(const std::shared_ptr<BackendLink>&) override;
     void drop(const std::shared_ptr<BackendLink>&) override;
     void recordBusy() override;
-    void recordReply() override;
+    void recordReply(TimePoint sentAt) override;
+    std::optional<TimePoint> nextReturnAt() override;
     bool hasFreeLink(const std::string& organisation) const override;
     uint32_t outstandingRequests() const override { return static_cast<uint32_t>(this->inUse.size() + this->waiters.size()); }
 
+    size_t waitingCount() const { return this->waiters.size(); }
     // Returns the number of connections, open or being opened.
     size_t size() const { return this->inUse.size() + this->idle.size() + this->pendingOpenings.size(); }
     // Sets the maximum number of connections, and the number up to which idle connections are kept.
@@ -45,43 +59,59 @@
 
 private:
     struct Waiter {
-        uint64_t ticket = 0;
         LinkRequest request;
         TimePoint queuedAt {};
         AcquireCallback callback;
     };
     struct PendingOpening {
         std::shared_ptr<DirectLink> link;
+        TimePoint startedAt {};
         TimePoint deadline {};
     };
+    struct InUseLink {
+        std::shared_ptr<DirectLink> link;
+        TimePoint takenAt {};
+    };
     std::shared_ptr<DirectLink> takeFreeLink(const std::string& organisation);
     // Returns the number of connections that occupy a slot of the server. A connection whose transaction is idle between statements
     // occupies none.
     size_t slotsInUse() const;
     // Returns whether another statement may be sent to the server now.
     bool maySendStatement(TimePoint now) const { return now >= this->busyUntil && this->slotsInUse() < this->window.size(); }
+    ServerPace pace(TimePoint now) const;
     // Schedules serveWaiters() for the given time.
     void serveWaitersAt(TimePoint);
-    void openFor(const std::string& organisation);
+    void openFor(const std::string& organisation, TimePoint now);
     void handleOpenOutcome(LinkOpenOutcome, const std::shared_ptr<DirectLink>&);
     void serveWaiters();
-    void serveEligibleWaiters();
-    // Returns the waiter to serve next, or the end iterator.
-    std::list<Waiter>::iterator nextWaiter();
+    // Serves the first waiter in the queue's order for which there is a connection, and opens connections for those before it. Returns
+    // whether a waiter was served.
+    bool serveNextWaiter(TimePoint now);
+    // Opens a connection for a waiter if that is the shorter way for it. The organisation has this many waiters before it.
+    void considerOpening(const Waiter&, size_t waitersBefore, TimePoint now);
+    AcquireCallback removeWaiter(uint64_t ticket);
+    // Rejects waiters that cannot be served in time.
+    void rejectHopelessWaiters(TimePoint now);
     std::shared_ptr<DirectLink> removeFromInUse(const std::shared_ptr<BackendLink>&);
     void failWaiters(AcquireOutcome);
-    void closeLongestIdle();
+    // Closes the idle connection of the organisation that has the least use for it.
+    void closeLeastValuableIdle();
     // Returns whether a request for the organisation is waiting.
     bool hasWaiter(const std::string& organisation) const;
 
     boost::asio::io_context& context;
     const BackendCodec& codec;
-    OpenListener openListener;
-    std::list<Waiter> waiters;
+    PoolListener listener;
+    // The waiters by ticket. The queue holds the same tickets.
+    std::map<uint64_t, Waiter> waiters;
+    StatementQueue queue;
+    ServerThroughput throughput;
+    OpeningPolicy openingPolicy;
+    ConnectionValue connectionValue;
     // Ordered by last use; the most recently used connection is at the back.
     std::list<std::shared_ptr<DirectLink>> idle;
     std::list<PendingOpening> pendingOpenings;
-    std::map<BackendLink*, std::shared_ptr<DirectLink>> inUse;
+    std::map<BackendLink*, InUseLink> inUse;
     std::map<std::string, size_t> inUseByOrganisation;
     ConnectionLimit limit;
     size_t coreSize = 1;
