Divide reads between servers by reported load

Cause: each of many VMs counted only its own statements at a server, so distance and the noise of its own latencies decided, and VMs that are alike chose the same server. Change: LoadEstimate gives the expected time to an answer at each candidate from the reported queue, slots and service time, the age of the report, and what this VM has sent since, and divides the reads so that the work that the fleet is likely to have sent would level these times. ReadServerSelector::chooseByLoad draws from the division; without reports it chooses as before. Not wired yet.

--- a/foxtailtrail/replication/ReadServerSelector.cpp
+++ b/foxtailtrail/replication/ReadServerSelector.cpp
@@ -1,5 +1,8 @@
 #include "foxtailtrail/replication/ReadServerSelector.h"
 
+#include "foxtailtrail/base/Hash.h"
+#include "foxtailtrail/replication/LoadEstimate.h"
+
 #include <algorithm>
 #include <array>
 
@@ -9,8 +12,7 @@
 
     // Weight of a new sample in the moving average of the latency.
     constexpr double latencyWeight = 0.1;
-    // The cost of transferring the bytes of a read over each distance, as microseconds of added latency.
-    constexpr std::array<double, 3> distanceCostUs { 0, 30'000, 80'000 };
+    constexpr std::array<double, 3> distanceCostsUs { 0, 30'000, 80'000 };
     // Opening a connection takes a slot of the server for about this many microseconds.
     constexpr double connectionCostUs = 12'000;
     // Expected time of a statement that is queued before this one, in microseconds, per slot of the server.
@@ -23,6 +25,24 @@
 
 }
 
+double distanceCostUs(Distance distance) { return distanceCostsUs[static_cast<size_t>(distance)]; }
+
+void markPreferred(std::vector<ReadCandidate>& candidates, std::string_view organisation)
+{
+    ReadCandidate* first = nullptr;
+    uint64_t firstScore = 0;
+    for (ReadCandidate& candidate : candidates) {
+        candidate.isPreferredByOrganisation = false;
+        const uint64_t score = rendezvousScore(organisation, candidate.server.value);
+        if (!first || score > firstScore) {
+            first = &candidate;
+            firstScore = score;
+        }
+    }
+    if (first)
+        first->isPreferredByOrganisation = true;
+}
+
 void ReadServerSelector::recordReply(const BackendServerId& id, Duration latency, TimePoint now)
 {
     const bool isFirst = this->statistics.count(id) == 0;
@@ -44,7 +64,7 @@
 
 double ReadServerSelector::score(const ReadCandidate& candidate, double defaultLatencyUs, TimePoint now) const
 {
-    double costUs = distanceCostUs[static_cast<size_t>(candidate.distance)];
+    double costUs = distanceCostUs(candidate.distance);
     if (!candidate.hasFreeConnection)
         costUs += connectionCostUs;
     costUs += queueingCostUs * candidate.outstanding / std::max(1U, candidate.slots);
@@ -83,4 +103,36 @@
     return best ? std::optional(best->server) : std::nullopt;
 }
 
+bool ReadServerSelector::isDeprioritized(const BackendServerId& id, TimePoint now) const
+{
+    const auto found = this->statistics.find(id);
+    return found != this->statistics.end() && now < found->second.deprioritizedUntil;
+}
+
+std::optional<ReadChoice> ReadServerSelector::chooseByLoad(
+    const std::vector<ReadCandidate>& candidates, const std::vector<BackendServerId>& excluded, TimePoint now, double draw) const
+{
+    std::vector<const ReadCandidate*> eligible;
+    bool hasReport = false;
+    for (const ReadCandidate& candidate : candidates) {
+        if (std::find(excluded.begin(), excluded.end(), candidate.server) != excluded.end() || this->isDeprioritized(candidate.server, now))
+            continue;
+        eligible.push_back(&candidate);
+        hasReport = hasReport || candidate.load;
+    }
+    if (!hasReport) {
+        const std::optional<BackendServerId> server = this->choose(candidates, excluded, now);
+        return server ? std::optional(ReadChoice { *server }) : std::nullopt;
+    }
+    const LoadEstimate estimate = LoadEstimate::create(eligible, now);
+    const ReadEstimate& selected = estimate.select(draw);
+    ReadChoice choice { selected.candidate->server,
+        selected.isTrial                        ? ReadChoiceReason::Trial
+            : &selected == &estimate.shortest() ? ReadChoiceReason::Shortest
+                                                : ReadChoiceReason::Spread };
+    if (selected.candidate->load)
+        choice.reportAge = std::max(Duration(0), now - selected.candidate->load->takenAt);
+    return choice;
+}
+
 }
