Carry the load of servers on the frames of relays and choose by it

Cause: the relay of a server knows its true queue; the VMs that send their statements over it did not. Change: DirectPool takes the load (running, waiting, slots, mean service time; a failure counts as a long one). The relay's answers and refusals carry it (6 bytes); the opening of a channel and each answer pass on what the sender knows of the other servers of the group (Loads, 9 bytes and 12 for each server, at most 1 s old). RelayedPool keeps the newest report with its age. Fleets without relays choose as before.

--- a/foxtailtrail/proxy/BackendLink.h
+++ b/foxtailtrail/proxy/BackendLink.h
@@ -68,6 +68,11 @@
     void sendStatements(std::string_view bytes, size_t count);
     // Returns the number of statements without a reply.
     size_t outstandingStatements() const { return this->sentTimes.size(); }
+    // Returns when the oldest statement without a reply was sent.
+    std::optional<TimePoint> oldestUnansweredAt() const
+    {
+        return this->sentTimes.empty() ? std::nullopt : std::optional(this->sentTimes.front());
+    }
     // Returns whether the link is usable, every statement has a reply and the last one left the connection outside of a
     // transaction.
     bool isReusable() const { return this->sentTimes.empty() && this->lastTransactionState == TransactionState::None && this->isUsable(); }
--- a/foxtailtrail/proxy/DirectPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -239,6 +239,18 @@
         this->serveWaiters();
 }
 
+void DirectPool::recordServiceTime(Duration elapsed, bool hasFailed)
+{
+    // The link's own statement has ended already and no longer counts as running.
+    this->serviceTime.recordEnd(elapsed, this->slotsInUse() + 1, this->server().slots, hasFailed, bootNow());
+}
+
+std::optional<ServerLoad> DirectPool::load() const
+{
+    return ServerLoad { static_cast<uint32_t>(this->slotsInUse() + this->pendingOpenings.size()),
+        static_cast<uint32_t>(this->waiters.size()), std::max(1U, this->server().slots), this->serviceTime.mean(), bootNow() };
+}
+
 std::shared_ptr<DirectLink> DirectPool::removeFromInUse(const std::shared_ptr<BackendLink>& link)
 {
     const auto inUseLink = this->inUse.find(link.get());
--- a/foxtailtrail/proxy/DirectPool.h
+++ b/foxtailtrail/proxy/DirectPool.h
@@ -31,7 +31,9 @@
     void drop(const std::shared_ptr<BackendLink>&) override;
     void recordBusy() override;
     void recordReply() override;
+    void recordServiceTime(Duration, bool hasFailed) override;
     bool hasFreeLink(const std::string& organisation) const override;
+    std::optional<ServerLoad> load() const override;
     uint32_t outstandingRequests() const override { return static_cast<uint32_t>(this->inUse.size() + this->waiters.size()); }
 
     // Returns the number of connections, open or being opened.
@@ -86,6 +88,7 @@
     ConnectionLimit limit;
     size_t coreSize = 1;
     ConcurrencyWindow window;
+    ServiceTimeAverage serviceTime;
     // After a Busy error, no statement is sent until this time.
     TimePoint busyUntil {};
     std::minstd_rand random;
--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -310,7 +310,14 @@
             continue;
         candidates.push_back({ entry->id, this->groupContext.distanceTo(*entry), pool->hasFreeLink(organisation),
             pool->outstandingRequests(), entry->slots });
+        if (this->groupContext.usesReportedLoad(*pool)) {
+            ReadCandidate& candidate = candidates.back();
+            candidate.load = pool->load();
+            candidate.sentSince = pool->sentSinceReport();
+            candidate.oldestUnansweredAt = pool->oldestUnansweredAt();
+        }
     }
+    markPreferred(candidates, organisation);
     return candidates;
 }
 
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -49,6 +49,13 @@
     virtual bool mayMissServers() const = 0;
     // Returns true when a server that leaves may stop so soon that nothing new is sent to it.
     virtual bool mayStopSoon(const BackendServerId&, TimePoint now) const = 0;
+    // Returns whether the choice of a server for a read uses reports of the servers' loads, and whether the pool's report is of all
+    // statements that VMs send to the server.
+    virtual bool usesReportedLoad(const LinkPool&) { return false; }
+    // Returns a uniformly distributed number from 0 to 1.
+    virtual double randomDraw() { return 0; }
+    // Counts the choice of a server for a read.
+    virtual void recordReadChoice(const ReadChoice&) { }
     // Requests an examination of the group's primary.
     virtual void examineGroup(const ServiceName&, std::string_view reason) = 0;
 };
--- a/foxtailtrail/proxy/LinkPool.h
+++ b/foxtailtrail/proxy/LinkPool.h
@@ -3,10 +3,12 @@
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/proxy/BackendLink.h"
 #include "foxtailtrail/replication/ServerDirectory.h"
+#include "foxtailtrail/replication/ServerLoad.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace foxtail {
@@ -50,11 +52,20 @@
     virtual void recordBusy() = 0;
     // Records a reply to a statement.
     virtual void recordReply() = 0;
+    // Records how long a statement ran that the server has ended, and whether it failed.
+    virtual void recordServiceTime(Duration, bool /*hasFailed*/) { }
 
     // Returns whether a connection for the organisation is available without opening one.
     virtual bool hasFreeLink(const std::string& organisation) const = 0;
     // Returns the number of statements that run on the server or wait for a connection.
     virtual uint32_t outstandingRequests() const = 0;
+    // Returns the load of the server as far as this pool knows it. A pool of this VM's own connections knows only the statements that run
+    // on them.
+    virtual std::optional<ServerLoad> load() const { return std::nullopt; }
+    // Returns the number of statements that this VM has sent since the load was reported.
+    virtual uint32_t sentSinceReport() const { return 0; }
+    // Returns when the oldest statement was sent that has no reply, where the load does not show it until then.
+    virtual std::optional<TimePoint> oldestUnansweredAt() const { return std::nullopt; }
 
     const ServerEntry& server() const { return this->entry; }
     void updateEntry(const ServerEntry& changed) { this->entry = changed; }
--- a/foxtailtrail/proxy/ProxyMetrics.cpp
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -12,6 +12,8 @@
 
     // Upper bucket bounds in seconds, from a reply without a backend server to the longest statement timeout.
     const prometheus::Histogram::BucketBoundaries durationBucketBoundsSeconds { 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 5 };
+    // Upper bucket bounds in seconds, from the way back of an answer to the lifetime of a report.
+    const prometheus::Histogram::BucketBoundaries reportAgeBucketBoundsSeconds { 0.025, 0.1, 0.25, 0.5, 1, 2, 5 };
 
 }
 
@@ -30,6 +32,14 @@
                                                                  .Name("foxtail_quota_refusals_total")
                                                                  .Help("Operations that the quotas have refused, by cause")
                                                                  .Register(registry);
+    prometheus::Family<prometheus::Counter>& readChoices = prometheus::BuildCounter()
+                                                               .Name("foxtail_read_choices_total")
+                                                               .Help("Choices of a backend server for a read, by reason")
+                                                               .Register(registry);
+    prometheus::Family<prometheus::Histogram>& loadReportAges = prometheus::BuildHistogram()
+                                                                    .Name("foxtail_load_report_age_seconds")
+                                                                    .Help("Age of the report of the chosen server's load")
+                                                                    .Register(registry);
     prometheus::Family<prometheus::Counter>& promotions
         = prometheus::BuildCounter().Name("foxtail_session_promotions_total").Help("Promotions carried out by this VM").Register(registry);
     prometheus::Family<prometheus::Gauge>& state
@@ -61,6 +71,14 @@
     this->implementation->quotaRefusals.Add({ { "cause", std::string(cause) } }).Increment();
 }
 
+void ProxyMetrics::countReadChoice(std::string_view reason, const std::optional<Duration>& reportAge)
+{
+    this->implementation->readChoices.Add({ { "reason", std::string(reason) } }).Increment();
+    if (reportAge)
+        this->implementation->loadReportAges.Add({}, reportAgeBucketBoundsSeconds)
+            .Observe(std::chrono::duration<double>(*reportAge).count());
+}
+
 void ProxyMetrics::countPromotion() { this->implementation->promotions.Add({}).Increment(); }
 
 std::string ProxyMetrics::exposition(const ProxyGauges& gauges)
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -37,6 +37,8 @@
     void countOpening(std::string_view outcome);
     // Counts an operation that the quotas have refused, by its cause.
     void countQuotaRefusal(std::string_view cause);
+    // Counts the choice of a server for a read by its reason, and records the age of the report of the server's load.
+    void countReadChoice(std::string_view reason, const std::optional<Duration>& reportAge);
     // Counts a promotion that this VM has performed.
     void countPromotion();
 
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -116,6 +116,7 @@
         readChangeBound(reader, "configurationMilliseconds", settings.changeBounds.configuration);
         readChangeBound(reader, "keyWithdrawalMilliseconds", settings.changeBounds.keyWithdrawal);
         readChangeBound(reader, "serverDrainMilliseconds", settings.changeBounds.serverDrain);
+        settings.usesEvenLoad = reader.read<bool>("routing", "evenLoad", "true or false", false);
         return settings;
     }
 
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -46,6 +46,8 @@
     QuotaBounds quota;
     ChangeBounds changeBounds;
     std::string logLevel = "info";
+    // Whether reads are divided between the servers by reports of their loads.
+    bool usesEvenLoad = false;
 };
 
 // Returns whether a file has the layout of these settings: a map with a section "platform".
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -55,6 +55,8 @@
     this->proxy.setIsolationCheck([this] { return this->isIsolated(); });
     this->proxy.setGrantRequester([this] { this->peers.requestQuotaIfDue(); });
     BOOST_OUTCOME_TRY(this->peers.start());
+    if (this->settings.usesEvenLoad)
+        this->relayServer.setLoadExchange(this->proxy);
     BOOST_OUTCOME_TRY(this->relayServer.listen({ this->settings.peerEndpoint.address, this->settings.relayPort }));
     HttpServerSettings ready;
     ready.address = this->settings.readinessEndpoint.address;
--- a/foxtailtrail/proxy/RelayClient.cpp
+++ b/foxtailtrail/proxy/RelayClient.cpp
@@ -168,7 +168,11 @@
     const std::shared_ptr<RelayedLink> link = found == this->channels.end() ? nullptr : found->second.lock();
     if (!link)
         return;
-    if (frame.kind == RelayFrameKind::Answer)
+    if (frame.load)
+        link->handleLoad(*frame.load);
+    if (frame.kind == RelayFrameKind::Loads)
+        link->handleReports(frame.reports);
+    else if (frame.kind == RelayFrameKind::Answer)
         link->handleAnswer(frame.bytes);
     else if (frame.kind == RelayFrameKind::Denied)
         link->handleDenial(frame.denial);
@@ -179,17 +183,18 @@
 void RelayStream::disconnected() { this->abandon(); }
 
 std::shared_ptr<RelayedLink> RelayedLink::create(
-    const BackendCodec& codec, const ServerEntry& entry, const LinkRequest& request, std::shared_ptr<RelayStream> stream)
+    const BackendCodec& codec, const ServerEntry& entry, const LinkRequest& request, std::shared_ptr<RelayStream> stream, LinkLoad linkLoad)
 {
-    std::shared_ptr<RelayedLink> link(new RelayedLink(codec, entry, request, std::move(stream)));
+    std::shared_ptr<RelayedLink> link(new RelayedLink(codec, entry, request, std::move(stream), std::move(linkLoad)));
     link->channel = link->stream->addChannel(link);
     return link;
 }
 
-RelayedLink::RelayedLink(
-    const BackendCodec& codec, const ServerEntry& entry, const LinkRequest& linkRequest, std::shared_ptr<RelayStream> stream)
+RelayedLink::RelayedLink(const BackendCodec& codec, const ServerEntry& entry, const LinkRequest& linkRequest,
+    std::shared_ptr<RelayStream> stream, LinkLoad linkLoad)
     : BackendLink(codec, entry, linkRequest.organisation)
     , stream(std::move(stream))
+    , linkLoad(std::move(linkLoad))
     , request(linkRequest)
 {
 }
@@ -203,7 +208,14 @@
         const RelayRequest relayRequest { this->entry.id, this->organisation(), this->request.priority,
             toMilliseconds(this->request.giveUpAt - bootNow()) };
         writeRelayOpen(frame, this->channel, relayRequest, static_cast<uint8_t>(statements), bytes);
+        if (this->linkLoad.exchange) {
+            const std::vector<LoadReport> reports = this->linkLoad.exchange->reportsBeside(this->entry);
+            if (!reports.empty())
+                writeRelayLoads(frame, this->channel, reports);
+        }
     }
+    this->lastSentAt = bootNow();
+    this->linkLoad.record->recordSent(this->lastSentAt);
     this->stream->sendFrame(frame);
 }
 
@@ -239,6 +251,17 @@
     this->endChannel();
 }
 
+void RelayedLink::handleLoad(const ServerLoad& load)
+{
+    this->linkLoad.record->recordReport(load, this->lastSentAt, bootNow());
+}
+
+void RelayedLink::handleReports(const std::vector<LoadReport>& reports)
+{
+    if (this->linkLoad.exchange)
+        this->linkLoad.exchange->handleReports(this->entry.service, reports);
+}
+
 void RelayedLink::handleAnswer(std::string_view bytes)
 {
     const auto self = this->shared_from_this();
--- a/foxtailtrail/proxy/RelayClient.h
+++ b/foxtailtrail/proxy/RelayClient.h
@@ -2,8 +2,10 @@
 
 #include "foxtailtrail/net/HttpClient.h"
 #include "foxtailtrail/proxy/LinkPool.h"
+#include "foxtailtrail/proxy/LoadExchange.h"
 #include "foxtailtrail/proxy/RelayFrame.h"
 #include "foxtailtrail/proxy/TcpStream.h"
+#include "foxtailtrail/replication/LoadRecord.h"
 
 #include <functional>
 #include <map>
@@ -62,11 +64,19 @@
     TimePoint pongDueBy {};
 };
 
+// Where a link records the reports of load that it receives, and where those come from that it sends.
+struct LinkLoad {
+    std::shared_ptr<LoadRecord> record;
+    // Null when this VM exchanges no reports.
+    LoadExchange* exchange = nullptr;
+};
+
 // A link whose connection to the backend server is held by another VM.
 class RelayedLink final : public BackendLink, public std::enable_shared_from_this<RelayedLink> {
 public:
     // Creates a link and its channel. The first statements pass the request for a connection on to the other VM.
-    static std::shared_ptr<RelayedLink> create(const BackendCodec&, const ServerEntry&, const LinkRequest&, std::shared_ptr<RelayStream>);
+    static std::shared_ptr<RelayedLink> create(
+        const BackendCodec&, const ServerEntry&, const LinkRequest&, std::shared_ptr<RelayStream>, LinkLoad);
 
     // Releases the connection, so that the other VM can reuse it.
     void releaseChannel();
@@ -82,6 +92,8 @@
     bool wasServerUnreachable() const { return this->isServerUnreachable; }
 
     // Handlers of frames from the other VM.
+    void handleLoad(const ServerLoad&);
+    void handleReports(const std::vector<LoadReport>&);
     void handleAnswer(std::string_view bytes);
     void handleDenial(AcquireOutcome);
     void handleServerLoss();
@@ -89,13 +101,15 @@
     void handleStreamLoss(bool wereSent);
 
 private:
-    RelayedLink(const BackendCodec&, const ServerEntry&, const LinkRequest&, std::shared_ptr<RelayStream>);
+    RelayedLink(const BackendCodec&, const ServerEntry&, const LinkRequest&, std::shared_ptr<RelayStream>, LinkLoad);
     void write(std::string_view bytes, size_t statements) override;
     void endChannel();
 
     std::shared_ptr<RelayStream> stream;
+    LinkLoad linkLoad;
     uint32_t channel = 0;
     LinkRequest request;
+    TimePoint lastSentAt {};
     // Whether the open frame has been written, whether the server has replied, and whether the channel has ended.
     bool isChannelOpened = false;
     bool hasServerAnswered = false;
--- a/foxtailtrail/proxy/RelayFrame.cpp
+++ b/foxtailtrail/proxy/RelayFrame.cpp
@@ -1,8 +1,11 @@
 #include "foxtailtrail/proxy/RelayFrame.h"
 
+#include "foxtailtrail/base/Hash.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/endian/conversion.hpp>
+#include <limits>
 
 namespace foxtail {
 
@@ -10,7 +13,7 @@
 
     // The largest message of callers and servers is 1 MiB; an answer may contain several messages.
     constexpr size_t maxFrameBytes = size_t { 4 } << 20;
-    constexpr auto lastFrameKind = static_cast<uint8_t>(RelayFrameKind::Leaving);
+    constexpr auto lastFrameKind = static_cast<uint8_t>(RelayFrameKind::Loads);
     constexpr auto lastAcquireOutcome = static_cast<uint8_t>(AcquireOutcome::Gone);
 
     template <typename Number> void append(std::string& out, Number number)
@@ -66,6 +69,43 @@
         out.replace(begin, length.size(), length);
     }
 
+    // The unit of service times in a report, which bounds them to 6.5 s.
+    constexpr Duration serviceTimeUnit = std::chrono::microseconds(100);
+
+    template <typename Number> void appendCapped(std::string& out, int64_t number)
+    {
+        append<Number>(out, static_cast<Number>(std::clamp<int64_t>(number, 0, std::numeric_limits<Number>::max())));
+    }
+
+    void appendLoad(std::string& out, const ServerLoad& load)
+    {
+        appendCapped<uint8_t>(out, load.running);
+        appendCapped<uint16_t>(out, load.waiting);
+        appendCapped<uint8_t>(out, load.slots);
+        appendCapped<uint16_t>(out, load.meanServiceTime / serviceTimeUnit);
+    }
+
+    ServerLoad readLoad(FieldReader& reader)
+    {
+        ServerLoad load;
+        load.running = reader.number<uint8_t>();
+        load.waiting = reader.number<uint16_t>();
+        load.slots = std::max<uint32_t>(1, reader.number<uint8_t>());
+        load.meanServiceTime = reader.number<uint16_t>() * serviceTimeUnit;
+        return load;
+    }
+
+    void readReports(FieldReader& reader, std::vector<LoadReport>& reports)
+    {
+        while (!reader.remaining().empty() && reader.hasAllFields()) {
+            LoadReport report;
+            report.serverKey = reader.number<uint32_t>();
+            report.age = std::chrono::milliseconds(reader.number<uint16_t>());
+            report.load = readLoad(reader);
+            reports.push_back(report);
+        }
+    }
+
     void readOpen(FieldReader& reader, RelayFrame& frame)
     {
         frame.statementCount = reader.number<uint8_t>();
@@ -105,16 +145,37 @@
     writeFrame(out, RelayFrameKind::Release, channel, [&] { append<uint8_t>(out, leavesState ? 1 : 0); });
 }
 
-void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome denial)
+void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome denial, const std::optional<ServerLoad>& load)
 {
-    writeFrame(out, RelayFrameKind::Denied, channel, [&] { append<uint8_t>(out, static_cast<uint8_t>(denial)); });
+    writeFrame(out, load ? RelayFrameKind::DeniedWithLoad : RelayFrameKind::Denied, channel, [&] {
+        if (load)
+            appendLoad(out, *load);
+        append<uint8_t>(out, static_cast<uint8_t>(denial));
+    });
 }
 
-void writeRelayAnswer(std::string& out, uint32_t channel, std::string_view bytes)
+void writeRelayAnswer(std::string& out, uint32_t channel, std::string_view bytes, const std::optional<ServerLoad>& load)
 {
-    writeFrame(out, RelayFrameKind::Answer, channel, [&] { out += bytes; });
+    writeFrame(out, load ? RelayFrameKind::AnswerWithLoad : RelayFrameKind::Answer, channel, [&] {
+        if (load)
+            appendLoad(out, *load);
+        out += bytes;
+    });
 }
 
+void writeRelayLoads(std::string& out, uint32_t channel, const std::vector<LoadReport>& reports)
+{
+    writeFrame(out, RelayFrameKind::Loads, channel, [&] {
+        for (const LoadReport& report : reports) {
+            append<uint32_t>(out, report.serverKey);
+            appendCapped<uint16_t>(out, toMilliseconds(report.age));
+            appendLoad(out, report.load);
+        }
+    });
+}
+
+uint32_t loadReportKey(const BackendServerId& id) { return static_cast<uint32_t>(stableHash(id.value)); }
+
 void writeRelaySignal(std::string& out, RelayFrameKind kind, uint32_t channel)
 {
     writeFrame(out, kind, channel, [] {});
@@ -139,6 +200,10 @@
     frame = RelayFrame {};
     frame.kind = static_cast<RelayFrameKind>(kind);
     frame.channel = reader.number<uint32_t>();
+    if (frame.kind == RelayFrameKind::DeniedWithLoad || frame.kind == RelayFrameKind::AnswerWithLoad) {
+        frame.kind = frame.kind == RelayFrameKind::DeniedWithLoad ? RelayFrameKind::Denied : RelayFrameKind::Answer;
+        frame.load = readLoad(reader);
+    }
     switch (frame.kind) {
     case RelayFrameKind::Open:
         readOpen(reader, frame);
@@ -157,6 +222,9 @@
         frame.denial = static_cast<AcquireOutcome>(denial);
         break;
     }
+    case RelayFrameKind::Loads:
+        readReports(reader, frame.reports);
+        break;
     case RelayFrameKind::Answer:
         frame.bytes = reader.remaining();
         break;
--- a/foxtailtrail/proxy/RelayFrame.h
+++ b/foxtailtrail/proxy/RelayFrame.h
@@ -3,11 +3,13 @@
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/proxy/BackendLink.h"
+#include "foxtailtrail/replication/ServerLoad.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace foxtail {
 
@@ -33,8 +35,25 @@
     Pong,
     // The VM that holds the connections is stopping; no new channels may be opened.
     Leaving,
+    // Denied and Answer with a report of the server's load in front. They are read as Denied and Answer.
+    DeniedWithLoad,
+    AnswerWithLoad,
+    // Reports of the loads of the other servers in the group of the channel's server.
+    Loads,
 };
 
+// A report of a server's load that one VM passes on to another.
+struct LoadReport {
+    // Identifies the server within its group; see loadReportKey().
+    uint32_t serverKey = 0;
+    Duration age { 0 };
+    // The time in it is not sent.
+    ServerLoad load;
+};
+
+// Returns the key of a server in reports, a hash of its id.
+uint32_t loadReportKey(const BackendServerId&);
+
 // The request of a channel for a connection.
 struct RelayRequest {
     BackendServerId server;
@@ -54,14 +73,19 @@
     bool leavesState = false;
     AcquireOutcome denial = AcquireOutcome::Exhausted;
     RelayRequest request;
+    // For Denied and Answer: the load of the server, without the time when it was taken.
+    std::optional<ServerLoad> load;
+    // For Loads.
+    std::vector<LoadReport> reports;
     std::string_view bytes;
 };
 
 void writeRelayOpen(std::string& out, uint32_t channel, const RelayRequest&, uint8_t statements, std::string_view bytes);
 void writeRelayStatements(std::string& out, uint32_t channel, uint8_t statements, std::string_view bytes);
 void writeRelayRelease(std::string& out, uint32_t channel, bool leavesState);
-void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome);
-void writeRelayAnswer(std::string& out, uint32_t channel, std::string_view bytes);
+void writeRelayDenied(std::string& out, uint32_t channel, AcquireOutcome, const std::optional<ServerLoad>& = std::nullopt);
+void writeRelayAnswer(std::string& out, uint32_t channel, std::string_view bytes, const std::optional<ServerLoad>& = std::nullopt);
+void writeRelayLoads(std::string& out, uint32_t channel, const std::vector<LoadReport>&);
 // Writes a frame without content: Drop, Lost, Ping, Pong or Leaving.
 void writeRelaySignal(std::string& out, RelayFrameKind, uint32_t channel);
 
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -19,11 +19,12 @@
     // Called when the channel ends by itself, that is, without a frame from the other VM.
     using EndedCallback = std::function<void(uint32_t)>;
 
-    RelayChannel(
-        uint32_t number, std::shared_ptr<LinkPool> pool, const BackendCodec& codec, FrameSender frameSender, EndedCallback endedCallback)
+    RelayChannel(uint32_t number, std::shared_ptr<LinkPool> pool, const BackendCodec& codec, LoadExchange* exchange,
+        FrameSender frameSender, EndedCallback endedCallback)
         : channelNumber(number)
         , pool(std::move(pool))
         , codec(codec)
+        , loadExchange(exchange)
         , sendFrame(std::move(frameSender))
         , onEnded(std::move(endedCallback))
     {
@@ -51,6 +52,12 @@
         }
     }
 
+    void handleReports(const std::vector<LoadReport>& reports)
+    {
+        if (this->loadExchange)
+            this->loadExchange->handleReports(this->pool->server().service, reports);
+    }
+
     void release(bool leavesState)
     {
         this->hasEnded = true;
@@ -101,10 +108,21 @@
         this->link->sendStatements(std::exchange(this->queuedStatements, {}), std::exchange(this->queuedStatementCount, 0));
     }
 
+    std::optional<ServerLoad> reportedLoad() const { return this->loadExchange ? this->pool->load() : std::nullopt; }
+
+    void writeReports(std::string& frame) const
+    {
+        if (!this->loadExchange)
+            return;
+        const std::vector<LoadReport> reports = this->loadExchange->reportsBeside(this->pool->server());
+        if (!reports.empty())
+            writeRelayLoads(frame, this->channelNumber, reports);
+    }
+
     void deny(AcquireOutcome outcome)
     {
         std::string frame;
-        writeRelayDenied(frame, this->channelNumber, outcome);
+        writeRelayDenied(frame, this->channelNumber, outcome, this->reportedLoad());
         this->end(frame);
     }
 
@@ -135,8 +153,11 @@
             this->sendQueuedStatements();
             return;
         }
+        if (!provesNotRun(linkReply.errorCode))
+            this->pool->recordServiceTime(bootNow() - linkReply.sentAt, !linkReply.succeeded());
         std::string frame;
-        writeRelayAnswer(frame, this->channelNumber, std::exchange(this->answer, {}));
+        this->writeReports(frame);
+        writeRelayAnswer(frame, this->channelNumber, std::exchange(this->answer, {}), this->reportedLoad());
         this->sendFrame(frame);
         if (linkReply.errorCode == BackendErrorCode::Busy)
             this->pool->recordBusy();
@@ -160,6 +181,7 @@
     uint32_t channelNumber;
     std::shared_ptr<LinkPool> pool;
     const BackendCodec& codec;
+    LoadExchange* loadExchange;
     FrameSender sendFrame;
     EndedCallback onEnded;
     std::shared_ptr<BackendLink> link;
@@ -248,6 +270,10 @@
             channel->forwardStatements(frame.statementCount, frame.bytes);
             return;
         }
+        if (frame.kind == RelayFrameKind::Loads) {
+            channel->handleReports(frame.reports);
+            return;
+        }
         this->channels.erase(found);
         if (frame.kind == RelayFrameKind::Release)
             channel->release(frame.leavesState);
@@ -266,7 +292,7 @@
         }
         auto self = std::static_pointer_cast<Connection>(this->shared_from_this());
         const auto channel = std::make_shared<RelayChannel>(
-            frame.channel, pool, this->server.codec, [self](const std::string& bytes) { self->send(bytes); },
+            frame.channel, pool, this->server.codec, this->server.loadExchange, [self](const std::string& bytes) { self->send(bytes); },
             [self](uint32_t number) { self->channels.erase(number); });
         this->channels.emplace(frame.channel, channel);
         channel->open(frame.request, frame.statementCount, frame.bytes);
--- a/foxtailtrail/proxy/RelayServer.h
+++ b/foxtailtrail/proxy/RelayServer.h
@@ -3,6 +3,7 @@
 #include "foxtailtrail/base/ErrorKind.h"
 #include "foxtailtrail/net/HttpClient.h"
 #include "foxtailtrail/proxy/LinkPool.h"
+#include "foxtailtrail/proxy/LoadExchange.h"
 #include "foxtailtrail/proxy/RelayFrame.h"
 #include "foxtailtrail/proxy/TcpStream.h"
 
@@ -21,6 +22,8 @@
     using FindPool = std::function<std::shared_ptr<LinkPool>(const BackendServerId&)>;
 
     RelayServer(boost::asio::io_context&, const BackendCodec&, FindPool);
+    // Lets answers carry the load of their server and what this VM knows of the others in its group.
+    void setLoadExchange(LoadExchange& exchange) { this->loadExchange = &exchange; }
     ~RelayServer();
 
     // Starts to accept connections from other VMs. Fails with Internal when the address cannot be bound.
@@ -42,6 +45,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<Connection>> connections;
     bool isStopping = false;
+    LoadExchange* loadExchange = nullptr;
 };
 
 }
--- a/foxtailtrail/proxy/RelayedPool.cpp
+++ b/foxtailtrail/proxy/RelayedPool.cpp
@@ -130,12 +130,28 @@
         callback(AcquireOutcome::Gone, nullptr);
         return 0;
     }
-    const auto link = RelayedLink::create(this->codec, this->server(), request, std::move(stream));
+    const auto link = RelayedLink::create(
+        this->codec, this->server(), request, std::move(stream), { this->loadRecord, this->relayStreams.loadExchange() });
     this->linksInUse.emplace(link.get(), link);
     callback(AcquireOutcome::Acquired, link);
     return 0;
 }
 
+std::optional<ServerLoad> RelayedPool::load() const { return this->loadRecord->find(bootNow()); }
+
+void RelayedPool::recordPassedReport(const ServerLoad& load, Duration age) { this->loadRecord->recordPassedReport(load, age, bootNow()); }
+
+std::optional<TimePoint> RelayedPool::oldestUnansweredAt() const
+{
+    std::optional<TimePoint> oldest;
+    for (const auto& [link, owned] : this->linksInUse) {
+        const std::optional<TimePoint> sentAt = link->oldestUnansweredAt();
+        if (sentAt && (!oldest || *sentAt < *oldest))
+            oldest = sentAt;
+    }
+    return oldest;
+}
+
 void RelayedPool::release(const std::shared_ptr<BackendLink>& returnedLink)
 {
     const auto used = this->linksInUse.extract(returnedLink.get());
--- a/foxtailtrail/proxy/RelayedPool.h
+++ b/foxtailtrail/proxy/RelayedPool.h
@@ -25,6 +25,9 @@
     // Records that the VM could not reach the server, which excludes it for this server for a time.
     void recordUnreachableServer(const std::shared_ptr<RelayStream>&, const BackendServerId&, TimePoint now);
     void sweep(TimePoint now);
+    // Sets where reports of load come from and go to; null when none are exchanged.
+    void setLoadExchange(LoadExchange* exchange) { this->exchange = exchange; }
+    LoadExchange* loadExchange() const { return this->exchange; }
 
 private:
     // Excludes a VM whose connection can no longer be used.
@@ -37,6 +40,7 @@
     std::map<VmId, Endpoint> addresses;
     std::map<VmId, std::shared_ptr<RelayStream>> streams;
     RelayTrials trials;
+    LoadExchange* exchange = nullptr;
     // The trial connections to excluded relays.
     std::map<VmId, std::shared_ptr<RelayStream>> trialStreams;
 };
@@ -56,11 +60,19 @@
     void recordReply() override { }
     bool hasFreeLink(const std::string&) const override { return true; }
     uint32_t outstandingRequests() const override { return static_cast<uint32_t>(this->linksInUse.size()); }
+    // The last report that the other VM has sent with an answer.
+    std::optional<ServerLoad> load() const override;
+    // Records a report that a third VM has passed on.
+    void recordPassedReport(const ServerLoad&, Duration age);
+    uint32_t sentSinceReport() const override { return this->loadRecord->sentSince(); }
+    std::optional<TimePoint> oldestUnansweredAt() const override;
 
 private:
     RelayStreamPool& relayStreams;
     const BackendCodec& codec;
     std::map<BackendLink*, std::shared_ptr<RelayedLink>> linksInUse;
+    // Shared with the links, which record the reports of their answers.
+    std::shared_ptr<LoadRecord> loadRecord = std::make_shared<LoadRecord>();
 };
 
 }
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -1,5 +1,6 @@
 #include "foxtailtrail/proxy/SessionProxy.h"
 
+#include "foxtailtrail/base/Hash.h"
 #include "foxtailtrail/net/Listen.h"
 #include "foxtailtrail/proxy/BootClock.h"
 #include "foxtailtrail/scheduling/ConnectionShare.h"
@@ -16,6 +17,10 @@
 
 namespace {
 
+    // Older reports say too little to be passed on.
+    constexpr Duration passedReportLifetime = std::chrono::seconds(1);
+    // Bounds the bytes of a message of a large group.
+    constexpr size_t maxPassedReports = 4;
     constexpr Duration sweepInterval = std::chrono::milliseconds(50);
     // Shorter than the two seconds after which callers close a session that has no reply to its start message.
     constexpr Duration configurationTimeout = std::chrono::milliseconds(1500);
@@ -63,7 +68,10 @@
     , sweepTimer(context)
     , relays(context, RelayPlacement(proxySettings.regions))
     , localQuota(proxySettings.quota)
+    , random(static_cast<std::minstd_rand::result_type>(stableHash(proxySettings.vmId.value)))
 {
+    if (this->proxySettings.usesEvenLoad)
+        this->relays.setLoadExchange(this);
 }
 
 SessionProxy::~SessionProxy() = default;
@@ -287,15 +295,19 @@
 std::shared_ptr<LinkPool> SessionProxy::pool(const BackendServerId& id)
 {
     const ServerEntry* entry = this->servers.find(id);
-    if (entry && this->usesRelay(entry->service) && this->relays.streamFor(*entry, bootNow())) {
-        std::shared_ptr<RelayedPool>& pool = this->relayedPools[id];
-        if (!pool)
-            pool = std::make_shared<RelayedPool>(this->relays, this->codecForBackends, *entry);
-        return pool;
-    }
+    if (entry && this->usesRelay(entry->service) && this->relays.streamFor(*entry, bootNow()))
+        return this->relayedPool(*entry);
     return this->directPool(id);
 }
 
+const std::shared_ptr<RelayedPool>& SessionProxy::relayedPool(const ServerEntry& server)
+{
+    std::shared_ptr<RelayedPool>& pool = this->relayedPools[server.id];
+    if (!pool)
+        pool = std::make_shared<RelayedPool>(this->relays, this->codecForBackends, server);
+    return pool;
+}
+
 std::shared_ptr<DirectPool> SessionProxy::directPool(const BackendServerId& id)
 {
     const auto found = this->directPools.find(id);
@@ -334,6 +346,56 @@
         this->groupExaminer(service, reason);
 }
 
+bool SessionProxy::usesReportedLoad(const LinkPool& pool)
+{
+    // A VM that holds connections only for itself does not see the statements of the others.
+    return this->proxySettings.usesEvenLoad && this->usesRelay(pool.server().service)
+        && (this->relays.streamFor(pool.server(), bootNow()) || this->isRelayFor(pool.server(), bootNow()));
+}
+
+double SessionProxy::randomDraw() { return std::uniform_real_distribution<double>(0, 1)(this->random); }
+
+void SessionProxy::recordReadChoice(const ReadChoice& choice)
+{
+    this->proxyMetrics.countReadChoice(readChoiceReasonNames[static_cast<size_t>(choice.reason)], choice.reportAge);
+}
+
+std::optional<ServerLoad> SessionProxy::knownLoad(const ServerEntry& server, TimePoint now)
+{
+    if (this->isRelayFor(server, now)) {
+        const auto pool = this->directPools.find(server.id);
+        return pool == this->directPools.end() ? std::nullopt : pool->second->load();
+    }
+    const auto pool = this->relayedPools.find(server.id);
+    return pool == this->relayedPools.end() ? std::nullopt : pool->second->load();
+}
+
+std::vector<LoadReport> SessionProxy::reportsBeside(const ServerEntry& server)
+{
+    const TimePoint now = bootNow();
+    std::vector<LoadReport> reports;
+    for (const ServerEntry* member : this->servers.members(server.service)) {
+        if (member->id == server.id || reports.size() == maxPassedReports)
+            continue;
+        const std::optional<ServerLoad> load = this->knownLoad(*member, now);
+        if (load && now < load->takenAt + passedReportLifetime)
+            reports.push_back({ loadReportKey(member->id), now - load->takenAt, *load });
+    }
+    return reports;
+}
+
+void SessionProxy::handleReports(const ServiceName& service, const std::vector<LoadReport>& reports)
+{
+    for (const ServerEntry* member : this->servers.members(service)) {
+        const uint32_t key = loadReportKey(member->id);
+        const auto report
+            = std::find_if(reports.begin(), reports.end(), [&](const LoadReport& candidate) { return candidate.serverKey == key; });
+        if (report == reports.end())
+            continue;
+        this->relayedPool(*member)->recordPassedReport(report->load, report->age);
+    }
+}
+
 void SessionProxy::admit(const OrganisationLimit& limit, std::function<void(bool)> callback)
 {
     const TimePoint now = bootNow();
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -19,6 +19,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -41,7 +42,7 @@
 
 // The session path of a VM: callers' connections, the pools of backend connections, and what the traffic shows about the groups.
 // Runs on one thread.
-class SessionProxy final : public GroupContext {
+class SessionProxy final : public GroupContext, public LoadExchange {
 public:
     using GroupExaminer = std::function<void(const ServiceName&, std::string_view reason)>;
 
@@ -128,6 +129,13 @@
     bool mayStopSoon(const BackendServerId&, TimePoint now) const override;
     bool mayMissServers() const override { return !this->storeUnavailableCheck || this->storeUnavailableCheck(); }
     void examineGroup(const ServiceName&, std::string_view reason) override;
+    bool usesReportedLoad(const LinkPool&) override;
+    double randomDraw() override;
+    void recordReadChoice(const ReadChoice&) override;
+
+    // Overrides of LoadExchange.
+    std::vector<LoadReport> reportsBeside(const ServerEntry&) override;
+    void handleReports(const ServiceName&, const std::vector<LoadReport>&) override;
 
 private:
     struct ConfigurationWaiter {
@@ -152,6 +160,9 @@
     // Returns whether this VM is the relay of a server.
     bool isRelayFor(const ServerEntry&, TimePoint now);
     std::shared_ptr<DirectPool> directPool(const BackendServerId&);
+    const std::shared_ptr<RelayedPool>& relayedPool(const ServerEntry&);
+    // Returns the load of a server whose connections one VM holds for all, as this VM knows it.
+    std::optional<ServerLoad> knownLoad(const ServerEntry&, TimePoint now);
     void updatePoolSizes();
     void retireRemovedServerPools();
     // Requests an examination of groups whose primary is draining or has been removed from the server directory.
@@ -189,6 +200,7 @@
     std::set<CallerConnection*> connectionsToSweep;
     std::optional<StopSchedule> stop;
     ProxyMetrics proxyMetrics;
+    std::minstd_rand random;
 };
 
 }
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -122,7 +122,11 @@
         return;
     }
     const auto candidates = this->group->readCandidates(this->task.organisation);
-    std::optional<BackendServerId> server = this->group->selector().choose(candidates, this->excludedServers, now);
+    const std::optional<ReadChoice> choice
+        = this->group->selector().chooseByLoad(candidates, this->excludedServers, now, this->groupContext.randomDraw());
+    const std::optional<BackendServerId> server = choice ? std::optional(choice->server) : std::nullopt;
+    if (choice)
+        this->groupContext.recordReadChoice(*choice);
     if (!server && !candidates.empty()) {
         this->excludedServers.clear();
         this->retryAfter(candidateRoundDelay);
@@ -310,6 +314,8 @@
 {
     this->endCommit();
     const TimePoint now = bootNow();
+    if (!provesNotRun(reply.errorCode))
+        this->currentLink.pool->recordServiceTime(now - reply.sentAt, !reply.succeeded());
     if (reply.succeeded()) {
         this->finishWithReply(std::move(reply));
         return;
--- a/foxtailtrail/replication/LoadEstimate.cpp
+++ b/foxtailtrail/replication/LoadEstimate.cpp
@@ -50,8 +50,7 @@
     // Returns the statements that are at the server or wait for it.
     double queueLength(const ReadCandidate& candidate)
     {
-        const double reported = candidate.load ? candidate.load->running + candidate.load->waiting + candidate.sentSince : 0;
-        return std::max(reported, static_cast<double>(candidate.outstanding));
+        return candidate.load ? candidate.load->running + candidate.load->waiting + candidate.sentSince : 0;
     }
 
     // Returns the time until a slot becomes free for one more statement.
--- a/tests/fuzzing/DecoderFuzzTest.cpp
+++ b/tests/fuzzing/DecoderFuzzTest.cpp
@@ -176,6 +176,13 @@
         writeRelayAnswer(frames[4], 7, "DONE -\r\nREADY I 3.4\r\n");
         writeRelaySignal(frames[5], RelayFrameKind::Ping, 0);
         frames.push_back(frames[0] + frames[1] + frames[2]);
+        const ServerLoad load { 7, 300, 6, std::chrono::milliseconds(28) };
+        frames.emplace_back();
+        writeRelayDenied(frames.back(), 7, AcquireOutcome::Exhausted, load);
+        frames.emplace_back();
+        writeRelayAnswer(frames.back(), 7, "DONE -\r\nREADY I 3.4\r\n", load);
+        frames.emplace_back();
+        writeRelayLoads(frames.back(), 7, { { 1, std::chrono::milliseconds(250), load }, { 2, std::chrono::milliseconds(20), load } });
         this->fuzz(frames, [](const std::string& input) {
             std::string_view bytes = input;
             RelayFrame frame;
--- a/tests/proxy/FakePool.h
+++ b/tests/proxy/FakePool.h
@@ -51,7 +51,9 @@
     void recordReply() override { }
     bool hasFreeLink(const std::string&) const override { return false; }
     uint32_t outstandingRequests() const override { return 0; }
+    std::optional<ServerLoad> load() const override { return this->reportedLoad; }
 
+    std::optional<ServerLoad> reportedLoad;
     std::vector<std::shared_ptr<FakeLink>> links;
 
 private:
--- a/tests/proxy/RelayFrameTest.cpp
+++ b/tests/proxy/RelayFrameTest.cpp
@@ -45,6 +45,35 @@
         EXPECT_EQ(readRelayFrame(rest, frame), RelayReadResult::Incomplete);
     }
 
+    // Guards against reports that are read differently than they were written, or that replace what they accompany. Numbers that do not fit
+    // are reported as the largest.
+    TEST(RelayFrameTest, ReadsReportsOfLoadAsWritten)
+    {
+        const ServerLoad load { 7, 300, 6, std::chrono::microseconds(28'400) };
+        const ServerLoad huge { 1000, 100'000, 6, std::chrono::seconds(60) };
+        std::string bytes;
+        writeRelayAnswer(bytes, 11, "DONE\r\n", load);
+        writeRelayDenied(bytes, 12, AcquireOutcome::Exhausted, huge);
+        writeRelayLoads(bytes, 13, { { loadReportKey(BackendServerId("b1")), std::chrono::milliseconds(250), load } });
+        std::string_view rest = bytes;
+        RelayFrame frame;
+        ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
+        EXPECT_EQ(frame.kind, RelayFrameKind::Answer);
+        EXPECT_EQ(frame.bytes, "DONE\r\n");
+        EXPECT_EQ(frame.load, load);
+        ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
+        EXPECT_EQ(frame.kind, RelayFrameKind::Denied);
+        EXPECT_EQ(frame.denial, AcquireOutcome::Exhausted);
+        EXPECT_EQ(frame.load, (ServerLoad { 255, 65535, 6, std::chrono::microseconds(6'553'500) }));
+        ASSERT_EQ(readRelayFrame(rest, frame), RelayReadResult::Complete);
+        EXPECT_EQ(frame.kind, RelayFrameKind::Loads);
+        ASSERT_EQ(frame.reports.size(), 1U);
+        EXPECT_EQ(frame.reports[0].serverKey, loadReportKey(BackendServerId("b1")));
+        EXPECT_EQ(frame.reports[0].age, std::chrono::milliseconds(250));
+        EXPECT_EQ(frame.reports[0].load, load);
+        EXPECT_TRUE(rest.empty());
+    }
+
     // Guards against a decoder that accepts an incomplete frame as a complete one.
     TEST(RelayFrameTest, ReportsPartialFrameAsIncomplete)
     {
--- a/tests/proxy/RelayServerTest.cpp
+++ b/tests/proxy/RelayServerTest.cpp
@@ -1,4 +1,6 @@
 #include "foxtailtrail/proxy/RelayServer.h"
+#include "foxtailtrail/proxy/BootClock.h"
+#include "foxtailtrail/proxy/RelayClient.h"
 #include "tests/proxy/FakePool.h"
 
 #include <boost/asio/read.hpp>
@@ -52,6 +54,63 @@
         pool->links.front()->receive("DONE -\r\nREADY I 1.1\r\n");
     }
 
+    // Knows one report and keeps those that it receives.
+    class FakeLoadExchange final : public LoadExchange {
+    public:
+        std::vector<LoadReport> reportsBeside(const ServerEntry&) override { return { this->known }; }
+        void handleReports(const ServiceName& service, const std::vector<LoadReport>& reports) override
+        {
+            this->receivedFor = service;
+            this->received = reports;
+        }
+
+        LoadReport known;
+        ServiceName receivedFor;
+        std::vector<LoadReport> received;
+    };
+
+    // Guards against reports that one end of a relay's connection does not write or the other does not keep.
+    TEST(RelayServerTest, PassesReportsOfLoadBothWays)
+    {
+        boost::asio::io_context context;
+        const platform::LineBackendCodec codec;
+        ServerEntry server;
+        server.id = BackendServerId("b1");
+        server.service = ServiceName("s");
+        auto pool = std::make_shared<FakePool>(codec, server);
+        pool->reportedLoad = ServerLoad { 5, 2, 6, std::chrono::milliseconds(30) };
+        FakeLoadExchange ofRelay;
+        ofRelay.known = { loadReportKey(BackendServerId("b2")), std::chrono::milliseconds(70), ServerLoad { 1, 0, 6 } };
+        FakeLoadExchange ofCaller;
+        ofCaller.known = { loadReportKey(BackendServerId("b3")), std::chrono::milliseconds(90), ServerLoad { 4, 0, 6 } };
+        RelayServer relay(context, codec, [&](const BackendServerId&) { return pool; });
+        relay.setLoadExchange(ofRelay);
+        ASSERT_TRUE(relay.listen({ "127.0.0.1", 0 }));
+        const auto runUntil = [&](const std::function<bool()>& isDone) {
+            for (int round = 0; round < 200 && !isDone(); ++round)
+                context.run_one_for(std::chrono::milliseconds(10));
+            return isDone();
+        };
+        const auto record = std::make_shared<LoadRecord>();
+        const auto link = RelayedLink::create(codec, server, { "organisation", 0, bootNow() + std::chrono::seconds(5) },
+            RelayStream::open(context, { "127.0.0.1", relay.localPort() }), { record, &ofCaller });
+        link->sendStatements("QUERY a READ 1\r\n", 1);
+        EXPECT_EQ(record->sentSince(), 1U);
+        ASSERT_TRUE(runUntil([&] { return !ofRelay.received.empty(); }));
+        EXPECT_EQ(ofRelay.receivedFor, server.service);
+        EXPECT_EQ(ofRelay.received.front().serverKey, ofCaller.known.serverKey);
+        ASSERT_EQ(pool->links.size(), 1U);
+
+        pool->links.front()->receive("DONE -\r\nREADY I 1.1\r\n");
+        ASSERT_TRUE(runUntil([&] { return record->find(bootNow()).has_value(); }));
+        EXPECT_EQ(record->find(bootNow())->running, 5U);
+        EXPECT_EQ(record->find(bootNow())->waiting, 2U);
+        EXPECT_EQ(record->sentSince(), 0U);
+        ASSERT_EQ(ofCaller.received.size(), 1U);
+        EXPECT_EQ(ofCaller.received.front().age, ofRelay.known.age);
+        link->abort();
+    }
+
 }
 
 }
--- a/tests/server/ProxySettingsTest.cpp
+++ b/tests/server/ProxySettingsTest.cpp
@@ -33,6 +33,11 @@
         EXPECT_EQ(settings.value().seeds.size(), 1U);
         EXPECT_EQ(settings.value().stopGracePeriod, std::chrono::seconds(6));
         EXPECT_EQ(settings.value().logLevel, "info");
+        EXPECT_FALSE(settings.value().usesEvenLoad);
+        this->writeFile(std::string(validSettings) + "routing: {evenLoad: true}\n");
+        EXPECT_TRUE(readProxySettings(this->file).value().usesEvenLoad);
+        this->writeFile(std::string(validSettings) + "routing: {evenLoad: often}\n");
+        EXPECT_FALSE(readProxySettings(this->file));
     }
 
     // Guards against errors that are reported only after an earlier error has been corrected.
