--- a/foxtailtrail/proxy/BackendLink.h
+++ b/foxtailtrail/proxy/BackendLink.h
@@ -71,6 +71,11 @@
     size_t outstandingStatements() const { return this->sentTimes.size(); }
     // Returns when the oldest statement without a reply was sent. There must be one.
     TimePoint oldestSentAt() const { return this->sentTimes.front(); }
+    // Returns when the oldest statement without a reply was sent.
+    std::optional<TimePoint> oldestUnansweredAt() const
+    {
+        return this->sentTimes.empty() ? std::nullopt : std::optional(this->sentTimes.front());
+    }
     // Returns whether the link is usable, every statement has a reply and the last one left the connection outside of a
     // transaction.
     bool isReusable() const { return this->sentTimes.empty() && this->lastTransactionState == TransactionState::None && this->isUsable(); }
--- a/foxtailtrail/proxy/DirectPool.h
+++ b/foxtailtrail/proxy/DirectPool.h
@@ -44,7 +44,9 @@
     void recordBusy() override;
     void recordReply(TimePoint sentAt) override;
     std::optional<TimePoint> nextReturnAt() override;
+    void recordServiceTime(Duration, bool hasFailed) override;
     bool hasFreeLink(const std::string& organisation) const override;
+    std::optional<ServerLoad> load() const override;
     uint32_t outstandingRequests() const override { return static_cast<uint32_t>(this->inUse.size() + this->waiters.size()); }
 
     size_t waitingCount() const { return this->waiters.size(); }
@@ -116,6 +118,7 @@
     ConnectionLimit limit;
     size_t coreSize = 1;
     ConcurrencyWindow window;
+    ServiceTimeAverage serviceTime;
     // After a Busy error, no statement is sent until this time.
     TimePoint busyUntil {};
     std::minstd_rand random;
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -45,6 +45,8 @@
     void countQueueRefusal(std::string_view reason);
     // Records how long a statement that had to wait before a backend server has waited.
     void observeQueueWait(Duration);
+    // Counts the choice of a server for a read by its reason, and records the age of the report of the server's load.
+    void countReadChoice(std::string_view reason, const std::optional<Duration>& reportAge);
     // Counts a promotion that this VM has performed.
     void countPromotion();
 
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -140,6 +140,7 @@
         readChangeBound(reader, "keyWithdrawalMilliseconds", settings.changeBounds.keyWithdrawal);
         readChangeBound(reader, "serverDrainMilliseconds", settings.changeBounds.serverDrain);
         readEvacuationBound(reader, settings.changeBounds);
+        settings.usesEvenLoad = reader.read<bool>("routing", "evenLoad", "true or false", false);
         return settings;
     }
 
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -21,11 +21,12 @@
     using EndedCallback = std::function<void(uint32_t)>;
 
     RelayChannel(uint32_t number, std::shared_ptr<LinkPool> pool, const BackendCodec& codec, RelayServer::EvacuationCheck evacuationCheck,
-        FrameSender frameSender, EndedCallback endedCallback)
+        LoadExchange* exchange, FrameSender frameSender, EndedCallback endedCallback)
         : channelNumber(number)
         , pool(std::move(pool))
         , codec(codec)
         , isEvacuated(std::move(evacuationCheck))
+        , loadExchange(exchange)
         , sendFrame(std::move(frameSender))
         , onEnded(std::move(endedCallback))
     {
@@ -58,6 +59,12 @@
         }
     }
 
+    void handleReports(const std::vector<LoadReport>& reports)
+    {
+        if (this->loadExchange)
+            this->loadExchange->handleReports(this->pool->server().service, reports);
+    }
+
     void release(bool leavesState)
     {
         this->hasEnded = true;
@@ -124,13 +131,24 @@
         this->link->sendStatements(std::exchange(this->queuedStatements, {}), std::exchange(this->queuedStatementCount, 0));
     }
 
+    std::optional<ServerLoad> reportedLoad() const { return this->loadExchange ? this->pool->load() : std::nullopt; }
+
+    void writeReports(std::string& frame) const
+    {
+        if (!this->loadExchange)
+            return;
+        const std::vector<LoadReport> reports = this->loadExchange->reportsBeside(this->pool->server());
+        if (!reports.empty())
+            writeRelayLoads(frame, this->channelNumber, reports);
+    }
+
     void deny(AcquireOutcome outcome)
     {
         std::string frame;
         std::optional<uint32_t> returnAfterMs;
         if (const auto returnAt = outcome == AcquireOutcome::Exhausted ? this->pool->nextReturnAt() : std::nullopt)
             returnAfterMs = static_cast<uint32_t>(std::clamp<int64_t>(toMilliseconds(*returnAt - bootNow()), 0, UINT32_MAX - 1));
-        writeRelayDenied(frame, this->channelNumber, outcome, returnAfterMs);
+        writeRelayDenied(frame, this->channelNumber, outcome, returnAfterMs, this->reportedLoad());
         this->end(frame);
     }
 
@@ -161,8 +179,11 @@
             this->sendQueuedStatements();
             return;
         }
+        if (!provesNotRun(linkReply.errorCode))
+            this->pool->recordServiceTime(bootNow() - linkReply.sentAt, !linkReply.succeeded());
         std::string frame;
-        writeRelayAnswer(frame, this->channelNumber, std::exchange(this->answer, {}));
+        this->writeReports(frame);
+        writeRelayAnswer(frame, this->channelNumber, std::exchange(this->answer, {}), this->reportedLoad());
         this->sendFrame(frame);
         if (linkReply.errorCode == BackendErrorCode::Busy)
             this->pool->recordBusy();
@@ -195,6 +216,7 @@
     std::shared_ptr<LinkPool> pool;
     const BackendCodec& codec;
     RelayServer::EvacuationCheck isEvacuated;
+    LoadExchange* loadExchange;
     FrameSender sendFrame;
     EndedCallback onEnded;
     std::shared_ptr<BackendLink> link;
@@ -283,6 +305,10 @@
             channel->forwardStatements(frame.statementCount, frame.bytes);
             return;
         }
+        if (frame.kind == RelayFrameKind::Loads) {
+            channel->handleReports(frame.reports);
+            return;
+        }
         this->channels.erase(found);
         if (frame.kind == RelayFrameKind::Release)
             channel->release(frame.leavesState);
@@ -301,8 +327,8 @@
         }
         auto self = std::static_pointer_cast<Connection>(this->shared_from_this());
         const auto channel = std::make_shared<RelayChannel>(
-            frame.channel, pool, this->server.codec, this->server.isEvacuated, [self](const std::string& bytes) { self->send(bytes); },
-            [self](uint32_t number) { self->channels.erase(number); });
+            frame.channel, pool, this->server.codec, this->server.isEvacuated, this->server.loadExchange,
+            [self](const std::string& bytes) { self->send(bytes); }, [self](uint32_t number) { self->channels.erase(number); });
         this->channels.emplace(frame.channel, channel);
         channel->open(frame.request, frame.statementCount, frame.bytes);
     }
--- a/foxtailtrail/proxy/RelayServer.h
+++ b/foxtailtrail/proxy/RelayServer.h
@@ -3,6 +3,7 @@
 #include "foxtailtrail/base/ErrorKind.h"
 #include "foxtailtrail/net/HttpClient.h"
 #include "foxtailtrail/proxy/LinkPool.h"
+#include "foxtailtrail/proxy/LoadExchange.h"
 #include "foxtailtrail/proxy/RelayFrame.h"
 #include "foxtailtrail/proxy/TcpStream.h"
 
@@ -24,6 +25,8 @@
     using EvacuationCheck = std::function<bool(const BackendServerId&)>;
 
     RelayServer(boost::asio::io_context&, const BackendCodec&, FindPool, EvacuationCheck);
+    // Lets answers carry the load of their server and what this VM knows of the others in its group.
+    void setLoadExchange(LoadExchange& exchange) { this->loadExchange = &exchange; }
     ~RelayServer();
 
     // Starts to accept connections from other VMs. Fails with Internal when the address cannot be bound.
@@ -46,6 +49,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<std::shared_ptr<Connection>> connections;
     bool isStopping = false;
+    LoadExchange* loadExchange = nullptr;
 };
 
 }
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -20,6 +20,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -42,7 +43,7 @@
 
 // The session path of a VM: callers' connections, the pools of backend connections, and what the traffic shows about the groups.
 // Runs on one thread.
-class SessionProxy final : public GroupContext {
+class SessionProxy final : public GroupContext, public LoadExchange {
 public:
     using AdmissionCallback = std::function<void(std::optional<Duration> retryAfter)>;
     using GroupExaminer = std::function<void(const ServiceName&, std::string_view reason)>;
@@ -142,6 +143,13 @@
     void updateEvacuations(const std::function<void(EvacuationTable&)>&, std::string_view source);
     // Returns true while nothing but questions for its status may be sent to the server, because its data centre is evacuated.
     bool isEvacuated(const BackendServerId&) const;
+    bool usesReportedLoad(const LinkPool&) override;
+    double randomDraw() override;
+    void recordReadChoice(const ReadChoice&) override;
+
+    // Overrides of LoadExchange.
+    std::vector<LoadReport> reportsBeside(const ServerEntry&) override;
+    void handleReports(const ServiceName&, const std::vector<LoadReport>&) override;
 
 private:
     struct ConfigurationWaiter {
@@ -169,6 +177,9 @@
     // Returns whether this VM is the relay of a server.
     bool isRelayFor(const ServerEntry&, TimePoint now);
     std::shared_ptr<DirectPool> directPool(const BackendServerId&);
+    const std::shared_ptr<RelayedPool>& relayedPool(const ServerEntry&);
+    // Returns the load of a server whose connections one VM holds for all, as this VM knows it.
+    std::optional<ServerLoad> knownLoad(const ServerEntry&, TimePoint now);
     void updatePoolSizes();
     void retireRemovedServerPools();
     // Requests an examination of groups whose primary is draining or has been removed from the server directory.
@@ -214,6 +225,7 @@
     std::set<CallerConnection*> connectionsToSweep;
     std::optional<StopSchedule> stop;
     ProxyMetrics proxyMetrics;
+    std::minstd_rand random;
 };
 
 }
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -122,7 +122,11 @@
         return;
     }
     const auto candidates = this->group->readCandidates(this->task.organisation, this->task.homes, now);
-    std::optional<BackendServerId> server = this->group->selector().choose(candidates, this->excludedServers, now);
+    const std::optional<ReadChoice> choice
+        = this->group->selector().chooseByLoad(candidates, this->excludedServers, now, this->groupContext.randomDraw());
+    const std::optional<BackendServerId> server = choice ? std::optional(choice->server) : std::nullopt;
+    if (choice)
+        this->groupContext.recordReadChoice(*choice);
     if (!server && !candidates.empty()) {
         this->excludedServers.clear();
         this->retryAfter(candidateRoundDelay);
@@ -347,6 +351,8 @@
 {
     this->endCommit();
     const TimePoint now = bootNow();
+    if (!provesNotRun(reply.errorCode))
+        this->currentLink.pool->recordServiceTime(now - reply.sentAt, !reply.succeeded());
     if (reply.succeeded()) {
         this->finishWithReply(std::move(reply));
         return;
@@ -471,7 +477,7 @@
     const bool isFirstTime = this->exhaustedServers.insert(this->target).second;
     if (returnAt)
         this->roomAt = std::min(*returnAt, this->roomAt.value_or(*returnAt));
-    const auto candidates = this->needsPrimary() ? std::vector<ReadCandidate> {} : this->group->readCandidates(this->task.organisation);
+    const auto candidates = this->needsPrimary() ? std::vector<ReadCandidate> {} : this->group->readCandidates(this->task.organisation, this->task.homes, now);
     const bool canRunElsewhere = isFirstTime && std::any_of(candidates.begin(), candidates.end(), [&](const ReadCandidate& candidate) {
         return this->exhaustedServers.count(candidate.server) == 0;
     });
