--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -121,8 +121,9 @@
     this->socket.close(code);
 }
 
-Fleet::Fleet(size_t vmCount, PortOverrides overrides, ConnectionMode connectionMode)
+Fleet::Fleet(size_t vmCount, PortOverrides overrides, ConnectionMode connectionMode, std::string extraSettings)
     : portOverrides(std::move(overrides))
+    , extraSettings(std::move(extraSettings))
 {
     this->organisations = { { "orga", { "key-of-orga" } }, { "orgb", { "key-of-orgb" } } };
     if (connectionMode == ConnectionMode::Relayed) {
@@ -255,7 +256,8 @@
              << ", relayPort: " << vmPorts.relay << "}\n"
              << "platform: {store: '127.0.0.1:" << storePort << "', promotions: '127.0.0.1:" << this->rowStore->port()
              << "', seeds: ['127.0.0.1:" << this->ports[0].peers << "']}\n"
-             << "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n";
+             << "bounds: {stopGraceSeconds: 6, quotaWindowSeconds: 5, quotaExcess: 0.1, quotaSlack: 20}\n"
+             << this->extraSettings;
     settings.close();
     std::string program = binaryFolder + "/foxtailtrail";
     std::string subcommand = "proxy";
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -86,7 +86,9 @@
         Relayed,
     };
 
-    explicit Fleet(size_t vmCount, PortOverrides overrides = {}, ConnectionMode connectionMode = ConnectionMode::Direct);
+    // The lines are added to the settings file of each VM.
+    explicit Fleet(size_t vmCount, PortOverrides overrides = {}, ConnectionMode connectionMode = ConnectionMode::Direct,
+        std::string extraSettings = {});
     ~Fleet();
 
     Fleet(const Fleet&) = delete;
@@ -117,6 +119,7 @@
     // Returns the VMs that have exited by themselves since the last call, with their wait statuses.
     std::map<size_t, int> unexpectedExits();
     bool isRunning(size_t vm) const { return this->processes.count(vm) > 0; }
+    pid_t processId(size_t vm) const { return this->processes.at(vm); }
     size_t vmCount() const { return this->ports.size(); }
     uint16_t callerPort(size_t vm) const { return this->ports[vm].callers; }
     // Returns the HTTP status of the readiness probe, or 0 without a response.
@@ -144,6 +147,7 @@
     std::string settingsFile(size_t vm) const;
 
     PortOverrides portOverrides;
+    std::string extraSettings;
     // The maximum number of connections that the configuration allows to each server.
     size_t maxConnections = 40;
     std::string folder;
