--- a/foxtailtrail/net/HttpServer.cpp
+++ b/foxtailtrail/net/HttpServer.cpp
@@ -3,9 +3,11 @@
 #include "foxtailtrail/net/Await.h"
 #include "foxtailtrail/net/Clock.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <list>
@@ -25,6 +27,7 @@
 
     // The limits in bytes and time for reading the rest of a rejected request.
     constexpr uint64_t maxDiscardedBytes = uint64_t { 64 } << 20;
+    constexpr std::chrono::milliseconds acceptRetryDelay(50);
     constexpr Duration discardTimeout = std::chrono::seconds(5);
 
     using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
@@ -103,7 +106,20 @@
                 return;
             if (!code)
                 self->addConnection(std::move(socket));
-            self->accept();
+            if (!code)
+                self->accept();
+            else
+                self->acceptLater();
+        });
+    }
+
+    // Accepts again after a delay, because an error such as a lack of descriptors would repeat at once.
+    void acceptLater()
+    {
+        const auto timer = std::make_shared<boost::asio::steady_timer>(this->thread.ioContext(), acceptRetryDelay);
+        timer->async_wait([self = this->shared_from_this(), timer](beast::error_code) {
+            if (!self->isStopping)
+                self->accept();
         });
     }
 
@@ -140,8 +156,21 @@
         std::list<Connection>::iterator position;
     };
 
+    // Closes the connection that has been idle for longest. Its handler removes it.
+    void closeIdleConnection()
+    {
+        const auto idle = std::find_if(this->connections.begin(), this->connections.end(),
+            [](const Connection& connection) { return !connection.isBusy && connection.stream.socket().is_open(); });
+        if (idle != this->connections.end())
+            idle->stream.close();
+    }
+
     void addConnection(Tcp::socket&& socket)
     {
+        if (this->connections.size() >= 2 * this->settings.maxConnections)
+            return;
+        if (this->connections.size() >= this->settings.maxConnections)
+            this->closeIdleConnection();
         beast::error_code ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
         this->connections.emplace_back(std::move(socket));
--- a/foxtailtrail/net/HttpServer.h
+++ b/foxtailtrail/net/HttpServer.h
@@ -22,6 +22,8 @@
     Duration transferTimeout = std::chrono::seconds(15);
     // Builds the response to a malformed message. It receives only the error and no part of the message.
     std::function<HttpResponse(const Error&)> errorResponse;
+    // When this many connections are open, the one that has been idle for longest is closed for each further one.
+    size_t maxConnections = 10'000;
     // Sets SO_REUSEPORT, so that several servers, one per traffic thread, share one port.
     bool reusePort = false;
 };
--- a/foxtailtrail/proxy/CallerCodec.h
+++ b/foxtailtrail/proxy/CallerCodec.h
@@ -37,8 +37,8 @@
     virtual ~CallerCodec() = default;
 
     // Parses the first complete message and removes it from the front of the bytes. Returns std::nullopt while the message is
-    // incomplete.
-    virtual std::optional<CallerMessage> parseMessage(std::string_view& bytes) const = 0;
+    // incomplete. An earlier call has found the given number of bytes at the front to be incomplete, so that they are not searched again.
+    virtual std::optional<CallerMessage> parseMessage(std::string_view& bytes, size_t incompleteBytes = 0) const = 0;
 
     virtual void writeReady(std::string& out, TransactionState, const std::optional<LogPoint>&) const = 0;
     virtual void writeRow(std::string& out, std::string_view row) const = 0;
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -17,6 +17,8 @@
 
     // The maximum number of parsed requests that wait while another request of the same caller is handled.
     constexpr size_t maxQueuedRequests = 64;
+    // No further requests are parsed while those that wait have this many bytes.
+    constexpr size_t maxQueuedBytes = size_t { 16 } * 1024;
     // The maximum number of variables of one session.
     constexpr size_t maxSessionVariables = 1000;
     // The organisation name that backend servers receive for callers of open-access routes.
@@ -49,6 +51,7 @@
 CallerConnection::CallerConnection(boost::asio::ip::tcp::socket socket, SessionProxy& proxy)
     : TcpStream(std::move(socket))
     , proxy(proxy)
+    , budget(proxy.memoryBudget())
     , acceptedAt(bootNow())
     , lastActivityAt(acceptedAt)
 {
@@ -57,24 +60,36 @@
 size_t CallerConnection::received(std::string_view bytes)
 {
     std::string_view rest = bytes;
-    while (this->isOpen() && this->queuedMessages.size() < maxQueuedRequests) {
-        std::optional<CallerMessage> message = this->proxy.callerCodec().parseMessage(rest);
-        if (!message)
+    this->isParsing = true;
+    while (this->isOpen() && this->queuedMessages.size() < maxQueuedRequests && this->queuedBytes < maxQueuedBytes) {
+        const size_t before = rest.size();
+        std::optional<CallerMessage> message
+            = this->proxy.callerCodec().parseMessage(rest, std::exchange(this->incompleteBytes, size_t { 0 }));
+        if (!message) {
+            this->incompleteBytes = rest.size();
             break;
+        }
         this->queuedMessages.push_back(std::move(*message));
+        this->queuedSizes.push_back(before - rest.size());
+        this->queuedBytes += before - rest.size();
     }
+    if (!rest.empty())
+        this->lastProgressAt = bootNow();
     this->handleNextMessage();
+    this->isParsing = false;
     return bytes.size() - rest.size();
 }
 
 void CallerConnection::handleNextMessage()
 {
-    while (!this->isRequestInProgress && !this->hasSessionEnded && !this->queuedMessages.empty()) {
+    while (!this->isRequestInProgress && !this->hasSessionEnded && !this->queuedMessages.empty() && !this->waitsForReader()) {
         CallerMessage message = std::move(this->queuedMessages.front());
         this->queuedMessages.pop_front();
+        this->queuedBytes -= this->queuedSizes.front();
+        this->queuedSizes.pop_front();
         this->handleMessage(std::move(message));
     }
-    if (!this->isRequestInProgress && !this->hasSessionEnded)
+    if (!this->isRequestInProgress && !this->hasSessionEnded && !this->waitsForReader())
         this->processBufferedBytes();
 }
 
@@ -193,6 +208,8 @@
             this->sendErrorReply(ErrorKind::MalformedRequest, "the session has too many variables");
             return;
         }
+        if (this->refuseSessionGrowth())
+            return;
         this->session.setVariable(this->statement().name, this->statement().argument);
         this->sendLocalReply();
         return;
@@ -219,6 +236,8 @@
 
 void CallerConnection::prepare()
 {
+    if (this->refuseSessionGrowth())
+        return;
     this->session.prepare(this->statement().name, PreparedStatement { this->statement().isWrite, this->statement().argument });
     this->sendLocalReply();
 }
@@ -463,6 +482,10 @@
 {
     this->isRequestInProgress = false;
     this->lastActivityAt = bootNow();
+    // A large request is not kept until the next one arrives.
+    if (this->holdsLargePlace)
+        this->request = CallerMessage {};
+    this->accountMemory();
     if (this->queuedMessages.empty() && !this->hasBufferedBytes() && !this->isEnding)
         return;
     // Handles the next request from the event loop, so that a long queue of requests does not recurse.
@@ -580,6 +603,118 @@
     this->proxy.removeConnection(*this);
 }
 
+CallerConnection::~CallerConnection()
+{
+    this->budget->change(this->holdsLargePlace ? CallerMemory::LargeMessages : CallerMemory::Received, this->countedReceived, 0);
+    this->budget->change(CallerMemory::Unsent, this->countedUnsent, 0);
+    this->budget->change(CallerMemory::Sessions, this->countedSession, 0);
+    if (this->holdsLargePlace)
+        this->budget->returnLargePlace();
+}
+
+size_t CallerConnection::receiveLimit()
+{
+    this->isWaitingForMemory = false;
+    if (this->hasSessionEnded)
+        return MemoryBudget::smallestBytes;
+    const bool isHeldUp = this->isRequestInProgress || !this->queuedMessages.empty() || this->waitsForReader();
+    if (this->holdsLargePlace && !isHeldUp)
+        return TcpStream::receiveLimit();
+    const size_t limit = this->budget->hasBufferRoom() ? MemoryBudget::smallMessageBytes : MemoryBudget::smallestBytes;
+    if (isHeldUp || this->unconsumedBytes() < limit)
+        return limit;
+    if (this->unconsumedBytes() >= MemoryBudget::smallMessageBytes && this->budget->takeLargePlace()) {
+        this->budget->change(CallerMemory::Received, this->countedReceived, 0);
+        this->budget->change(CallerMemory::LargeMessages, 0, this->countedReceived);
+        this->holdsLargePlace = true;
+        this->messageBegunAt = this->lastProgressAt = bootNow();
+        return TcpStream::receiveLimit();
+    }
+    this->isWaitingForMemory = true;
+    this->proxy.addMemoryWaiter(std::static_pointer_cast<CallerConnection>(this->shared_from_this()));
+    return limit;
+}
+
+void CallerConnection::retryReading()
+{
+    if (this->isWaitingForMemory)
+        this->resumeReading();
+}
+
+bool CallerConnection::waitsForReader() const
+{
+    return this->unsentBytes() > MemoryBudget::maxUnsentBytes || (this->unsentBytes() > 0 && !this->budget->hasBufferRoom());
+}
+
+void CallerConnection::bufferedBytesChanged() { this->accountMemory(); }
+
+void CallerConnection::unsentBytesSent()
+{
+    this->lastProgressAt = bootNow();
+    if (!this->queuedMessages.empty() || this->hasBufferedBytes())
+        this->handleNextMessage();
+}
+
+void CallerConnection::accountMemory()
+{
+    if (this->isParsing)
+        return;
+    // A parsed message occupies about twice its size.
+    const size_t received = this->receiveBufferMemory() + 2 * this->queuedBytes;
+    if (this->holdsLargePlace && !this->isRequestInProgress && this->unconsumedBytes() + this->queuedBytes < MemoryBudget::smallMessageBytes) {
+        this->budget->change(CallerMemory::LargeMessages, this->countedReceived, 0);
+        this->budget->change(CallerMemory::Received, 0, this->countedReceived);
+        this->budget->returnLargePlace();
+        this->holdsLargePlace = false;
+    }
+    const CallerMemory kind = this->holdsLargePlace ? CallerMemory::LargeMessages : CallerMemory::Received;
+    this->budget->change(kind, std::exchange(this->countedReceived, received), received);
+    const size_t unsent = this->sendBufferMemory();
+    if (this->countedUnsent == 0 && unsent > 0)
+        this->lastProgressAt = bootNow();
+    this->budget->change(CallerMemory::Unsent, std::exchange(this->countedUnsent, unsent), unsent);
+    const size_t sessionBytes = this->session.memoryBytes();
+    this->budget->change(CallerMemory::Sessions, std::exchange(this->countedSession, sessionBytes), sessionBytes);
+    const bool isReceiving = this->hasBufferedBytes() && !this->isRequestInProgress && this->queuedMessages.empty();
+    if (!isReceiving)
+        this->messageBegunAt = TimePoint {};
+    else if (this->messageBegunAt == TimePoint {})
+        this->messageBegunAt = bootNow();
+}
+
+bool CallerConnection::refuseSessionGrowth()
+{
+    const size_t before = this->session.memoryBytes();
+    if (this->budget->maySessionGrow(before, before + SessionState::entryBytes(this->statement().name, this->statement().argument)))
+        return false;
+    this->proxy.countMemoryRefusal(MemoryRefusal::SessionTooLarge);
+    this->sendErrorReply(ErrorKind::Overloaded, "there is no memory for more variables and prepared statements");
+    return true;
+}
+
+MemoryHolder CallerConnection::memoryHolder() const
+{
+    return { this->countedReceived + this->countedUnsent, this->hasStarted, this->holdsLargePlace, this->isWaitingForMemory,
+        this->isRequestInProgress, this->acceptedAt, this->messageBegunAt, this->lastProgressAt, this->countedUnsent > 0 };
+}
+
+void CallerConnection::closeForMemory(MemoryRefusal reason)
+{
+    const auto self = this->shared_from_this();
+    this->proxy.countMemoryRefusal(reason);
+    // Drops what the kernel holds for the caller, too.
+    this->closeWithReset();
+    this->queuedMessages.clear();
+    this->queuedSizes.clear();
+    this->queuedBytes = 0;
+    this->freeBuffers();
+    this->accountMemory();
+    if (this->hasSessionEnded)
+        this->proxy.removeConnection(*this);
+    else
+        this->disconnected();
+}
+
 size_t CallerConnection::logUnansweredRequests(TimePoint now) const
 {
     if (!this->isRequestInProgress || this->hasSessionEnded)
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "foxtailtrail/limits/MemoryBudget.h"
 #include "foxtailtrail/proxy/CallerCodec.h"
 #include "foxtailtrail/proxy/StatementRun.h"
 #include "foxtailtrail/proxy/TcpStream.h"
@@ -29,6 +30,15 @@
     // Logs the request that is being handled, if there is one, because the process ends before its reply. Returns the number of requests
     // without a reply.
     size_t logUnansweredRequests(TimePoint now) const;
+    // Returns what the connection holds, for the memory budget.
+    MemoryHolder memoryHolder() const;
+    // Closes the connection because it has exceeded a limit of the memory budget.
+    void closeForMemory(MemoryRefusal);
+    // Reads on if the memory that the connection waits for has become free.
+    void retryReading();
+    // Returns whether the socket is open, also while the last replies are being sent.
+    bool isSocketOpen() const { return this->socket.is_open(); }
+    ~CallerConnection() override;
     // Returns whether the connection has a statement or an open transaction whose time limits sweep() must check.
     bool needsSweep() const { return this->run != nullptr || this->session.currentTransactionState() == TransactionState::Open; }
 
@@ -36,6 +46,15 @@
     CallerConnection(boost::asio::ip::tcp::socket, SessionProxy&);
     size_t received(std::string_view bytes) override;
     void disconnected() override;
+    size_t receiveLimit() override;
+    void bufferedBytesChanged() override;
+    void unsentBytesSent() override;
+    // Returns whether later requests wait because the caller does not read its replies.
+    bool waitsForReader() const;
+    // Updates what the memory budget counts for this connection.
+    void accountMemory();
+    // Refuses a statement that would make the session hold too much state. Returns whether it was refused.
+    bool refuseSessionGrowth();
 
     // Returns whether the connection can be closed without interrupting work: no transaction is open and no request is outstanding.
     bool isIdle() const;
@@ -95,6 +114,23 @@
     uint64_t requestNumber = 0;
     bool isWriteRequest = false;
     std::deque<CallerMessage> queuedMessages;
+    // The size of each queued message as received, and their sum.
+    std::deque<size_t> queuedSizes;
+    size_t queuedBytes = 0;
+    // The number of unconsumed bytes that are known to hold no complete message.
+    size_t incompleteBytes = 0;
+    std::shared_ptr<MemoryBudget> budget;
+    // What the budget counts for this connection.
+    size_t countedReceived = 0;
+    size_t countedUnsent = 0;
+    size_t countedSession = 0;
+    bool holdsLargePlace = false;
+    // Whether received() is running, so that the unconsumed bytes are not in the receive buffer.
+    bool isParsing = false;
+    bool isWaitingForMemory = false;
+    // When the message began that is incomplete, or a time of zero without one.
+    TimePoint messageBegunAt {};
+    TimePoint lastProgressAt {};
     std::shared_ptr<StatementRun> run;
     // The route and organisation of the admitted operation: a transaction or a single statement.
     std::optional<DatabaseRoute> route;
--- a/foxtailtrail/proxy/ProxyMetrics.cpp
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -30,6 +30,12 @@
                                                                  .Name("foxtail_quota_refusals_total")
                                                                  .Help("Operations that the quotas have refused, by cause")
                                                                  .Register(registry);
+    prometheus::Family<prometheus::Counter>& memoryRefusals = prometheus::BuildCounter()
+                                                                  .Name("foxtail_memory_refusals_total")
+                                                                  .Help("Callers refused to save memory or descriptors, by reason")
+                                                                  .Register(registry);
+    prometheus::Family<prometheus::Gauge>& callerBytes
+        = prometheus::BuildGauge().Name("foxtail_caller_bytes").Help("Bytes held for callers, by kind").Register(registry);
     prometheus::Family<prometheus::Counter>& promotions
         = prometheus::BuildCounter().Name("foxtail_session_promotions_total").Help("Promotions carried out by this VM").Register(registry);
     prometheus::Family<prometheus::Gauge>& state
@@ -61,6 +67,11 @@
     this->implementation->quotaRefusals.Add({ { "cause", std::string(cause) } }).Increment();
 }
 
+void ProxyMetrics::countMemoryRefusal(std::string_view reason)
+{
+    this->implementation->memoryRefusals.Add({ { "reason", std::string(reason) } }).Increment();
+}
+
 void ProxyMetrics::countPromotion() { this->implementation->promotions.Add({}).Increment(); }
 
 std::string ProxyMetrics::exposition(const ProxyGauges& gauges)
@@ -72,6 +83,9 @@
     setGauge("configuration_version", static_cast<double>(gauges.configurationVersion));
     setGauge("store_reachable", gauges.storeReachable ? 1 : 0);
     setGauge("ready", gauges.ready ? 1 : 0);
+    for (size_t kind = 0; kind < callerMemoryNames.size(); ++kind)
+        this->implementation->callerBytes.Add({ { "kind", std::string(callerMemoryNames[kind]) } })
+            .Set(static_cast<double>(gauges.callerBytes[kind]));
     return prometheus::TextSerializer().Serialize(this->implementation->registry.Collect());
 }
 
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -2,7 +2,9 @@
 
 #include "foxtailtrail/base/ErrorKind.h"
 #include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/limits/MemoryBudget.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -19,6 +21,8 @@
     uint64_t configurationVersion = 0;
     bool storeReachable = false;
     bool ready = false;
+    // What is held for callers, by CallerMemory.
+    std::array<size_t, callerMemoryNames.size()> callerBytes {};
 };
 
 // Counters and histograms of the session path in the Prometheus text format. Label values come from fixed sets, which bounds the
@@ -37,6 +41,8 @@
     void countOpening(std::string_view outcome);
     // Counts an operation that the quotas have refused, by its cause.
     void countQuotaRefusal(std::string_view cause);
+    // Counts a caller's connection or statement that was refused to save memory or descriptors, by its reason.
+    void countMemoryRefusal(std::string_view reason);
     // Counts a promotion that this VM has performed.
     void countPromotion();
 
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -3,7 +3,10 @@
 #include "foxtailtrail/membership/FeedSchedule.h"
 #include "foxtailtrail/server/Log.h"
 
+#include <algorithm>
 #include <cstdlib>
+#include <fstream>
+#include <sys/resource.h>
 #include <yaml-cpp/yaml.h>
 
 namespace foxtail {
@@ -86,6 +89,37 @@
             reader.addError("bounds", name, "must be at least " + std::to_string(toMilliseconds(FeedSchedule::minBound)));
     }
 
+    // Returns the memory of the machine as the system reports it.
+    size_t machineMegabytes()
+    {
+        std::ifstream memory("/proc/meminfo");
+        std::string name;
+        size_t kilobytes = 0;
+        memory >> name >> kilobytes;
+        return kilobytes / 1024;
+    }
+
+    size_t descriptorLimit()
+    {
+        rlimit limit {};
+        getrlimit(RLIMIT_NOFILE, &limit);
+        return limit.rlim_cur;
+    }
+
+    MemoryBudget readMemoryBudget(SettingsReader& reader)
+    {
+        auto megabytes = reader.read<size_t>("memory", "limitMegabytes", "a number of megabytes", false);
+        auto descriptors = reader.read<size_t>("memory", "descriptors", "a number of descriptors", false);
+        if (megabytes == 0)
+            megabytes = machineMegabytes();
+        descriptors = descriptors == 0 ? descriptorLimit() : std::min(descriptors, descriptorLimit());
+        Result<MemoryBudget> budget = MemoryBudget::create(megabytes << 20, descriptors);
+        if (budget)
+            return budget.value();
+        reader.addError("memory", "limitMegabytes", budget.error().detail);
+        return {};
+    }
+
     ProxySettings readSettings(SettingsReader& reader)
     {
         ProxySettings settings;
@@ -116,6 +150,7 @@
         readChangeBound(reader, "configurationMilliseconds", settings.changeBounds.configuration);
         readChangeBound(reader, "keyWithdrawalMilliseconds", settings.changeBounds.keyWithdrawal);
         readChangeBound(reader, "serverDrainMilliseconds", settings.changeBounds.serverDrain);
+        settings.memory = readMemoryBudget(reader);
         return settings;
     }
 
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -2,6 +2,7 @@
 
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/limits/MemoryBudget.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
 #include "foxtailtrail/net/HttpClient.h"
 
@@ -46,6 +47,8 @@
     QuotaBounds quota;
     ChangeBounds changeBounds;
     std::string logLevel = "info";
+    // Divides the memory and the descriptors that the process may use.
+    MemoryBudget memory;
 };
 
 // Returns whether a file has the layout of these settings: a map with a section "platform".
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -6,12 +6,19 @@
 
 #include <boost/fiber/future.hpp>
 #include <csignal>
+#include <malloc.h>
 #include <utility>
 
 namespace foxtail {
 
 namespace {
 
+    // The probes and the collector of the metrics send no body.
+    constexpr uint64_t maxProbeBodyBytes = 1024;
+    constexpr size_t maxProbeConnections = 16;
+    // Within the descriptors that are reserved on the smallest VM.
+    constexpr size_t maxPeerConnections = 128;
+    constexpr int separatelyMappedBytes = 128 * 1024;
     constexpr Duration stopPollInterval = std::chrono::milliseconds(50);
 
     // Blocks or unblocks SIGHUP for the calling thread. Without a handler, the signal ends the process.
@@ -59,10 +66,14 @@
     HttpServerSettings ready;
     ready.address = this->settings.readinessEndpoint.address;
     ready.port = this->settings.readinessEndpoint.port;
+    ready.maxBodyBytes = maxProbeBodyBytes;
+    ready.maxConnections = maxProbeConnections;
     ready.errorResponse = [](const Error&) { return HttpResponse { 400, "text/plain", {}, {} }; };
     BOOST_OUTCOME_TRY(this->readyServer,
         HttpServer::listen(this->thread, ready, [this](const HttpRequest& request) { return this->handleReadinessRequest(request); }));
     HttpServerSettings peer = ready;
+    peer.maxBodyBytes = HttpServerSettings().maxBodyBytes;
+    peer.maxConnections = maxPeerConnections;
     peer.address = this->settings.peerEndpoint.address;
     peer.port = this->settings.peerEndpoint.port;
     BOOST_OUTCOME_TRY(this->peerServer, HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) {
@@ -70,6 +81,8 @@
     }));
     if (this->settings.metricsPort != 0) {
         HttpServerSettings metrics = peer;
+        metrics.maxBodyBytes = maxProbeBodyBytes;
+        metrics.maxConnections = maxProbeConnections;
         metrics.port = this->settings.metricsPort;
         BOOST_OUTCOME_TRY(this->metricsServer,
             HttpServer::listen(this->thread, metrics, [this](const HttpRequest& request) { return this->handleMetricsRequest(request); }));
@@ -150,8 +163,10 @@
 {
     if (request.target != "/metrics")
         return HttpResponse { 404, "text/plain", {}, {} };
-    const ProxyGauges gauges { this->proxy.sessionCount(), this->proxy.backendConnectionCount(), this->proxy.fleetSize(),
-        this->proxy.configurationVersion(), !this->storeFollower.isStoreUnavailable(), this->isReady() };
+    ProxyGauges gauges { this->proxy.sessionCount(), this->proxy.backendConnectionCount(), this->proxy.fleetSize(),
+        this->proxy.configurationVersion(), !this->storeFollower.isStoreUnavailable(), this->isReady(), {} };
+    for (size_t kind = 0; kind < callerMemoryNames.size(); ++kind)
+        gauges.callerBytes[kind] = this->proxy.memoryBudget()->held(static_cast<CallerMemory>(kind));
     return HttpResponse { 200, "text/plain; version=0.0.4", {}, this->proxy.metrics().exposition(gauges) };
 }
 
@@ -160,6 +175,8 @@
 int ProxyVm::run(const std::string& settingsFile, const ProxySettings& settings, const ProxyPlatform& platform)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    // Large buffers are mapped by themselves, so that their memory returns to the system when they are freed.
+    mallopt(M_MMAP_THRESHOLD, separatelyMappedBytes);
     const std::unique_ptr<FiberThread> thread = FiberThread::start("vm");
     boost::fibers::promise<void> ended;
     auto future = ended.get_future();
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -11,6 +11,12 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+namespace {
+
+    constexpr std::chrono::milliseconds acceptRetryDelay(50);
+
+}
+
 // A channel through which another VM uses one connection.
 class RelayChannel final : public LinkListener, public std::enable_shared_from_this<RelayChannel> {
 public:
@@ -290,6 +296,7 @@
     , codec(codec)
     , findPool(std::move(findPool))
     , acceptor(context)
+    , retryTimer(context)
 {
 }
 
@@ -320,6 +327,13 @@
             connection->start();
         } else {
             logEvent(LogLevel::Warning, "accepting a relay connection failed", { { "detail", code.message() } });
+            // An error such as a lack of descriptors would repeat at once.
+            this->retryTimer.expires_after(acceptRetryDelay);
+            this->retryTimer.async_wait([this](const boost::system::error_code& timerCode) {
+                if (!timerCode)
+                    this->acceptNext();
+            });
+            return;
         }
         this->acceptNext();
     });
--- a/foxtailtrail/proxy/RelayServer.h
+++ b/foxtailtrail/proxy/RelayServer.h
@@ -7,6 +7,7 @@
 #include "foxtailtrail/proxy/TcpStream.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +41,7 @@
     const BackendCodec& codec;
     FindPool findPool;
     boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer retryTimer;
     std::set<std::shared_ptr<Connection>> connections;
     bool isStopping = false;
 };
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -22,6 +22,10 @@
     // The maximum wait for a grant. A grant takes one round trip to the quota allocator, about 20 ms across regions, and requests
     // for grants are up to 120 ms apart.
     constexpr Duration grantTimeout = std::chrono::milliseconds(200);
+    // The time limits of the memory budget are checked this often, and more often while memory is short.
+    constexpr Duration memorySweepInterval = std::chrono::seconds(1);
+    // The time for which a closed session may send its last replies.
+    constexpr Duration closingTimeout = std::chrono::seconds(30);
     constexpr Duration quotaRefusalLogInterval = std::chrono::milliseconds(500);
     // The fraction of a server's maximum number of connections that traffic may use; the rest is reserved for promotions and VMs
     // that start.
@@ -62,6 +66,7 @@
     , acceptor(context)
     , sweepTimer(context)
     , relays(context, RelayPlacement(proxySettings.regions))
+    , callerBudget(std::make_shared<MemoryBudget>(proxySettings.memory))
     , localQuota(proxySettings.quota)
 {
 }
@@ -85,11 +90,23 @@
             this->addConnection(std::move(socket));
         else
             logEvent(LogLevel::Warning, "accepting a caller connection failed", { { "detail", code.message() } });
-        if (this->acceptor.is_open())
-            this->acceptNext();
+        // After an error, such as a lack of descriptors, the next attempt would fail at once. The sweep tries again.
+        this->isAcceptingPaused = true;
+        if (!code)
+            this->resumeAccepting();
     });
 }
 
+void SessionProxy::resumeAccepting()
+{
+    if (!this->isAcceptingPaused || !this->acceptor.is_open())
+        return;
+    if (this->connections.size() + this->closingConnections.size() >= this->callerBudget->maxConnections())
+        return;
+    this->isAcceptingPaused = false;
+    this->acceptNext();
+}
+
 void SessionProxy::addConnection(Tcp::socket socket)
 {
     const auto connection = CallerConnection::accept(std::move(socket), *this);
@@ -391,7 +408,60 @@
 void SessionProxy::removeConnection(CallerConnection& connection)
 {
     this->connectionsToSweep.erase(&connection);
-    this->connections.erase(&connection);
+    const auto found = this->connections.find(&connection);
+    if (found == this->connections.end())
+        return;
+    if (connection.isSocketOpen())
+        this->closingConnections.emplace_back(bootNow() + closingTimeout, found->second);
+    this->connections.erase(found);
+}
+
+void SessionProxy::countMemoryRefusal(MemoryRefusal reason)
+{
+    ++this->memoryRefusals[static_cast<size_t>(reason)];
+    this->proxyMetrics.countMemoryRefusal(memoryRefusalNames[static_cast<size_t>(reason)]);
+}
+
+void SessionProxy::sweepMemory(TimePoint now)
+{
+    const bool isShort = !this->memoryWaiters.empty() || !this->callerBudget->hasBufferRoom();
+    const bool isDue = now >= this->nextMemorySweepAt;
+    if (isShort || isDue) {
+        std::vector<std::shared_ptr<CallerConnection>> held;
+        std::vector<MemoryHolder> holders;
+        held.reserve(this->connections.size());
+        holders.reserve(this->connections.size());
+        for (const auto& [address, connection] : this->connections) {
+            held.push_back(connection);
+            holders.push_back(connection->memoryHolder());
+        }
+        for (const MemoryEviction& eviction : this->callerBudget->evictions(holders, now))
+            held[eviction.holder]->closeForMemory(eviction.reason);
+    }
+    std::deque<std::weak_ptr<CallerConnection>> waiters;
+    waiters.swap(this->memoryWaiters);
+    for (const auto& waiter : waiters) {
+        if (const auto connection = waiter.lock())
+            connection->retryReading();
+    }
+    this->resumeAccepting();
+    if (!isDue)
+        return;
+    this->nextMemorySweepAt = now + memorySweepInterval;
+    this->closingConnections.remove_if([&](const auto& entry) {
+        if (now >= entry.first && entry.second->isSocketOpen())
+            entry.second->closeForMemory(MemoryRefusal::UnreadAnswer);
+        return !entry.second->isSocketOpen();
+    });
+    if (this->isAcceptingPaused)
+        this->countMemoryRefusal(MemoryRefusal::NoDescriptor);
+    json::object fields;
+    for (size_t index = 0; index < this->memoryRefusals.size(); ++index) {
+        if (const size_t count = std::exchange(this->memoryRefusals[index], 0))
+            fields[memoryRefusalNames[index]] = count;
+    }
+    if (!fields.empty())
+        logEvent(LogLevel::Warning, "callers refused to save memory", std::move(fields));
 }
 
 void SessionProxy::addToSweep(CallerConnection& connection) { this->connectionsToSweep.insert(&connection); }
@@ -471,6 +541,7 @@
     if (!this->quotaWaiters.empty())
         this->serveQuotaWaiters();
     this->logQuotaRefusals(now);
+    this->sweepMemory(now);
     this->examineLeavingPrimaries();
     std::list<ConfigurationWaiter> expiredWaiters;
     while (!this->configurationWaiters.empty() && this->configurationWaiters.front().giveUpAt <= now)
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -3,6 +3,7 @@
 #include "foxtailtrail/base/ErrorKind.h"
 #include "foxtailtrail/config/RouteTable.h"
 #include "foxtailtrail/limits/LocalQuota.h"
+#include "foxtailtrail/limits/MemoryBudget.h"
 #include "foxtailtrail/proxy/CallerCodec.h"
 #include "foxtailtrail/proxy/CallerConnection.h"
 #include "foxtailtrail/proxy/DirectPool.h"
@@ -13,6 +14,7 @@
 #include "foxtailtrail/session/StopSchedule.h"
 
 #include <array>
+#include <deque>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -108,6 +110,11 @@
     std::vector<GroupUpdate> groupUpdates(TimePoint newerThan) const;
     void applyGroupUpdates(const std::vector<GroupUpdate>&);
     void removeConnection(CallerConnection&);
+    // The budget of what is held for callers.
+    const std::shared_ptr<MemoryBudget>& memoryBudget() const { return this->callerBudget; }
+    // Makes a connection read on when memory becomes free.
+    void addMemoryWaiter(const std::shared_ptr<CallerConnection>& connection) { this->memoryWaiters.push_back(connection); }
+    void countMemoryRefusal(MemoryRefusal);
     void addToSweep(CallerConnection&);
     // Logs the outcome of a request and counts it in the metrics.
     void recordRequest(const RequestOutcome&);
@@ -144,6 +151,10 @@
     // Logs the operations that the quotas have refused since the last call.
     void logQuotaRefusals(TimePoint now);
     void acceptNext();
+    // Accepts the next caller unless the maximum number of connections is reached.
+    void resumeAccepting();
+    // Closes the connections that have exceeded the limits of the memory budget and lets others read on.
+    void sweepMemory(TimePoint now);
     void addConnection(boost::asio::ip::tcp::socket);
     void scheduleSweep();
     void sweep();
@@ -177,6 +188,7 @@
     // The time until which this VM acts as the relay of a server because peers have used its connections.
     std::map<BackendServerId, TimePoint> usedByPeersUntil;
     std::map<BackendServerId, std::shared_ptr<RelayedPool>> relayedPools;
+    std::shared_ptr<MemoryBudget> callerBudget;
     LocalQuota localQuota;
     std::list<QuotaWaiter> quotaWaiters;
     // The refused operations by cause since the last log line, and when the next line is due.
@@ -187,6 +199,13 @@
     std::unordered_map<CallerConnection*, std::shared_ptr<CallerConnection>> connections;
     // The connections with a running request or an open transaction.
     std::set<CallerConnection*> connectionsToSweep;
+    // The connections whose last replies are being sent, and when they are closed at the latest.
+    std::list<std::pair<TimePoint, std::shared_ptr<CallerConnection>>> closingConnections;
+    // In the order in which they wait.
+    std::deque<std::weak_ptr<CallerConnection>> memoryWaiters;
+    TimePoint nextMemorySweepAt {};
+    std::array<size_t, memoryRefusalNames.size()> memoryRefusals {};
+    bool isAcceptingPaused = false;
     std::optional<StopSchedule> stop;
     ProxyMetrics proxyMetrics;
 };
--- a/foxtailtrail/proxy/TcpStream.cpp
+++ b/foxtailtrail/proxy/TcpStream.cpp
@@ -2,9 +2,9 @@
 
 #include "foxtailtrail/net/SocketOptions.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <utility>
 
 namespace foxtail {
@@ -19,6 +19,9 @@
     // Reading pauses while this many received bytes are not consumed. Larger than two messages of the maximum size.
     constexpr size_t maxReceiveBufferBytes = size_t { 3 } << 20;
 
+    // An empty receive buffer keeps no more memory than this.
+    constexpr size_t maxIdleBufferBytes = size_t { 1 } * 1024;
+
     // Returns the read buffer that all connections of the thread share. Each read is handled before the next one starts.
     std::array<char, readChunkBytes>& sharedReadBuffer()
     {
@@ -58,9 +61,14 @@
 void TcpStream::readAvailable()
 {
     while (this->socket.is_open()) {
+        const size_t limit = this->receiveLimit();
+        this->isReadingPaused = this->receiveBuffer.size() >= limit;
+        if (this->isReadingPaused)
+            break;
         boost::system::error_code code;
         auto& buffer = sharedReadBuffer();
-        const size_t count = this->socket.read_some(boost::asio::buffer(buffer), code);
+        const size_t maxCount = std::min(readChunkBytes, limit - this->receiveBuffer.size());
+        const size_t count = this->socket.read_some(boost::asio::buffer(buffer.data(), maxCount), code);
         if (code == boost::asio::error::would_block)
             break;
         if (code) {
@@ -77,26 +85,37 @@
             this->receiveBuffer.append(newBytes);
             this->processBufferedBytes();
         }
-        if (this->receiveBuffer.empty() && this->receiveBuffer.capacity() > readChunkBytes)
+        if (this->receiveBuffer.empty() && this->receiveBuffer.capacity() > maxIdleBufferBytes)
             this->receiveBuffer.shrink_to_fit();
-        if (count < readChunkBytes)
+        if (count < maxCount)
             break;
     }
-    this->isReadingPaused = this->receiveBuffer.size() >= maxReceiveBufferBytes;
+    this->bufferedBytesChanged();
     if (this->socket.is_open() && !this->isReadingPaused)
         this->waitForBytes();
 }
 
+size_t TcpStream::receiveLimit() { return maxReceiveBufferBytes; }
+
 void TcpStream::processBufferedBytes()
 {
     size_t consumed = 1;
     while (consumed > 0 && this->socket.is_open() && !this->receiveBuffer.empty()) {
         // The handler may close this connection, so the bytes are moved out of the member while it runs.
-        const std::string bytes = std::exchange(this->receiveBuffer, {});
+        std::string bytes = std::exchange(this->receiveBuffer, {});
         consumed = this->received(bytes);
-        this->receiveBuffer.assign(bytes, consumed);
+        if (consumed == 0)
+            this->receiveBuffer = std::move(bytes);
+        else
+            this->receiveBuffer.assign(bytes, consumed);
     }
-    if (this->isReadingPaused && this->socket.is_open() && this->receiveBuffer.size() < maxReceiveBufferBytes) {
+    this->bufferedBytesChanged();
+    this->resumeReading();
+}
+
+void TcpStream::resumeReading()
+{
+    if (this->isReadingPaused && this->socket.is_open() && this->receiveBuffer.size() < this->receiveLimit()) {
         this->isReadingPaused = false;
         this->waitForBytes();
     }
@@ -108,8 +127,9 @@
         return;
     if (this->isWriting) {
         this->sendBuffer.append(bytes);
-        if (this->sendBuffer.size() > maxSendBufferBytes)
+        if (this->unsentBytes() > maxSendBufferBytes)
             boost::asio::post(this->socket.get_executor(), [self = this->shared_from_this()] { self->failConnection(); });
+        this->bufferedBytesChanged();
         return;
     }
     boost::system::error_code code;
@@ -120,25 +140,57 @@
     }
     if (sent < bytes.size()) {
         this->sendBuffer.append(bytes.substr(sent));
-        this->writeSendBuffer();
+        this->isWriting = true;
+        this->waitToWrite();
+        this->bufferedBytesChanged();
     }
 }
 
-void TcpStream::writeSendBuffer()
+void TcpStream::waitToWrite()
 {
-    this->isWriting = true;
-    auto chunk = std::make_shared<std::string>(std::move(this->sendBuffer));
-    this->sendBuffer.clear();
-    boost::asio::async_write(
-        this->socket, boost::asio::buffer(*chunk), [self = this->shared_from_this(), chunk](const boost::system::error_code& code, size_t) {
+    this->socket.async_wait(Tcp::socket::wait_write, [self = this->shared_from_this()](const boost::system::error_code& code) {
+        if (code || !self->socket.is_open())
             self->isWriting = false;
-            if (code || !self->socket.is_open())
-                return;
-            if (!self->sendBuffer.empty())
-                self->writeSendBuffer();
-            else if (self->isClosing)
-                self->close();
-        });
+        else
+            self->writeSendBuffer();
+    });
+}
+
+void TcpStream::writeSendBuffer()
+{
+    boost::system::error_code code;
+    const size_t sent
+        = this->socket.write_some(boost::asio::buffer(this->sendBuffer.data() + this->sentOffset, this->unsentBytes()), code);
+    if (code && code != boost::asio::error::would_block) {
+        this->isWriting = false;
+        std::exchange(this->sendBuffer, {});
+        this->sentOffset = 0;
+        // The read handler reports the loss after it has read what the peer has sent before, unless reading is paused.
+        if (this->isReadingPaused)
+            this->failConnection();
+        return;
+    }
+    this->sentOffset += sent;
+    this->isWriting = this->unsentBytes() > 0;
+    // Frees what was sent, at a cost that is bounded by the bytes sent.
+    if (this->sentOffset >= this->sendBuffer.size() / 2) {
+        this->sendBuffer = this->sendBuffer.substr(this->sentOffset);
+        this->sentOffset = 0;
+    }
+    if (this->isWriting)
+        this->waitToWrite();
+    else if (this->isClosing)
+        this->close();
+    this->bufferedBytesChanged();
+    if (sent > 0)
+        this->unsentBytesSent();
+}
+
+void TcpStream::freeBuffers()
+{
+    this->receiveBuffer = {};
+    this->sendBuffer = {};
+    this->sentOffset = 0;
 }
 
 void TcpStream::close()
--- a/foxtailtrail/proxy/TcpStream.h
+++ b/foxtailtrail/proxy/TcpStream.h
@@ -37,6 +37,21 @@
     // Passes the bytes that were not consumed to received() again, until it consumes nothing. To be called when it can consume more.
     void processBufferedBytes();
     bool hasBufferedBytes() const { return !this->receiveBuffer.empty(); }
+    // Returns the number of unconsumed bytes at which reading pauses. Called before each read.
+    virtual size_t receiveLimit();
+    // Continues reading if it was paused and the receive limit has grown.
+    void resumeReading();
+    // Called when the number of buffered bytes may have changed.
+    virtual void bufferedBytesChanged() { }
+    // Called when bytes of the send buffer were sent.
+    virtual void unsentBytesSent() { }
+    size_t unconsumedBytes() const { return this->receiveBuffer.size(); }
+    size_t unsentBytes() const { return this->sendBuffer.size() - this->sentOffset; }
+    // Return the memory that the buffers occupy.
+    size_t receiveBufferMemory() const { return this->receiveBuffer.empty() ? 0 : this->receiveBuffer.capacity(); }
+    size_t sendBufferMemory() const { return this->sendBuffer.empty() ? 0 : this->sendBuffer.capacity(); }
+    // Frees the buffers of a closed connection.
+    void freeBuffers();
     // Called when the peer has closed the connection or the connection has failed.
     virtual void disconnected() = 0;
 
@@ -45,6 +60,7 @@
 private:
     void waitForBytes();
     void readAvailable();
+    void waitToWrite();
     void writeSendBuffer();
     void failConnection();
 
@@ -52,7 +68,9 @@
     std::string receiveBuffer;
     // Whether reading waits until bytes of a full receive buffer are consumed.
     bool isReadingPaused = false;
+    // Bytes that were not sent yet, after those that were.
     std::string sendBuffer;
+    size_t sentOffset = 0;
     bool isWriting = false;
     bool isClosing = false;
 };
--- a/foxtailtrail/session/SessionState.h
+++ b/foxtailtrail/session/SessionState.h
@@ -36,9 +36,14 @@
 // session.
 class SessionState {
 public:
-    void setVariable(const std::string& name, const std::string& value) { this->variables[name] = value; }
-    void prepare(const std::string& name, PreparedStatement prepared) { this->preparedStatements[name] = std::move(prepared); }
-    void closePrepared(const std::string& name) { this->preparedStatements.erase(name); }
+    void setVariable(const std::string& name, const std::string& value);
+    void prepare(const std::string& name, PreparedStatement prepared);
+    void closePrepared(const std::string& name);
+
+    // Returns the memory that a variable or prepared statement of this name and text occupies.
+    static size_t entryBytes(const std::string& name, const std::string& text) { return entryOverheadBytes + name.size() + text.size(); }
+    // Returns the memory that the variables and prepared statements occupy.
+    size_t memoryBytes() const { return this->entriesBytes; }
 
     const std::map<std::string, std::string>& sessionVariables() const { return this->variables; }
     // Returns the prepared statement of that name, or null.
@@ -60,6 +65,10 @@
     const std::optional<AcknowledgedCommit>& lastAcknowledgedCommit() const { return this->lastCommit; }
 
 private:
+    // A node of a map with two strings, as the allocator rounds it.
+    static constexpr size_t entryOverheadBytes = 160;
+
+    size_t entriesBytes = 0;
     std::map<std::string, std::string> variables;
     std::map<std::string, PreparedStatement> preparedStatements;
     TransactionState state = TransactionState::None;
--- a/tests/server/ProxySettingsTest.cpp
+++ b/tests/server/ProxySettingsTest.cpp
@@ -51,6 +51,19 @@
             EXPECT_NE(all.find(name), std::string::npos) << name << " in\n" << all;
     }
 
+    TEST_F(ProxySettingsTest, DividesMemoryAndRejectsTooLittleForOneMessage)
+    {
+        this->writeFile(std::string(validSettings) + "memory: {limitMegabytes: 160, descriptors: 400}\n");
+        const auto settings = readProxySettings(this->file);
+        ASSERT_TRUE(settings);
+        EXPECT_EQ(settings.value().memory.maxConnections(), 336U);
+        EXPECT_EQ(settings.value().memory.largePlaces(), 5U);
+        this->writeFile(std::string(validSettings) + "memory: {limitMegabytes: 40, descriptors: 400}\n");
+        const auto tooSmall = readProxySettings(this->file);
+        ASSERT_FALSE(tooSmall);
+        EXPECT_NE(tooSmall.error().front().find("memory.limitMegabytes must be at least 48"), std::string::npos);
+    }
+
     TEST_F(ProxySettingsTest, RejectsFileThatCannotBeParsed)
     {
         this->writeFile("vm: [");
