--- a/foxtailtrail/limits/MemoryBudget.cpp
+++ b/foxtailtrail/limits/MemoryBudget.cpp
@@ -31,6 +31,12 @@
     constexpr Duration unreadLimit = std::chrono::seconds(30);
     constexpr Duration stallLimitWhenShort = std::chrono::seconds(2);
 
+    // Returns whether the caller, and not this VM, keeps the connection's bytes waiting.
+    bool isWithoutProgress(const MemoryHolder& holder, TimePoint now)
+    {
+        return !holder.isServed && now >= holder.lastProgressAt + stallLimitWhenShort;
+    }
+
 }
 
 Result<MemoryBudget> MemoryBudget::create(size_t memoryBytes, size_t descriptors)
@@ -46,8 +52,8 @@
     const size_t rest = callerBytes - budget.largePlaceCount * largeMessageCost;
     budget.bufferLimit = rest / 2;
     budget.sessionLimit = rest / 2;
-    const size_t reservedDescriptors = std::max(minReservedDescriptors, descriptors / reservedDescriptorDivisor);
-    budget.connectionLimit = std::min(descriptors - reservedDescriptors, budget.bufferLimit / smallestBytes);
+    budget.reservedDescriptorCount = std::max(minReservedDescriptors, descriptors / reservedDescriptorDivisor);
+    budget.connectionLimit = std::min(descriptors - budget.reservedDescriptorCount, budget.bufferLimit / smallestBytes);
     return budget;
 }
 
@@ -85,7 +91,7 @@
     for (size_t index = 0; index < holders.size(); ++index) {
         const MemoryHolder& holder = holders[index];
         const bool isReceiving = holder.messageBegunAt != TimePoint {} && !holder.isWaiting;
-        const bool isStalled = now >= holder.lastProgressAt + stallLimitWhenShort;
+        const bool isStalled = isWithoutProgress(holder, now);
         if (!holder.hasStarted && !holder.isServed && now >= holder.acceptedAt + (isFull ? startLimitWhenFull : startLimit))
             evicted.push_back({ index, MemoryRefusal::NoStart });
         else if (isReceiving && now >= holder.messageBegunAt + messageLimit)
@@ -103,13 +109,13 @@
         return evicted;
     // The connections without progress come first, and among them those that hold most.
     std::sort(rest.begin(), rest.end(), [&](size_t left, size_t right) {
-        const bool isLeftStalled = now >= holders[left].lastProgressAt + stallLimitWhenShort;
-        const bool isRightStalled = now >= holders[right].lastProgressAt + stallLimitWhenShort;
+        const bool isLeftStalled = isWithoutProgress(holders[left], now);
+        const bool isRightStalled = isWithoutProgress(holders[right], now);
         return isLeftStalled != isRightStalled ? isLeftStalled : holders[left].bytes > holders[right].bytes;
     });
     const bool isFar = this->isFarOver();
     for (const size_t index : rest) {
-        const bool isStalled = now >= holders[index].lastProgressAt + stallLimitWhenShort;
+        const bool isStalled = isWithoutProgress(holders[index], now);
         const size_t goal = isStalled ? this->bufferLimit - this->bufferLimit / 4 : this->bufferLimit;
         if (buffered < goal || (!isStalled && !isFar))
             break;
--- a/foxtailtrail/limits/MemoryBudget.h
+++ b/foxtailtrail/limits/MemoryBudget.h
@@ -94,6 +94,8 @@
     // Returns whether a session may grow to the given size.
     bool maySessionGrow(size_t before, size_t after) const;
     size_t maxConnections() const { return this->connectionLimit; }
+    // Returns the number of descriptors that are kept for backend servers, relays, other VMs and the store.
+    size_t reservedDescriptors() const { return this->reservedDescriptorCount; }
     size_t largePlaces() const { return this->largePlaceCount; }
 
     // Returns the connections to close: those that have exceeded a time limit, and when memory is short those that hold most without
@@ -108,6 +110,7 @@
     size_t bufferLimit = 0;
     size_t sessionLimit = 0;
     size_t connectionLimit = 0;
+    size_t reservedDescriptorCount = 0;
     std::array<size_t, callerMemoryNames.size()> heldBytes {};
 };
 
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -17,6 +17,11 @@
 
     // The maximum number of parsed requests that wait while another request of the same caller is handled.
     constexpr size_t maxQueuedRequests = 64;
+    // A session keeps the memory of its last request up to this size.
+    constexpr size_t maxKeptRequestBytes = 1024;
+    // A parsed message holds its text and parts of it; a request that is being handled is also held for the backend server.
+    constexpr size_t messageCopies = 2;
+    constexpr size_t requestCopies = 5;
     // No further requests are parsed while those that wait have this many bytes.
     constexpr size_t maxQueuedBytes = size_t { 16 } * 1024;
     // The maximum number of variables of one session.
@@ -85,7 +90,8 @@
     while (!this->isRequestInProgress && !this->hasSessionEnded && !this->queuedMessages.empty() && !this->waitsForReader()) {
         CallerMessage message = std::move(this->queuedMessages.front());
         this->queuedMessages.pop_front();
-        this->queuedBytes -= this->queuedSizes.front();
+        this->requestBytes = this->queuedSizes.front();
+        this->queuedBytes -= this->requestBytes;
         this->queuedSizes.pop_front();
         this->handleMessage(std::move(message));
     }
@@ -482,9 +488,10 @@
 {
     this->isRequestInProgress = false;
     this->lastActivityAt = bootNow();
-    // A large request is not kept until the next one arrives.
-    if (this->holdsLargePlace)
-        this->request = CallerMessage {};
+    // A larger request is not kept until the next one arrives. An assignment alone would keep the memory.
+    if (this->requestBytes > maxKeptRequestBytes)
+        std::exchange(this->request, CallerMessage {});
+    this->requestBytes = 0;
     this->accountMemory();
     if (this->queuedMessages.empty() && !this->hasBufferedBytes() && !this->isEnding)
         return;
@@ -659,9 +666,10 @@
 {
     if (this->isParsing)
         return;
-    // A parsed message occupies about twice its size.
-    const size_t received = this->receiveBufferMemory() + 2 * this->queuedBytes;
-    if (this->holdsLargePlace && !this->isRequestInProgress && this->unconsumedBytes() + this->queuedBytes < MemoryBudget::smallMessageBytes) {
+    const size_t handled = this->isRequestInProgress ? requestCopies * this->requestBytes : 0;
+    const size_t received = this->receiveBufferMemory() + messageCopies * this->queuedBytes + handled;
+    if (this->holdsLargePlace && !this->isRequestInProgress
+        && this->unconsumedBytes() + this->queuedBytes < MemoryBudget::smallMessageBytes) {
         this->budget->change(CallerMemory::LargeMessages, this->countedReceived, 0);
         this->budget->change(CallerMemory::Received, 0, this->countedReceived);
         this->budget->returnLargePlace();
--- a/foxtailtrail/proxy/CallerConnection.h
+++ b/foxtailtrail/proxy/CallerConnection.h
@@ -117,6 +117,8 @@
     // The size of each queued message as received, and their sum.
     std::deque<size_t> queuedSizes;
     size_t queuedBytes = 0;
+    // The size of the request that is being handled.
+    size_t requestBytes = 0;
     // The number of unconsumed bytes that are known to hold no complete message.
     size_t incompleteBytes = 0;
     std::shared_ptr<MemoryBudget> budget;
--- a/foxtailtrail/proxy/ProxyVm.cpp
+++ b/foxtailtrail/proxy/ProxyVm.cpp
@@ -16,8 +16,6 @@
     // The probes and the collector of the metrics send no body.
     constexpr uint64_t maxProbeBodyBytes = 1024;
     constexpr size_t maxProbeConnections = 16;
-    // Within the descriptors that are reserved on the smallest VM.
-    constexpr size_t maxPeerConnections = 128;
     constexpr int separatelyMappedBytes = 128 * 1024;
     constexpr Duration stopPollInterval = std::chrono::milliseconds(50);
 
@@ -73,7 +71,8 @@
         HttpServer::listen(this->thread, ready, [this](const HttpRequest& request) { return this->handleReadinessRequest(request); }));
     HttpServerSettings peer = ready;
     peer.maxBodyBytes = HttpServerSettings().maxBodyBytes;
-    peer.maxConnections = maxPeerConnections;
+    // The rest of the reserved descriptors is for backend servers, relays and the store.
+    peer.maxConnections = this->settings.memory.reservedDescriptors() / 2;
     peer.address = this->settings.peerEndpoint.address;
     peer.port = this->settings.peerEndpoint.port;
     BOOST_OUTCOME_TRY(this->peerServer, HttpServer::listen(this->thread, peer, [this](const HttpRequest& request) {
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -432,6 +432,9 @@
         held.reserve(this->connections.size());
         holders.reserve(this->connections.size());
         for (const auto& [address, connection] : this->connections) {
+            // The statement of a closed connection may still be running.
+            if (!connection->isSocketOpen())
+                continue;
             held.push_back(connection);
             holders.push_back(connection->memoryHolder());
         }
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -14,9 +14,9 @@
 #include "foxtailtrail/session/StopSchedule.h"
 
 #include <array>
-#include <deque>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <list>
 #include <map>
--- a/foxtailtrail/proxy/TcpStream.cpp
+++ b/foxtailtrail/proxy/TcpStream.cpp
@@ -159,14 +159,15 @@
 void TcpStream::writeSendBuffer()
 {
     boost::system::error_code code;
-    const size_t sent
-        = this->socket.write_some(boost::asio::buffer(this->sendBuffer.data() + this->sentOffset, this->unsentBytes()), code);
+    const size_t sent = this->socket.write_some(boost::asio::buffer(this->sendBuffer.data() + this->sentOffset, this->unsentBytes()), code);
     if (code && code != boost::asio::error::would_block) {
         this->isWriting = false;
         std::exchange(this->sendBuffer, {});
         this->sentOffset = 0;
         // The read handler reports the loss after it has read what the peer has sent before, unless reading is paused.
-        if (this->isReadingPaused)
+        if (this->isClosing)
+            this->close();
+        else if (this->isReadingPaused)
             this->failConnection();
         return;
     }
@@ -174,7 +175,8 @@
     this->isWriting = this->unsentBytes() > 0;
     // Frees what was sent, at a cost that is bounded by the bytes sent.
     if (this->sentOffset >= this->sendBuffer.size() / 2) {
-        this->sendBuffer = this->sendBuffer.substr(this->sentOffset);
+        const std::string previous = std::exchange(this->sendBuffer, {});
+        this->sendBuffer.assign(previous, this->sentOffset);
         this->sentOffset = 0;
     }
     if (this->isWriting)
@@ -188,8 +190,8 @@
 
 void TcpStream::freeBuffers()
 {
-    this->receiveBuffer = {};
-    this->sendBuffer = {};
+    std::exchange(this->receiveBuffer, {});
+    std::exchange(this->sendBuffer, {});
     this->sentOffset = 0;
 }
 
--- a/foxtailtrail/session/LinkState.h
+++ b/foxtailtrail/session/LinkState.h
@@ -48,6 +48,8 @@
     std::map<std::string, std::string> variables;
     // From mode and statement template to the name on this connection.
     std::map<std::string, std::string> preparedNames;
+    // The memory that the variables and prepared statements occupy.
+    size_t entriesBytes = 0;
     uint64_t nextPreparedNumber = 1;
     // Whether the state of the connection is unknown, so that it has to be reset first.
     bool isStateUnknown = false;
--- a/tests/session/SessionStateTest.cpp
+++ b/tests/session/SessionStateTest.cpp
@@ -1,6 +1,7 @@
 #include "foxtailtrail/session/SessionState.h"
 #include "foxtailtrail/session/LinkState.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <random>
 
@@ -72,6 +73,39 @@
         }
     }
 
+    // Guards against large statement templates that add up on a connection.
+    TEST(LinkStateTest, ResetsConnectionThatHoldsMuch)
+    {
+        LinkState link;
+        FakeConnection connection;
+        size_t mostBytes = 0;
+        for (char letter = 'a'; letter <= 'z'; ++letter) {
+            SessionState session;
+            session.prepare("n", { false, std::string(50'000, letter) });
+            const PreparedStatement* executed = session.findPrepared("n");
+            connection.run(link.restore(session, executed));
+            ASSERT_EQ(connection.prepared.at(link.preparedName(*executed)), *executed);
+            mostBytes = std::max(mostBytes, connection.prepared.size() * 50'000);
+        }
+        EXPECT_LE(mostBytes, 200'000U);
+    }
+
+    // Guards against a count of the memory that differs from what the session holds.
+    TEST(SessionStateTest, CountsMemoryOfVariablesAndPreparedStatements)
+    {
+        SessionState session;
+        session.setVariable("a", std::string(1000, 'x'));
+        session.prepare("p", { false, std::string(2000, 'x') });
+        const size_t before = session.memoryBytes();
+        EXPECT_GE(before, 3000U);
+        session.setVariable("a", "x");
+        session.prepare("p", { false, "x" });
+        EXPECT_EQ(session.memoryBytes(), before - 999 - 1999);
+        session.closePrepared("p");
+        session.closePrepared("none");
+        EXPECT_EQ(session.memoryBytes(), SessionState::entryBytes("a", "x"));
+    }
+
     // Guards against state of a transaction that is lost while it is open or carried over to the next one.
     TEST(SessionStateTest, TracksStateOfTransaction)
     {
