--- a/foxtailtrail/proxy/ProxyMetrics.cpp
+++ b/foxtailtrail/proxy/ProxyMetrics.cpp
@@ -50,6 +50,12 @@
                                                                     .Name("foxtail_load_report_age_seconds")
                                                                     .Help("Age of the report of the chosen server's load")
                                                                     .Register(registry);
+    prometheus::Family<prometheus::Counter>& memoryRefusals = prometheus::BuildCounter()
+                                                                  .Name("foxtail_memory_refusals_total")
+                                                                  .Help("Callers refused to save memory or descriptors, by reason")
+                                                                  .Register(registry);
+    prometheus::Family<prometheus::Gauge>& callerBytes
+        = prometheus::BuildGauge().Name("foxtail_caller_bytes").Help("Bytes held for callers, by kind").Register(registry);
     prometheus::Family<prometheus::Counter>& promotions
         = prometheus::BuildCounter().Name("foxtail_session_promotions_total").Help("Promotions carried out by this VM").Register(registry);
     prometheus::Family<prometheus::Gauge>& state
@@ -104,6 +110,11 @@
             .Observe(std::chrono::duration<double>(*reportAge).count());
 }
 
+void ProxyMetrics::countMemoryRefusal(std::string_view reason)
+{
+    this->implementation->memoryRefusals.Add({ { "reason", std::string(reason) } }).Increment();
+}
+
 void ProxyMetrics::countPromotion() { this->implementation->promotions.Add({}).Increment(); }
 
 std::string ProxyMetrics::exposition(const ProxyGauges& gauges)
@@ -117,6 +128,9 @@
     setGauge("store_reachable", gauges.storeReachable ? 1 : 0);
     setGauge("ready", gauges.ready ? 1 : 0);
     setGauge("evacuated_data_centres", static_cast<double>(gauges.evacuatedDataCentres));
+    for (size_t kind = 0; kind < callerMemoryNames.size(); ++kind)
+        this->implementation->callerBytes.Add({ { "kind", std::string(callerMemoryNames[kind]) } })
+            .Set(static_cast<double>(gauges.callerBytes[kind]));
     return prometheus::TextSerializer().Serialize(this->implementation->registry.Collect());
 }
 
--- a/foxtailtrail/proxy/ProxyMetrics.h
+++ b/foxtailtrail/proxy/ProxyMetrics.h
@@ -2,7 +2,9 @@
 
 #include "foxtailtrail/base/ErrorKind.h"
 #include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/limits/MemoryBudget.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -21,6 +23,8 @@
     bool storeReachable = false;
     bool ready = false;
     size_t evacuatedDataCentres = 0;
+    // What is held for callers, by CallerMemory.
+    std::array<size_t, callerMemoryNames.size()> callerBytes {};
 };
 
 // Counters and histograms of the session path in the Prometheus text format. Label values come from fixed sets, which bounds the
@@ -47,6 +51,8 @@
     void observeQueueWait(Duration);
     // Counts the choice of a server for a read by its reason, and records the age of the report of the server's load.
     void countReadChoice(std::string_view reason, const std::optional<Duration>& reportAge);
+    // Counts a caller's connection or statement that was refused to save memory or descriptors, by its reason.
+    void countMemoryRefusal(std::string_view reason);
     // Counts a promotion that this VM has performed.
     void countPromotion();
 
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -2,6 +2,7 @@
 
 #include "foxtailtrail/base/Ids.h"
 #include "foxtailtrail/base/Time.h"
+#include "foxtailtrail/limits/MemoryBudget.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
 #include "foxtailtrail/net/HttpClient.h"
 
@@ -56,6 +57,8 @@
     std::string logLevel = "info";
     // Whether reads are divided between the servers by reports of their loads.
     bool usesEvenLoad = false;
+    // Divides the memory and the descriptors that the process may use.
+    MemoryBudget memory;
 };
 
 // Returns whether a file has the layout of these settings: a map with a section "platform".
--- a/foxtailtrail/proxy/RelayServer.h
+++ b/foxtailtrail/proxy/RelayServer.h
@@ -8,6 +8,7 @@
 #include "foxtailtrail/proxy/TcpStream.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,7 @@
     FindPool findPool;
     EvacuationCheck isEvacuated;
     boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer retryTimer;
     std::set<std::shared_ptr<Connection>> connections;
     bool isStopping = false;
     LoadExchange* loadExchange = nullptr;
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -477,7 +477,8 @@
     const bool isFirstTime = this->exhaustedServers.insert(this->target).second;
     if (returnAt)
         this->roomAt = std::min(*returnAt, this->roomAt.value_or(*returnAt));
-    const auto candidates = this->needsPrimary() ? std::vector<ReadCandidate> {} : this->group->readCandidates(this->task.organisation, this->task.homes, now);
+    const auto candidates = this->needsPrimary() ? std::vector<ReadCandidate> {}
+                                                 : this->group->readCandidates(this->task.organisation, this->task.homes, bootNow());
     const bool canRunElsewhere = isFirstTime && std::any_of(candidates.begin(), candidates.end(), [&](const ReadCandidate& candidate) {
         return this->exhaustedServers.count(candidate.server) == 0;
     });
