Limit what all VMs together send to a cold server

Change: ColdServerRule. A few VMs, the first in a rendezvous order of the registered fleet, send to a cold server at even intervals of their share, so a partition or a lost VM changes nothing; the others use warm servers. A rate of 0, or a server that reports no time, limits nothing.

--- a/foxtailtrail/config/RouteTable.h
+++ b/foxtailtrail/config/RouteTable.h
@@ -46,6 +46,8 @@
     uint32_t maxConnections = 0;
     // The number of replicas that must hold a commit before it is acknowledged.
     uint32_t synchronousReplicas = 0;
+    // The statements a second that all VMs together may send to a cold server. 0 means no limit.
+    double coldStatementsPerSecond = 0;
 };
 
 // An organisation with its fleet-wide limit of operations.
--- a/foxtailtrail/failover/SuccessorSelection.h
+++ b/foxtailtrail/failover/SuccessorSelection.h
@@ -51,8 +51,8 @@
 // left out only if it may be the last primary and every other server has answered, or if it counts as lost together with the last primary.
 // A server that is full still runs and never counts as lost.
 //
-// A leaving server, or one in an evacuated data centre, is selected only if no other one can be. It keeps its commits, also those of a demoted primary whose chosen successor
-// could not be promoted, until a server that stays has received them and replaces it.
+// A leaving server, or one in an evacuated data centre, is selected only if no other one can be. It keeps its commits, also those of a
+// demoted primary whose chosen successor could not be promoted, until a server that stays has received them and replaces it.
 std::optional<ProbedStatus> selectSuccessor(const SuccessorEvidence&);
 
 }
--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -305,7 +305,8 @@
     for (const ServerEntry* entry : directory.members(this->serviceName)) {
         if (entry->isDraining || directory.isRemoved(entry->id))
             continue;
-        if (this->groupContext.placementIn(entry->dataCentre, homes, now) != Placement::Allowed)
+        if (this->groupContext.placementIn(entry->dataCentre, homes, now) != Placement::Allowed
+            || !this->groupContext.maySendWhileCold(*entry, now))
             continue;
         const std::shared_ptr<LinkPool> pool = this->groupContext.pool(entry->id);
         if (!pool)
@@ -482,7 +483,8 @@
     // Statements get an early result when a primary has been missing for long, so the time without a primary counts, not the time that each
     // statement has waited.
     const bool isWaitingOfNoUse = !this->waiters.empty() && this->isPrimaryEvacuatedForGood(now);
-    const bool isExaminationDue = !this->waiters.empty() && !isWaitingOfNoUse && this->noPrimarySince && *this->noPrimarySince + waitExaminationDelay <= now;
+    const bool isExaminationDue
+        = !this->waiters.empty() && !isWaitingOfNoUse && this->noPrimarySince && *this->noPrimarySince + waitExaminationDelay <= now;
     for (auto waiter = this->waiters.begin(); waiter != this->waiters.end();) {
         const auto next = std::next(waiter);
         if (waiter->giveUpAt <= now || isWaitingOfNoUse)
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -52,6 +52,10 @@
     virtual bool mayStopSoon(const BackendServerId&, TimePoint now) const = 0;
     // Returns whether a statement with these homes may be sent to a server of the data centre.
     virtual Placement placementIn(const DataCentre&, const Homes&, TimePoint) const { return Placement::Allowed; }
+    // Returns whether this VM may send a statement to the server now, which it may not if the server is cold and others have its share.
+    virtual bool maySendWhileCold(const ServerEntry&, TimePoint) const { return true; }
+    // Records a statement that is sent to the server now.
+    virtual void recordSentWhileCold(const ServerEntry&, TimePoint) { }
     // Requests an examination of the group's primary.
     virtual void examineGroup(const ServiceName&, std::string_view reason) = 0;
 };
--- a/foxtailtrail/proxy/ProxySettings.cpp
+++ b/foxtailtrail/proxy/ProxySettings.cpp
@@ -140,6 +140,9 @@
         readChangeBound(reader, "keyWithdrawalMilliseconds", settings.changeBounds.keyWithdrawal);
         readChangeBound(reader, "serverDrainMilliseconds", settings.changeBounds.serverDrain);
         readEvacuationBound(reader, settings.changeBounds);
+        if (const YAML::Node excess = reader.find("bounds", "coldExcess"); excess && !excess.IsNull())
+            settings.coldServers.excess = reader.read<double>("bounds", "coldExcess", "a number, at least 1");
+        settings.coldServers.slack = reader.read<double>("bounds", "coldSlack", "a number of statements", false);
         return settings;
     }
 
@@ -188,6 +191,10 @@
         reader.addError("vm", "processorShare", "must be above 0");
     if (settings.stopGracePeriod <= Duration(0))
         reader.addError("bounds", "stopGraceSeconds", "must be above 0");
+    if (!(settings.coldServers.excess >= 1))
+        reader.addError("bounds", "coldExcess", "must be at least 1");
+    if (!(settings.coldServers.slack >= 0))
+        reader.addError("bounds", "coldSlack", "must be at least 0");
     if (settings.quota.window <= Duration(0))
         reader.addError("bounds", "quotaWindowSeconds", "must be above 0");
     if (!reader.errors.empty())
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -4,6 +4,7 @@
 #include "foxtailtrail/base/Time.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
 #include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/replication/ColdServerRule.h"
 
 #include <boost/outcome/result.hpp>
 #include <map>
@@ -53,6 +54,7 @@
     Duration stopGracePeriod { 0 };
     QuotaBounds quota;
     ChangeBounds changeBounds;
+    ColdServerBounds coldServers;
     std::string logLevel = "info";
 };
 
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -64,6 +64,7 @@
     , relays(context, RelayPlacement(proxySettings.regions))
     , evacuationTable(proxySettings.changeBounds.evacuationSettlingPeriod())
     , placementRule(proxySettings.regions)
+    , coldServerRule(proxySettings.vmId, proxySettings.coldServers)
     , localQuota(proxySettings.quota)
 {
 }
@@ -121,6 +122,7 @@
     if (this->table)
         logChangedLimits(this->table->organisations, newer->organisations);
     this->table = std::move(newer);
+    this->recordColdServers();
     logEvent(LogLevel::Info, "configuration installed",
         { { "version", this->table->version }, { "routes", this->table->routes.size() },
             { "organisations", this->table->organisations.size() }, { "source", source } });
@@ -143,6 +145,7 @@
 void SessionProxy::updateServerDirectory(const std::function<void(ServerDirectory&)>& change)
 {
     change(this->servers);
+    this->recordColdServers();
     for (const auto& [service, group] : this->groups) {
         for (const ServerEntry* entry : this->servers.members(service)) {
             if (const auto found = this->directPools.find(entry->id); found != this->directPools.end())
@@ -176,6 +179,25 @@
     }
 }
 
+void SessionProxy::recordColdServers()
+{
+    if (!this->table)
+        return;
+    const TimePoint now = bootNow();
+    for (const auto& [name, settings] : this->table->groups) {
+        for (const ServerEntry* entry : this->servers.members(settings.service))
+            this->coldServerRule.recordReport(entry->id, entry->startedAtMs, entry->sequence, entry->coldFor, now);
+    }
+}
+
+bool SessionProxy::maySendWhileCold(const ServerEntry& entry, TimePoint now) const
+{
+    if (!this->table || !this->coldServerRule.isCold(entry.id, now))
+        return true;
+    const auto group = this->table->groups.find(entry.service.value);
+    return group == this->table->groups.end() || this->coldServerRule.maySend(entry.id, group->second.coldStatementsPerSecond, now);
+}
+
 bool SessionProxy::hasToHandOverForEvacuation(const ServerEntry& primary) const
 {
     if (!this->evacuationTable.isEvacuated(primary.dataCentre))
@@ -542,7 +564,10 @@
     for (ConfigurationWaiter& waiter : expiredWaiters)
         waiter.callback(false);
     const bool hasResolvedServers = this->servers.resolveOlderCopy(now);
-    const bool hasExpiredServers = !this->servers.expire(now).empty();
+    const std::vector<BackendServerId> expiredServers = this->servers.expire(now);
+    const bool hasExpiredServers = !expiredServers.empty();
+    for (const BackendServerId& server : expiredServers)
+        this->coldServerRule.removeServer(server);
     if (hasExpiredServers)
         this->retireRemovedServerPools();
     if (hasResolvedServers || hasExpiredServers)
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -134,6 +134,11 @@
         return this->placementRule.serverIn(dataCentre, homes, this->evacuationTable, now);
     }
 
+    bool maySendWhileCold(const ServerEntry&, TimePoint now) const override;
+    void recordSentWhileCold(const ServerEntry& entry, TimePoint now) override { this->coldServerRule.recordSent(entry.id, now); }
+    // Sets the VMs that are registered, whether they are live or not.
+    void setRegisteredVms(std::vector<VmId> vms) { this->coldServerRule.setFleet(std::move(vms)); }
+
     const EvacuationTable& evacuations() const { return this->evacuationTable; }
     // Applies a change to the evacuations and logs what it changed. The source, where it came from, is logged.
     void updateEvacuations(const std::function<void(EvacuationTable&)>&, std::string_view source);
@@ -169,6 +174,8 @@
     void examineLeavingPrimaries();
     // Returns whether the primary is in an evacuated data centre and a server elsewhere could replace it.
     bool hasToHandOverForEvacuation(const ServerEntry& primary) const;
+    // Records how long the servers of the configured groups stay cold, by their reports.
+    void recordColdServers();
     // Logs which evacuations have come into force, and which groups still have their primary there.
     void logEvacuations(TimePoint now);
 
@@ -194,6 +201,7 @@
     std::map<BackendServerId, std::shared_ptr<RelayedPool>> relayedPools;
     EvacuationTable evacuationTable;
     PlacementRule placementRule;
+    ColdServerRule coldServerRule;
     // The evacuations that were logged as in force, with the groups that had their primary there.
     std::map<DataCentre, std::string> loggedEvacuations;
     LocalQuota localQuota;
--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -23,6 +23,8 @@
     // The maximum number of retries of a read after a lost reply or a failure of the statement.
     constexpr uint32_t maxLostReplies = 2;
     constexpr Duration busyRetryDelay = std::chrono::milliseconds(12);
+    // Delay before a cold server that this VM may send a statement at times is tried again.
+    constexpr Duration coldRetryDelay = std::chrono::milliseconds(50);
     constexpr Duration unreachableRetryDelay = std::chrono::milliseconds(40);
     // Delay before the candidates are tried again once all of them have been tried.
     constexpr Duration candidateRoundDelay = std::chrono::milliseconds(25);
@@ -222,6 +224,34 @@
     return true;
 }
 
+bool StatementRun::endAttemptIfServerIsCold()
+{
+    const TimePoint now = bootNow();
+    const ServerEntry& server = this->currentLink.pool->server();
+    if (this->groupContext.maySendWhileCold(server, now)) {
+        this->groupContext.recordSentWhileCold(server, now);
+        return false;
+    }
+    this->lastAttemptError = ErrorKind::Overloaded;
+    if (this->isTransactionEstablished()) {
+        if (now + coldRetryDelay < this->giveUpAt) {
+            this->currentLink.link->setListener(nullptr);
+            this->retryAfter(coldRetryDelay);
+            return true;
+        }
+        this->dropLink();
+        this->finishWithError(ErrorKind::TransactionAborted, "the server has just started and takes few statements");
+        return true;
+    }
+    this->excludedServers.push_back(this->target);
+    if (this->beginsTransaction && this->phase == Phase::Restoring)
+        this->dropLink();
+    else
+        this->releaseLink();
+    this->retryAfter(this->needsPrimary() ? coldRetryDelay : Duration(0));
+    return true;
+}
+
 void StatementRun::prepareLink()
 {
     if (this->endAttemptIfPlacementForbids())
@@ -266,6 +296,8 @@
         this->retryAfter(Duration(0));
         return;
     }
+    if (this->endAttemptIfServerIsCold())
+        return;
     if (this->commitsWrite() && this->group->areCommitsHeldBack(bootNow())) {
         // The server rolls back the transaction of a closed connection.
         this->dropLink();
--- a/foxtailtrail/proxy/StatementRun.h
+++ b/foxtailtrail/proxy/StatementRun.h
@@ -108,6 +108,9 @@
     void prepareLink();
     // Ends the attempt when nothing may be sent to the server of the connection any more. Returns whether it did.
     bool endAttemptIfPlacementForbids();
+    // Ends the attempt when the server is cold and this VM may send it nothing now. Returns whether it did; otherwise the statement that
+    // follows is recorded.
+    bool endAttemptIfServerIsCold();
     void sendStatement();
     void linkReplied(LinkReply&&) override;
     void linkLost() override;
--- a/foxtailtrail/proxy/StoreFollower.cpp
+++ b/foxtailtrail/proxy/StoreFollower.cpp
@@ -354,6 +354,12 @@
         if (entry.dataCentre == own.dataCentre && entry.id != own.vmId)
             readers.push_back({ entry.id, entry.processorShare });
     }
+    std::vector<VmId> registered { own.vmId };
+    for (const PeerEntry& entry : entries) {
+        if (entry.id != own.vmId)
+            registered.push_back(entry.id);
+    }
+    this->proxy.setRegisteredVms(std::move(registered));
     this->storeReaders.setCandidates(std::move(readers));
 }
 
--- a/foxtailtrail/replication/PlacementRule.cpp
+++ b/foxtailtrail/replication/PlacementRule.cpp
@@ -34,8 +34,7 @@
     return found == this->regionByDataCentre.end() ? Region() : Region(found->second);
 }
 
-Placement PlacementRule::serverIn(
-    const DataCentre& dataCentre, const Homes& homes, const EvacuationTable& evacuations, TimePoint now) const
+Placement PlacementRule::serverIn(const DataCentre& dataCentre, const Homes& homes, const EvacuationTable& evacuations, TimePoint now) const
 {
     if (homes.isRestricted() && !homes.allow(this->regionOf(dataCentre)))
         return Placement::OutsideHomes;
--- a/foxtailtrail/replication/ServerDirectory.h
+++ b/foxtailtrail/replication/ServerDirectory.h
@@ -29,6 +29,8 @@
     int64_t startedAtMs = 0;
     // Counts the reports of this process.
     uint64_t sequence = 0;
+    // How much longer the server is cold, that is, slow after its start.
+    Duration coldFor { 0 };
     bool operator==(const ServerEntry&) const = default;
 };
 
--- a/tests/failover/PrimaryReplacementTest.cpp
+++ b/tests/failover/PrimaryReplacementTest.cpp
@@ -378,8 +378,8 @@
         EXPECT_EQ(group.replacePrimary(FailoverCause::PrimaryLeaving), ReplacementResult::Replaced);
     }
 
-    // Guards against EVAC at a primary: it hands over to a replica in another data centre, also if one in its own is the first in order, and
-    // with a commit that only the replica there holds nothing is lost.
+    // Guards against EVAC at a primary: it hands over to a replica in another data centre, also if one in its own is the first in order,
+    // and with a commit that only the replica there holds nothing is lost.
     TEST(PrimaryReplacementTest, HandsOverOutOfEvacuatedDataCentre)
     {
         for (const uint64_t positionElsewhere : { 9, 7 }) {
--- a/tests/failover/SuccessorSelectionTest.cpp
+++ b/tests/failover/SuccessorSelectionTest.cpp
@@ -288,9 +288,8 @@
     // elsewhere answers.
     TEST(SuccessorSelectionTest, EvacuatedPrimaryIsToHandOverOnlyToAServerElsewhere)
     {
-        const auto causeFrom = [](const std::vector<ProbedStatus>& statuses) {
-            return evaluateFailoverCause(statuses, primary, true, false, true);
-        };
+        const auto causeFrom
+            = [](const std::vector<ProbedStatus>& statuses) { return evaluateFailoverCause(statuses, primary, true, false, true); };
         EXPECT_EQ(causeFrom({ evacuated(leading("p", 9)), paused("a", 9) }), FailoverCause::PrimaryLeaving);
         EXPECT_EQ(causeFrom({ evacuated(leading("p", 9)), evacuated(paused("a", 9)) }), FailoverCause::None);
         EXPECT_EQ(causeFrom({ evacuated(leading("p", 9)), draining(paused("a", 9)) }), FailoverCause::None);
--- a/tests/platform/LineProtocolTest.cpp
+++ b/tests/platform/LineProtocolTest.cpp
@@ -165,6 +165,22 @@
         EXPECT_EQ(table.value().organisations.front().allowedRegions, std::vector { Region("upper") });
     }
 
+    // Guards against FAILBACK: how long a server stays cold and the limit of its service were not read.
+    TEST(JsonDeclarationDecoderTest, DecodesColdServers)
+    {
+        const JsonDeclarationDecoder decoder;
+        const std::string entry = R"({"service":"s","addr":"10.0.0.1:80","zone":"z","slots":3,"state":"ready","db_role":"replica","seq":4)";
+        EXPECT_EQ(decoder.decodeServer("b1", entry + R"(,"cold_left_ms":1500})").value().coldFor, std::chrono::milliseconds(1500));
+        EXPECT_EQ(decoder.decodeServer("b1", entry + "}").value().coldFor, Duration(0));
+        EXPECT_EQ(decoder.decodeServer("b1", entry + R"(,"cold_left_ms":"x"})").value().coldFor, Duration(0));
+        const Result<RouteTable> table = decoder.decodeConfiguration(
+            R"({"version":3,"services":[{"name":"s","cold_per_s":12.5},{"name":"t","cold_per_s":-1},{"name":"u"}]})");
+        ASSERT_TRUE(table);
+        EXPECT_EQ(table.value().groups.at("s").coldStatementsPerSecond, 12.5);
+        EXPECT_EQ(table.value().groups.at("t").coldStatementsPerSecond, 0);
+        EXPECT_EQ(table.value().groups.at("u").coldStatementsPerSecond, 0);
+    }
+
     TEST(JsonDeclarationDecoderTest, DecodesRoutesGroupsAndKeys)
     {
         const Result<RouteTable> table = JsonDeclarationDecoder().decodeConfiguration(
--- a/tests/proxy/GroupTrackerTest.cpp
+++ b/tests/proxy/GroupTrackerTest.cpp
@@ -53,6 +53,8 @@
             this->servers.put(entry);
         }
 
+        bool maySendWhileCold(const ServerEntry& entry, TimePoint) const override { return entry.coldFor == Duration(0); }
+
         EvacuationTable evacuations { milliseconds(1250) };
 
         ServerDirectory servers;
@@ -480,8 +482,8 @@
         EXPECT_TRUE(decodeGroupUpdates(json::array { 1, json::array { "s" } }, this->now).empty());
     }
 
-    // Guards against EVAC: a primary in an evacuated data centre is used until the evacuation is in force, and waited for only while a server
-    // elsewhere can replace it.
+    // Guards against EVAC: a primary in an evacuated data centre is used until the evacuation is in force, and waited for only while a
+    // server elsewhere can replace it.
     TEST_F(GroupTrackerTest, StopsUsingPrimaryOfEvacuatedDataCentre)
     {
         this->context.moveTo(oldPrimary, "north");
@@ -513,6 +515,12 @@
         EXPECT_EQ(candidates(Homes()), 1U);
         EXPECT_EQ(candidates(Homes({ Region("lower") }, {})), 1U);
         EXPECT_EQ(candidates(Homes({}, { Region("upper") })), 0U);
+        ServerEntry cold = *this->context.servers.find(replica);
+        cold.coldFor = std::chrono::seconds(1);
+        this->context.servers.put(cold);
+        EXPECT_EQ(candidates(Homes()), 0U);
+        cold.coldFor = Duration(0);
+        this->context.servers.put(cold);
         this->context.evacuations.applyChanges({ { DataCentre("south"), { 1, 5 } } }, { 1, 5 }, this->now);
         EXPECT_EQ(candidates(Homes()), 0U);
     }
--- a/tests/proxy/RelayServerTest.cpp
+++ b/tests/proxy/RelayServerTest.cpp
@@ -20,7 +20,8 @@
         ServerEntry server;
         server.id = BackendServerId("b1");
         auto pool = std::make_shared<FakePool>(codec, server);
-        RelayServer relay(context, codec, [&](const BackendServerId&) { return pool; }, [](const BackendServerId&) { return false; });
+        RelayServer relay(
+            context, codec, [&](const BackendServerId&) { return pool; }, [](const BackendServerId&) { return false; });
         ASSERT_TRUE(relay.listen({ "127.0.0.1", 0 }));
         const auto runUntil = [&](const std::function<bool()>& isDone) {
             for (int round = 0; round < 200 && !isDone(); ++round)
@@ -62,7 +63,8 @@
         server.id = BackendServerId("b1");
         auto pool = std::make_shared<FakePool>(codec, server);
         bool isEvacuated = false;
-        RelayServer relay(context, codec, [&](const BackendServerId&) { return pool; }, [&](const BackendServerId&) { return isEvacuated; });
+        RelayServer relay(
+            context, codec, [&](const BackendServerId&) { return pool; }, [&](const BackendServerId&) { return isEvacuated; });
         ASSERT_TRUE(relay.listen({ "127.0.0.1", 0 }));
         Tcp::socket peer(context);
         peer.connect(Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), relay.localPort()));
--- a/tests/replication/EvacuationTableTest.cpp
+++ b/tests/replication/EvacuationTableTest.cpp
@@ -105,9 +105,8 @@
     TEST_F(EvacuationTableTest, PlacementRuleKeepsStatementsInTheirHomes)
     {
         const PlacementRule rule({ { "north", "upper" }, { "south", "lower" } });
-        const auto place = [&](const DataCentre& dataCentre, const Homes& homes) {
-            return rule.serverIn(dataCentre, homes, this->table, this->now);
-        };
+        const auto place
+            = [&](const DataCentre& dataCentre, const Homes& homes) { return rule.serverIn(dataCentre, homes, this->table, this->now); };
         const Region upper("upper");
         const Region lower("lower");
         EXPECT_EQ(place(north, Homes()), Placement::Allowed);
--- a/tests/server/ProxySettingsTest.cpp
+++ b/tests/server/ProxySettingsTest.cpp
@@ -77,6 +77,24 @@
         EXPECT_FALSE(readProxySettings(this->file));
     }
 
+    // Guards against cold servers that are limited by other bounds than the platform's, and against a factor that permits less than the
+    // rate.
+    TEST_F(ProxySettingsTest, ReadsBoundsOfColdServers)
+    {
+        this->writeFile(validSettings);
+        EXPECT_EQ(readProxySettings(this->file).value().coldServers.excess, 1);
+        const std::string text = std::string(validSettings).substr(0, std::string(validSettings).rfind('}'));
+        this->writeFile(text + ", coldExcess: 1.5, coldSlack: 5}\n");
+        const auto settings = readProxySettings(this->file);
+        ASSERT_TRUE(settings);
+        EXPECT_EQ(settings.value().coldServers.excess, 1.5);
+        EXPECT_EQ(settings.value().coldServers.slack, 5);
+        this->writeFile(text + ", coldExcess: 0.5}\n");
+        EXPECT_FALSE(readProxySettings(this->file));
+        this->writeFile(text + ", coldSlack: many}\n");
+        EXPECT_FALSE(readProxySettings(this->file));
+    }
+
 }
 
 }
