--- a/foxtailtrail/proxy/GroupTracker.cpp
+++ b/foxtailtrail/proxy/GroupTracker.cpp
@@ -301,7 +301,8 @@
     for (const ServerEntry* entry : directory.members(this->serviceName)) {
         if (entry->isDraining || directory.isRemoved(entry->id))
             continue;
-        if (this->groupContext.placementIn(entry->dataCentre, homes, now) != Placement::Allowed)
+        if (this->groupContext.placementIn(entry->dataCentre, homes, now) != Placement::Allowed
+            || !this->groupContext.maySendWhileCold(*entry, now))
             continue;
         const std::shared_ptr<LinkPool> pool = this->groupContext.pool(entry->id);
         if (!pool)
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -60,6 +60,10 @@
     virtual double randomDraw() { return 0; }
     // Counts the choice of a server for a read.
     virtual void recordReadChoice(const ReadChoice&) { }
+    // Returns whether this VM may send a statement to the server now, which it may not if the server is cold and others have its share.
+    virtual bool maySendWhileCold(const ServerEntry&, TimePoint) const { return true; }
+    // Records a statement that is sent to the server now.
+    virtual void recordSentWhileCold(const ServerEntry&, TimePoint) { }
     // Requests an examination of the group's primary.
     virtual void examineGroup(const ServiceName&, std::string_view reason) = 0;
 };
--- a/foxtailtrail/proxy/ProxySettings.h
+++ b/foxtailtrail/proxy/ProxySettings.h
@@ -5,6 +5,7 @@
 #include "foxtailtrail/limits/MemoryBudget.h"
 #include "foxtailtrail/limits/QuotaAllocator.h"
 #include "foxtailtrail/net/HttpClient.h"
+#include "foxtailtrail/replication/ColdServerRule.h"
 
 #include <boost/outcome/result.hpp>
 #include <map>
@@ -54,6 +55,7 @@
     Duration stopGracePeriod { 0 };
     QuotaBounds quota;
     ChangeBounds changeBounds;
+    ColdServerBounds coldServers;
     std::string logLevel = "info";
     // Whether reads are divided between the servers by reports of their loads.
     bool usesEvenLoad = false;
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -72,6 +72,7 @@
     , relays(context, RelayPlacement(proxySettings.regions))
     , evacuationTable(proxySettings.changeBounds.evacuationSettlingPeriod())
     , placementRule(proxySettings.regions)
+    , coldServerRule(proxySettings.vmId, proxySettings.coldServers)
     , callerBudget(std::make_shared<MemoryBudget>(proxySettings.memory))
     , localQuota(proxySettings.quota)
     , random(static_cast<std::minstd_rand::result_type>(stableHash(proxySettings.vmId.value)))
@@ -145,6 +146,7 @@
     if (this->table)
         logChangedLimits(this->table->organisations, newer->organisations);
     this->table = std::move(newer);
+    this->recordColdServers();
     logEvent(LogLevel::Info, "configuration installed",
         { { "version", this->table->version }, { "routes", this->table->routes.size() },
             { "organisations", this->table->organisations.size() }, { "source", source } });
@@ -167,6 +169,7 @@
 void SessionProxy::updateServerDirectory(const std::function<void(ServerDirectory&)>& change)
 {
     change(this->servers);
+    this->recordColdServers();
     for (const auto& [service, group] : this->groups) {
         for (const ServerEntry* entry : this->servers.members(service)) {
             if (const auto found = this->directPools.find(entry->id); found != this->directPools.end())
@@ -200,6 +203,25 @@
     }
 }
 
+void SessionProxy::recordColdServers()
+{
+    if (!this->table)
+        return;
+    const TimePoint now = bootNow();
+    for (const auto& [name, settings] : this->table->groups) {
+        for (const ServerEntry* entry : this->servers.members(settings.service))
+            this->coldServerRule.recordReport(entry->id, entry->startedAtMs, entry->sequence, entry->coldFor, now);
+    }
+}
+
+bool SessionProxy::maySendWhileCold(const ServerEntry& entry, TimePoint now) const
+{
+    if (!this->table || !this->coldServerRule.isCold(entry.id, now))
+        return true;
+    const auto group = this->table->groups.find(entry.service.value);
+    return group == this->table->groups.end() || this->coldServerRule.maySend(entry.id, group->second.coldStatementsPerSecond, now);
+}
+
 bool SessionProxy::hasToHandOverForEvacuation(const ServerEntry& primary) const
 {
     if (!this->evacuationTable.isEvacuated(primary.dataCentre))
@@ -725,7 +747,10 @@
     for (ConfigurationWaiter& waiter : expiredWaiters)
         waiter.callback(false);
     const bool hasResolvedServers = this->servers.resolveOlderCopy(now);
-    const bool hasExpiredServers = !this->servers.expire(now).empty();
+    const std::vector<BackendServerId> expiredServers = this->servers.expire(now);
+    const bool hasExpiredServers = !expiredServers.empty();
+    for (const BackendServerId& server : expiredServers)
+        this->coldServerRule.removeServer(server);
     if (hasExpiredServers)
         this->retireRemovedServerPools();
     if (hasResolvedServers || hasExpiredServers)
