Bound times to return, spare waiting callers, forward nothing after a late reset

A refused statement's time to return grew without bound while refusals outnumbered starts; a set of views pointed into connections that were closed while it was read; a caller that the VM itself makes wait counted as one without progress; after a suspension the limits of all callers had passed before their bytes were read; a static share began to fill while the allocator still counted it as lent; a relay sent statements that had waited for a reset although an evacuation was in force by then; a VM that was a relay until recently passed on its remaining load as the server's; one long statement without an answer counted as a wait although others were answered. Change: one correction for each, named above.

--- a/foxtailtrail/failover/PrimaryAbsence.cpp
+++ b/foxtailtrail/failover/PrimaryAbsence.cpp
@@ -51,8 +51,8 @@
 {
     const TimePoint start = this->missingSince.value_or(now);
     const TimePoint expected = start + this->usualPromotion;
-    const Duration arrivedAfter = now - start;
-    // An absence that lasts longer than expected is expected to last half as long again.
+    // An absence that lasts longer than expected is expected to last half as long again, up to half of a usual promotion.
+    const Duration arrivedAfter = std::min(now - start, this->usualPromotion);
     return std::max(expected, now) + arrivedAfter / returnCompression;
 }
 
--- a/foxtailtrail/limits/LocalQuota.cpp
+++ b/foxtailtrail/limits/LocalQuota.cpp
@@ -51,9 +51,10 @@
 {
     const double vmCount = static_cast<double>(std::max<size_t>(1, fleetSize));
     const double maxLevel = std::max(1.0, staticBurstShareOfExcess * permittedExcess(limit, this->bounds) / vmCount);
-    // The VM has not lent its share since it last heard from an allocator, also that of an organisation that it sees for the first time.
+    // The allocator counts the share as lent for the lifetime of its last grant. Since then the VM has not lent it, also that of an
+    // organisation that it sees for the first time.
     if (quota.staticShareFilledAt == TimePoint {})
-        quota.staticShareFilledAt = std::max(this->lastGrantAt, this->firstRequestAt);
+        quota.staticShareFilledAt = std::max(this->lastGrantAt + grantLifetime, this->firstRequestAt);
     quota.staticShareLevel += std::chrono::duration<double>(now - quota.staticShareFilledAt).count() * limit.ratePerSecond / vmCount;
     quota.staticShareLevel = std::min(quota.staticShareLevel, maxLevel);
     quota.staticShareFilledAt = now;
--- a/foxtailtrail/limits/MemoryBudget.cpp
+++ b/foxtailtrail/limits/MemoryBudget.cpp
@@ -34,7 +34,7 @@
     // Returns whether the caller, and not this VM, keeps the connection's bytes waiting.
     bool isWithoutProgress(const MemoryHolder& holder, TimePoint now)
     {
-        return !holder.isServed && now >= holder.lastProgressAt + stallLimitWhenShort;
+        return !holder.isServed && !holder.isWaiting && now >= holder.lastProgressAt + stallLimitWhenShort;
     }
 
 }
@@ -96,7 +96,7 @@
             evicted.push_back({ index, MemoryRefusal::NoStart });
         else if (isReceiving && now >= holder.messageBegunAt + messageLimit)
             evicted.push_back({ index, MemoryRefusal::SlowMessage });
-        else if (holder.hasUnsentBytes && now >= holder.lastProgressAt + unreadLimit)
+        else if (holder.hasUnsentBytes && !holder.isServed && now >= holder.lastProgressAt + unreadLimit)
             evicted.push_back({ index, MemoryRefusal::UnreadAnswer });
         else if (isLargePlaceAwaited && holder.holdsLargePlace && !holder.isServed
             && (isStalled || now >= holder.messageBegunAt + messageLimitWhenShort))
--- a/foxtailtrail/proxy/CallerConnection.cpp
+++ b/foxtailtrail/proxy/CallerConnection.cpp
@@ -352,7 +352,8 @@
     }
     this->organisation = organisationLimit->organisation.value;
     auto self = std::static_pointer_cast<CallerConnection>(this->shared_from_this());
-    const Duration maxWait = std::max(minQuotaWait, this->route->latencyObjective / 2);
+    const Duration timeout = this->route->statementTimeout > Duration(0) ? this->route->statementTimeout : defaultStatementTimeout;
+    const Duration maxWait = std::min(timeout, std::max(minQuotaWait, this->route->latencyObjective / 2));
     const QuotaOperation operation { this->route->priority, this->requestStartedAt + maxWait, this->requestStartedAt };
     this->proxy.admit(*organisationLimit, operation,
         [self, number = this->requestNumber, proceed = std::move(onAdmitted)](const std::optional<Duration>& retryAfter) {
@@ -670,8 +671,12 @@
 
 void CallerConnection::retryReading()
 {
-    if (this->isWaitingForMemory)
-        this->resumeReading();
+    if (!this->isWaitingForMemory)
+        return;
+    this->resumeReading();
+    // The wait was this VM's.
+    if (!this->isWaitingForMemory && this->messageBegunAt != TimePoint {})
+        this->messageBegunAt = this->lastProgressAt = bootNow();
 }
 
 bool CallerConnection::waitsForReader() const
--- a/foxtailtrail/proxy/DirectPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -146,7 +146,8 @@
 
 bool DirectPool::serveNextWaiter(TimePoint now)
 {
-    std::set<std::string_view> idleOrganisations;
+    // Copies, because taking a link closes those that cannot be reused.
+    std::set<std::string> idleOrganisations;
     for (const auto& link : this->idle)
         idleOrganisations.insert(link->organisation());
     std::map<std::string_view, size_t> waitersBefore;
--- a/foxtailtrail/proxy/RelayServer.cpp
+++ b/foxtailtrail/proxy/RelayServer.cpp
@@ -182,6 +182,11 @@
                 return;
             }
             this->link->state().clear();
+            if (!this->mayForward(this->queuedStatements)) {
+                this->pool->release(std::exchange(this->link, nullptr));
+                this->deny(AcquireOutcome::Gone);
+                return;
+            }
             this->sendQueuedStatements();
             return;
         }
--- a/foxtailtrail/proxy/RelayedPool.cpp
+++ b/foxtailtrail/proxy/RelayedPool.cpp
@@ -149,7 +149,8 @@
         if (sentAt && (!oldest || *sentAt < *oldest))
             oldest = sentAt;
     }
-    return oldest;
+    // While others are answered, a statement without an answer takes long itself and shows no wait.
+    return oldest ? std::optional(std::max(*oldest, this->loadRecord->lastAnswerAt())) : std::nullopt;
 }
 
 void RelayedPool::release(const std::shared_ptr<BackendLink>& returnedLink)
--- a/foxtailtrail/proxy/SessionProxy.cpp
+++ b/foxtailtrail/proxy/SessionProxy.cpp
@@ -26,6 +26,10 @@
     constexpr Duration configurationTimeout = std::chrono::milliseconds(1500);
     // The time limits of the memory budget are checked this often, and more often while memory is short.
     constexpr Duration memorySweepInterval = std::chrono::seconds(1);
+    // Sweeps that are this far apart show that the VM did not run meanwhile.
+    constexpr Duration suspensionGap = std::chrono::milliseconds(500);
+    // The time for which the limits of the memory budget do not count after that.
+    constexpr Duration progressGrace = std::chrono::seconds(2);
     // The time for which a closed session may send its last replies.
     constexpr Duration closingTimeout = std::chrono::seconds(30);
     constexpr Duration quotaRefusalLogInterval = std::chrono::milliseconds(500);
@@ -466,7 +470,8 @@
 
 std::optional<ServerLoad> SessionProxy::knownLoad(const ServerEntry& server, TimePoint now)
 {
-    if (this->isRelayFor(server, now)) {
+    // A VM that was the relay until recently sees only what is left of the load.
+    if (this->relays.relayFor(server, now) == this->proxySettings.vmId) {
         const auto pool = this->directPools.find(server.id);
         return pool == this->directPools.end() ? std::nullopt : pool->second->load();
     }
@@ -610,9 +615,13 @@
 
 void SessionProxy::sweepMemory(TimePoint now)
 {
+    // After a suspension, bytes that arrived meanwhile are read before the callers' time limits count.
+    if (this->memorySweptAt != TimePoint {} && now >= this->memorySweptAt + suspensionGap)
+        this->memoryLimitsCountFrom = now + progressGrace;
+    this->memorySweptAt = now;
     const bool isShort = !this->memoryWaiters.empty() || !this->callerBudget->hasBufferRoom();
     const bool isDue = now >= this->nextMemorySweepAt;
-    if (isShort || isDue) {
+    if ((isShort || isDue) && now >= this->memoryLimitsCountFrom) {
         std::vector<std::shared_ptr<CallerConnection>> held;
         std::vector<MemoryHolder> holders;
         held.reserve(this->connections.size());
--- a/foxtailtrail/proxy/SessionProxy.h
+++ b/foxtailtrail/proxy/SessionProxy.h
@@ -233,6 +233,9 @@
     // The evacuations that were logged as in force, with the groups that had their primary there.
     std::map<DataCentre, std::string> loggedEvacuations;
     std::shared_ptr<MemoryBudget> callerBudget;
+    // When the memory budget was last swept, and from when on its time limits count.
+    TimePoint memorySweptAt {};
+    TimePoint memoryLimitsCountFrom {};
     LocalQuota localQuota;
     std::list<QuotaWaiter> quotaWaiters;
     // The refused operations by cause since the last log line, and when the next line is due.
--- a/foxtailtrail/replication/LoadRecord.cpp
+++ b/foxtailtrail/replication/LoadRecord.cpp
@@ -12,6 +12,7 @@
 
 void LoadRecord::recordReport(ServerLoad load, TimePoint requestedAt, TimePoint now)
 {
+    this->answeredAt = now;
     load.takenAt = std::max(requestedAt, now - maxTransitTime);
     this->setReport(load);
 }
--- a/foxtailtrail/replication/LoadRecord.h
+++ b/foxtailtrail/replication/LoadRecord.h
@@ -18,6 +18,8 @@
     void recordSent(TimePoint now);
     // Returns the report, or std::nullopt when there is none or the last one is too old to say anything.
     std::optional<ServerLoad> find(TimePoint now) const;
+    // Returns when the last report came with an answer of the server.
+    TimePoint lastAnswerAt() const { return this->answeredAt; }
     // Returns the number of statements that this VM has sent since the report was taken.
     uint32_t sentSince() const { return static_cast<uint32_t>(this->sentAt.size()); }
 
@@ -25,6 +27,7 @@
     void setReport(const ServerLoad&);
 
     std::optional<ServerLoad> report;
+    TimePoint answeredAt {};
     std::deque<TimePoint> sentAt;
 };
 
--- a/foxtailtrail/scheduling/StatementQueue.cpp
+++ b/foxtailtrail/scheduling/StatementQueue.cpp
@@ -26,6 +26,8 @@
     constexpr int planSlackPercent = 200;
     // The weight of one start in the share of its priority, and the minimum of that share in estimates.
     constexpr int startShareWeight = 128;
+    // The times to return that refused statements get are spread over this long beyond the time at which the queue is expected to be empty.
+    constexpr Duration maxReturnSpread = std::chrono::seconds(2);
     constexpr double minStartShare = 0.01;
 
     // Returns the latest start that still meets the objective; without one, the latest start at all.
@@ -258,6 +260,9 @@
 {
     const Duration interval = std::max<Duration>(pace.startInterval, std::chrono::milliseconds(1));
     const TimePoint drained = now + pace.silence + interval * static_cast<Duration::rep>(this->statements.size());
+    // Beyond the spread, and once the queue is empty, the times begin anew: most of those who were told a time earlier are back by then.
+    if (this->statements.empty() || this->lastReturnAt >= drained + maxReturnSpread)
+        this->lastReturnAt = drained;
     this->lastReturnAt = std::max(drained, this->lastReturnAt) + interval;
     return this->lastReturnAt;
 }
