--- a/foxtailtrail/proxy/RelayClient.cpp
+++ b/foxtailtrail/proxy/RelayClient.cpp
@@ -251,10 +251,7 @@
     this->endChannel();
 }
 
-void RelayedLink::handleLoad(const ServerLoad& load)
-{
-    this->linkLoad.record->recordReport(load, this->lastSentAt, bootNow());
-}
+void RelayedLink::handleLoad(const ServerLoad& load) { this->linkLoad.record->recordReport(load, this->lastSentAt, bootNow()); }
 
 void RelayedLink::handleReports(const std::vector<LoadReport>& reports)
 {
