Count abandoned statements in the service time of a server

Cause: a statement that its VM gave up had no reply, so the mean service time of a slow or hanging server consisted of the statements that happened to be fast. Change: DirectPool counts the time until a connection with an outstanding statement is dropped. It has no test of its own.

--- a/foxtailtrail/proxy/DirectPool.cpp
+++ b/foxtailtrail/proxy/DirectPool.cpp
@@ -282,6 +282,10 @@
 
 void DirectPool::drop(const std::shared_ptr<BackendLink>& link)
 {
+    // A statement that was given up has taken at least this long. Without it, the mean of a slow server would consist of the statements
+    // that happened to be fast.
+    if (const std::optional<TimePoint> sentAt = link->oldestUnansweredAt())
+        this->recordServiceTime(bootNow() - *sentAt, false);
     this->removeFromInUse(link)->close();
     this->serveWaiters();
 }
