Let callers return by the VM's own demand while no line is known

Cause: without a line, refused callers got the VM's equal part of the rate as their distance, seconds apart in a large fleet. Change: the demand that the VM observes, at most the rate.

--- a/foxtailtrail/limits/LocalQuota.cpp
+++ b/foxtailtrail/limits/LocalQuota.cpp
@@ -164,7 +164,10 @@
 {
     OrganisationQuota& quota = this->quotas[limit.organisation];
     const double equalPart = limit.ratePerSecond / static_cast<double>(std::max<size_t>(1, fleetSize));
-    const double rate = this->isAllocatorAvailable(now) && isLineKnown(quota, now) ? quota.expectedRate : equalPart;
+    // Without a line, nothing shows that the organisation is short: the VM can expect what its callers ask for.
+    const double expectedRate
+        = isLineKnown(quota, now) ? quota.expectedRate : std::max(equalPart, std::min(limit.ratePerSecond, quota.demandPerSecond));
+    const double rate = this->isAllocatorAvailable(now) ? expectedRate : equalPart;
     const Duration step = secondsToDuration(1 / std::max(minRatePerSecond, rate));
     const TimePoint tokenAt = this->tokenTime(quota, limit, fleetSize, operation, now);
     // Callers that do not return leave their places, so the places begin again after a window.
--- a/tests/limits/QuotaTest.cpp
+++ b/tests/limits/QuotaTest.cpp
@@ -310,6 +310,15 @@
             last = next;
         }
         EXPECT_EQ(localQuota.admit(limit, 9, at(1020), false, { 3, at(2220), at(1020) }), QuotaDecision::Wait);
+        // Without a line, callers return as fast as they came, and not at the VM's equal part of the rate, one each 90 ms.
+        LocalQuota unanswered(bounds);
+        for (int count = 0; count < 50; ++count)
+            unanswered.admit(limit, 9, at(1000), false, { 0, at(1200), at(1000) });
+        unanswered.collectRequests(at(1010));
+        const TimePoint first = unanswered.takeReturnTime(limit, 9, at(1200), { 0, at(1200), at(1000) });
+        const TimePoint second = unanswered.takeReturnTime(limit, 9, at(1200), { 0, at(1200), at(1000) });
+        EXPECT_GT(second, first);
+        EXPECT_LT(second - first, milliseconds(50));
     }
 
     // Guards against a token that one VM takes although an operation of higher priority waits on another VM.
