Count expected operations of higher priority in the line

Cause: the line of a low priority ignored operations of higher priority that arrive meanwhile, so operations waited in vain.

Measured without a network: the tests.

--- a/foxtailtrail/limits/QuotaAllocator.cpp
+++ b/foxtailtrail/limits/QuotaAllocator.cpp
@@ -135,7 +135,7 @@
     std::erase_if(own, [](const Claim& claim) { return claim.count == 0; });
 }
 
-std::vector<QuotaLinePlace> QuotaAllocator::line(const Account& account, double rate)
+std::vector<QuotaLinePlace> QuotaAllocator::line(const Account& account, double rate, TimePoint now)
 {
     std::map<uint32_t, size_t> countByPriority;
     for (const auto& [vm, open] : account.openClaims) {
@@ -149,7 +149,12 @@
     double ahead = 0;
     for (const auto& [priority, count] : countByPriority) {
         ahead += static_cast<double>(count);
-        const double seconds = std::max(0.0, ahead + 1 - account.level) / std::max(rate, minRatePerSecond);
+        // Operations of higher priority that arrive meanwhile come first, except in the turns of the oldest one.
+        double rateBefore = 0;
+        for (const auto& [earlier, recent] : account.recentGrants)
+            rateBefore += earlier < priority ? recent.at(now) / recentGrantsSeconds : 0;
+        const double ownRate = std::max(rate - rateBefore, rate / static_cast<double>(tokensByPriority + 1));
+        const double seconds = std::max(0.0, ahead + 1 - account.level) / std::max(ownRate, minRatePerSecond);
         places.push_back({ priority, secondsToDuration(seconds) });
     }
     return places;
@@ -210,7 +215,7 @@
 
         // While VMs join, the share grows, and the line would seem longer than it is.
         if (now >= this->lastVmJoinedAt + claimLifetime || this->servedUntil.size() >= fleetSize)
-            grant.line = line(account, rate);
+            grant.line = line(account, rate, now);
         const double part = std::max(request.demandPerSecond / std::max(account.totalDemand, std::numeric_limits<double>::min()),
             1.0 / static_cast<double>(this->servedUntil.size()));
         grant.expectedRate = rate * std::min(1.0, part);
--- a/foxtailtrail/limits/QuotaAllocator.h
+++ b/foxtailtrail/limits/QuotaAllocator.h
@@ -138,7 +138,7 @@
     // Takes tokens for the claims of one VM out of the level, and removes the served ones from the list.
     static void serveClaims(Account&, std::vector<Claim>& own, const OrganisationLimit&, QuotaGrant&, TimePoint now);
     // Returns when operations that begin to wait now would get a token.
-    static std::vector<QuotaLinePlace> line(const Account&, double rate);
+    static std::vector<QuotaLinePlace> line(const Account&, double rate, TimePoint now);
 
     QuotaBounds bounds;
     std::map<OrganisationId, Account> accounts;
