--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -429,7 +429,8 @@
     }
     this->lastAttemptError = ErrorKind::NoPrimary;
     this->recordServerFailure(isServerFailure);
-    if (isServerFailure)
+    // A relay that does not know the server yet answers at once, so a read that tried the same server again would not end.
+    if (isServerFailure || outcome == AcquireOutcome::Gone)
         this->excludedServers.push_back(this->target);
     this->retryAfter(this->needsPrimary() ? unreachableRetryDelay : Duration(0));
 }
