--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -146,11 +146,7 @@
               if (self->hasFinished)
                   return;
               if (!primary) {
-                  RunResult result;
-                  result.error = ErrorKind::NoPrimary;
-                  result.detail = "the group has no usable primary";
-                  result.retryAt = self->group->primaryReturnAt(bootNow());
-                  self->finish(std::move(result));
+                  self->finishWithError(ErrorKind::NoPrimary, "the group has no usable primary");
                   return;
               }
               self->acquireLink(*primary);
