--- a/foxtailtrail/proxy/StatementRun.cpp
+++ b/foxtailtrail/proxy/StatementRun.cpp
@@ -152,11 +152,7 @@
               if (self->hasFinished)
                   return;
               if (!primary) {
-                  RunResult result;
-                  result.error = ErrorKind::NoPrimary;
-                  result.detail = "the group has no usable primary";
-                  result.retryAt = self->group->primaryReturnAt(bootNow());
-                  self->finish(std::move(result));
+                  self->finishWithError(ErrorKind::NoPrimary, "the group has no usable primary");
                   return;
               }
               self->acquireLink(*primary);
@@ -497,7 +493,8 @@
     }
     this->lastAttemptError = ErrorKind::NoPrimary;
     this->recordServerFailure(isServerFailure);
-    if (isServerFailure)
+    // A relay that does not know the server yet answers at once, so a read that tried the same server again would not end.
+    if (isServerFailure || outcome == AcquireOutcome::Gone)
         this->excludedServers.push_back(this->target);
     this->retryAfter(this->needsPrimary() ? unreachableRetryDelay : Duration(0));
 }
