Mark a result that the crowd does not use

Cause: the linter found an unused result in tests/callers/Crowd.cpp. Change: it is discarded explicitly; crowd and bounds are unchanged.

--- a/tests/callers/Crowd.cpp
+++ b/tests/callers/Crowd.cpp
@@ -31,7 +31,8 @@
     for (Member& member : this->members) {
         member.descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         setsockopt(member.descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
-        connect(member.descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+        // A connection that cannot be made shows when it is used.
+        static_cast<void>(connect(member.descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)));
     }
 }
 
