--- a/foxtailtrail/failover/PrimaryAbsence.cpp
+++ b/foxtailtrail/failover/PrimaryAbsence.cpp
@@ -12,8 +12,6 @@
     constexpr Duration shortWait = std::chrono::milliseconds(80);
     // An absence that lasts this many times the usual promotion has other reasons.
     constexpr int maxPromotionFactor = 2;
-    // The refused statements return within this fraction of the time in which they arrived.
-    constexpr int returnCompression = 2;
 
 }
 
@@ -47,13 +45,4 @@
     return giveUpAt < start + this->shortestPromotion ? now : giveUpAt;
 }
 
-TimePoint PrimaryAbsence::returnAt(TimePoint now) const
-{
-    const TimePoint start = this->missingSince.value_or(now);
-    const TimePoint expected = start + this->usualPromotion;
-    // An absence that lasts longer than expected is expected to last half as long again, up to half of a usual promotion.
-    const Duration arrivedAfter = std::min(now - start, this->usualPromotion);
-    return std::max(expected, now) + arrivedAfter / returnCompression;
-}
-
 }
--- a/foxtailtrail/failover/PrimaryAbsence.h
+++ b/foxtailtrail/failover/PrimaryAbsence.h
@@ -24,9 +24,6 @@
     // Returns until when a statement waits that could wait until the given time; not later than now when it cannot be served in time. On an
     // isolated VM, and when a promotion takes longer than expected, another VM may know the primary, so the caller gets a result early.
     TimePoint waitUntil(TimePoint now, TimePoint giveUpAt, bool isIsolated) const;
-    // Returns when a statement that is refused now should return: when a primary is expected, and later the later it arrived, so that the
-    // refused statements come back over a time instead of at once.
-    TimePoint returnAt(TimePoint now) const;
 
 private:
     std::optional<TimePoint> missingSince;
--- a/foxtailtrail/proxy/GroupTracker.h
+++ b/foxtailtrail/proxy/GroupTracker.h
@@ -123,8 +123,6 @@
     // cancel(), or 0.
     uint64_t whenPrimaryUsable(const std::string& organisation, TimePoint giveUpAt, PrimaryCallback);
     void cancel(uint64_t ticket);
-    // Returns when a statement should return that is refused now because there is no usable primary.
-    TimePoint primaryReturnAt(TimePoint now) const { return this->absence.returnAt(now); }
     // Returns true when the server may be used as the primary at this time.
     bool isUsablePrimary(const BackendServerId& server, TimePoint now) const { return this->usablePrimary(now) == server; }
     void sweep(TimePoint now);
--- a/foxtailtrail/scheduling/StatementQueue.cpp
+++ b/foxtailtrail/scheduling/StatementQueue.cpp
@@ -26,9 +26,9 @@
     constexpr int planSlackPercent = 200;
     // The weight of one start in the share of its priority, and the minimum of that share in estimates.
     constexpr int startShareWeight = 128;
+    constexpr double minStartShare = 0.01;
     // The times to return that refused statements get are spread over this long beyond the time at which the queue is expected to be empty.
     constexpr Duration maxReturnSpread = std::chrono::seconds(2);
-    constexpr double minStartShare = 0.01;
 
     // Returns the latest start that still meets the objective; without one, the latest start at all.
     TimePoint latestStart(const QueuedStatement& statement, const ServerPace& pace)
--- a/tests/failover/PrimaryAbsenceTest.cpp
+++ b/tests/failover/PrimaryAbsenceTest.cpp
@@ -50,7 +50,6 @@
         absence.recordUsable(at(9000));
         absence.recordMissing(at(10000));
         EXPECT_EQ(absence.waitUntil(at(10300), at(10940), false), at(10940));
-        EXPECT_EQ(absence.returnAt(at(10000)), at(11600));
     }
 
     TEST(PrimaryAbsenceTest, LongAbsenceAndIsolationShortenWait)
@@ -61,19 +60,6 @@
         EXPECT_EQ(absence.waitUntil(at(1100), at(1740), true), at(1180));
     }
 
-    TEST(PrimaryAbsenceTest, RefusedStatementsReturnOverTimeAfterExpectedEnd)
-    {
-        PrimaryAbsence absence;
-        absence.recordMissing(at(1000));
-        TimePoint last = at(2599);
-        for (int64_t now = 1000; now < 4000; now += 10) {
-            EXPECT_GT(absence.returnAt(at(now)), last);
-            last = absence.returnAt(at(now));
-        }
-        EXPECT_LT(absence.returnAt(at(2000)), at(3200));
-        EXPECT_EQ(absence.returnAt(at(4000)), at(5500));
-    }
-
 }
 
 }
--- a/tests/fuzzing/DecoderFuzzTest.cpp
+++ b/tests/fuzzing/DecoderFuzzTest.cpp
@@ -178,7 +178,7 @@
         frames.push_back(frames[0] + frames[1] + frames[2]);
         const ServerLoad load { 7, 300, 6, std::chrono::milliseconds(28) };
         frames.emplace_back();
-        writeRelayDenied(frames.back(), 7, AcquireOutcome::Exhausted, load);
+        writeRelayDenied(frames.back(), 7, AcquireOutcome::Exhausted, 35, load);
         frames.emplace_back();
         writeRelayAnswer(frames.back(), 7, "DONE -\r\nREADY I 3.4\r\n", load);
         frames.emplace_back();
--- a/tests/proxy/RelayFrameTest.cpp
+++ b/tests/proxy/RelayFrameTest.cpp
@@ -60,7 +60,7 @@
         const ServerLoad huge { 1000, 100'000, 6, std::chrono::seconds(60) };
         std::string bytes;
         writeRelayAnswer(bytes, 11, "DONE\r\n", load);
-        writeRelayDenied(bytes, 12, AcquireOutcome::Exhausted, huge);
+        writeRelayDenied(bytes, 12, AcquireOutcome::Exhausted, std::nullopt, huge);
         writeRelayLoads(bytes, 13, { { loadReportKey(BackendServerId("b1")), std::chrono::milliseconds(250), load } });
         std::string_view rest = bytes;
         RelayFrame frame;
