--- a/tests/proxy/StatementRunPlacementTest.cpp
+++ b/tests/proxy/StatementRunPlacementTest.cpp
@@ -35,7 +35,7 @@
             dropped->abort();
         }
         void recordBusy() override { }
-        void recordReply() override { }
+        void recordReply(TimePoint) override { }
         bool hasFreeLink(const std::string&) const override { return false; }
         uint32_t outstandingRequests() const override { return 0; }
 
