--- a/foxtailtrail/limits/LocalQuota.cpp
+++ b/foxtailtrail/limits/LocalQuota.cpp
@@ -54,7 +54,8 @@
     // The allocator counts the share as lent for the lifetime of its last grant. Since then the VM has not lent it, also that of an
     // organisation that it sees for the first time.
     if (quota.staticShareFilledAt == TimePoint {})
-        quota.staticShareFilledAt = std::max(this->lastGrantAt + grantLifetime, this->firstRequestAt);
+        quota.staticShareFilledAt
+            = this->lastGrantAt == TimePoint {} ? this->firstRequestAt : std::max(this->lastGrantAt + grantLifetime, this->firstRequestAt);
     quota.staticShareLevel += std::chrono::duration<double>(now - quota.staticShareFilledAt).count() * limit.ratePerSecond / vmCount;
     quota.staticShareLevel = std::min(quota.staticShareLevel, maxLevel);
     quota.staticShareFilledAt = now;
