Evacuate the data centre in the soak and in a test with real processes

Cause: no test showed that a VM takes an evacuation from the store's feed and takes it back (StoreFollower::applyDeclarations), and the soak did not know the operator's request.

--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -101,7 +101,7 @@
             const char* name;
             Fault fault;
         };
-        constexpr std::array<FaultEntry, 13> faults { {
+        constexpr std::array<FaultEntry, 14> faults { {
             { "kill a VM", &SoakEnvironment::killVm },
             { "pause a VM", &SoakEnvironment::pauseVm },
             { "stop a VM", &SoakEnvironment::stopVm },
@@ -115,6 +115,7 @@
             { "delay a replica", &SoakEnvironment::delayReplica },
             { "lose replies of servers", &SoakEnvironment::loseReplies },
             { "change the configuration", &SoakEnvironment::changeConfiguration },
+            { "evacuate the data centre", &SoakEnvironment::evacuateDataCentre },
         } };
         const FaultEntry& entry = faults[this->random() % faults.size()];
         this->faultLog.emplace_back(entry.name);
@@ -210,6 +211,7 @@
         this->fleet.store().restore(ageOfCopy);
         // The operator and the servers write again what the copy lacks.
         this->fleet.publishConfiguration();
+        this->fleet.setEvacuated(this->isEvacuated);
         this->fleet.registerServers();
     }
 
@@ -296,6 +298,17 @@
         this->fleet.publishConfiguration();
     }
 
+    // All servers are in one data centre, so that nothing may run until the evacuation is taken back.
+    void evacuateDataCentre()
+    {
+        this->isEvacuated = true;
+        this->fleet.setEvacuated(true);
+        this->scheduleRepair([this] {
+            this->isEvacuated = false;
+            this->fleet.setEvacuated(false);
+        });
+    }
+
     std::mt19937 random;
     size_t historyReplacementCount = 0;
     size_t unresponsiveStoreCount = 0;
@@ -305,6 +318,7 @@
     std::priority_queue<ScheduledRepair, std::vector<ScheduledRepair>, std::greater<>> scheduledRepairs;
     std::vector<std::string> faultLog;
     bool isServerDown = false;
+    bool isEvacuated = false;
     fleet::Fleet fleet;
 };
 
--- a/tests/fleet/Fleet.cpp
+++ b/tests/fleet/Fleet.cpp
@@ -244,6 +244,15 @@
 
 void Fleet::unregisterServer(size_t server) { this->rowStore->remove("servers", this->lineGroup->serverId(server)); }
 
+void Fleet::setEvacuated(bool isEvacuated)
+{
+    const std::string key = "evacuate/zone-a";
+    if (isEvacuated)
+        this->rowStore->put("op", key, "{}");
+    else
+        this->rowStore->remove("op", key);
+}
+
 void Fleet::startVm(size_t vm)
 {
     const Ports& vmPorts = this->ports[vm];
--- a/tests/fleet/Fleet.h
+++ b/tests/fleet/Fleet.h
@@ -105,6 +105,8 @@
     void registerServers();
     void registerServer(size_t server);
     void unregisterServer(size_t server);
+    // Has the data centre of all servers evacuated, or takes that back.
+    void setEvacuated(bool);
 
     void startVm(size_t vm);
     void signalVm(size_t vm, int signalNumber);
--- a/tests/fleet/FleetTest.cpp
+++ b/tests/fleet/FleetTest.cpp
@@ -254,6 +254,23 @@
         EXPECT_GE(last, 1U);
     }
 
+    // Guards against an evacuation that no VM learns of from the store, and against a data centre that stays unused after it was taken
+    // back.
+    TEST_P(FleetTest, SendsNothingToEvacuatedDataCentreUntilItIsTakenBack)
+    {
+        Caller caller(this->fleet.callerPort(1));
+        startSession(caller, "strict");
+        ASSERT_TRUE(queryUntilRun(caller, "e1", "WRITE e 1").succeeded());
+        this->fleet.setEvacuated(true);
+        ASSERT_TRUE(eventually([&] { return !caller.query("e2", "WRITE e 2").succeeded(); }));
+        const size_t ranBefore = this->fleet.records().size();
+        for (int attempt = 0; attempt < 5; ++attempt)
+            EXPECT_FALSE(caller.query("e3", "READ e").succeeded());
+        EXPECT_EQ(this->fleet.records().size(), ranBefore);
+        this->fleet.setEvacuated(false);
+        EXPECT_TRUE(eventually([&] { return caller.query("e4", "WRITE e 4").succeeded(); }));
+    }
+
     // Guards against a planned stop that interrupts a transaction or leaves the VM in rotation.
     TEST_P(FleetTest, FinishesTransactionAndReportsNotReadyWhenVmStops)
     {
